Read and check the operators' text

Cause: every later part needs the catalog. GKeyFile gives no lines and merges repeats, so a pass over the lines stands beside it; every mistake is reported with its place.

--- a/Makefile
+++ b/Makefile
@@ -42,8 +42,8 @@
 	@scripts/lint $(BUILD)/sanitized
 
 format: deps
-	@git ls-files -co --exclude-standard 'src/*.[ch]' 'tests/*.[ch]' | \
-	    grep -v '^src/protocol/gen/' | xargs clang-format -i
+	@find src tests -name '*.[ch]' -not -path '*/gen/*' | \
+	    xargs clang-format -i
 
 clean:
 	rm -rf $(BUILD)
--- /dev/null
+++ b/src/protocol/text.h
@@ -0,0 +1,34 @@
+#ifndef PROTOCOL_TEXT_H
+#define PROTOCOL_TEXT_H
+
+#include <glib.h>
+
+#include "state/catalog.h"
+
+/* Most bytes of an operators' text. */
+#define TEXT_MAX_BYTES (1024 * 1024)
+
+/**
+ * text_parse() - Build a catalog from the operators' text.
+ * @c: initialised, empty; filled as far as the text allows
+ * @name: name of the text, for messages
+ * @text: the text
+ * @errors: takes a line (char *) for each mistake, with its place
+ *
+ * Return: 0 if the whole text is right, -1 if @errors grew.
+ */
+int text_parse(
+    catalog_t *c, const char *name, const char *text, GPtrArray *errors);
+
+/**
+ * text_warnings() - Judge whether the capacities can carry the load.
+ * @c: a catalog that text_parse() took
+ * @warnings: takes a line (char *) for each doubt
+ *
+ * Compares, for each service whose typical request time is stated, the sum of
+ * the workspaces' rates with what its slots serve, whole and with the largest
+ * failure domain down.
+ */
+void text_warnings(const catalog_t *c, GPtrArray *warnings);
+
+#endif
