--- /dev/null
+++ b/src/transport/http_check.c
@@ -0,0 +1,145 @@
+#include <sys/queue.h>
+
+#include <string.h>
+
+#include "transport/http_check.h"
+
+/* Most headers of one message. */
+#define MAX_HEADERS 128
+
+static const char token_chars[] =
+    "!#$%&'*+-.^_`|~0123456789"
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
+
+/* Headers of which a second one makes the message ambiguous. */
+static const char *const single[] = {"Authorization", "Content-Length",
+    "Transfer-Encoding", "Host", "Idempotency-Key"};
+
+static const char *const not_forwarded[] = {"Connection", "Keep-Alive",
+    "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+    "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Host",
+    "Content-Length", "Authorization"};
+
+static gboolean
+is_token(const char *s)
+{
+	return *s != '\0' && s[strspn(s, token_chars)] == '\0';
+}
+
+static gboolean
+is_in(const char *name, const char *const *list, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (g_ascii_strcasecmp(name, list[i]) == 0)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static gboolean
+has_control(const char *value)
+{
+	for (; *value != '\0'; value++) {
+		if ((unsigned char)*value < ' ' && *value != '\t')
+			return TRUE;
+		if (*value == 0x7f)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static gboolean
+is_repeated(const struct evkeyval *h)
+{
+	const struct evkeyval *other;
+
+	if (!is_in(h->key, single, G_N_ELEMENTS(single)))
+		return FALSE;
+	for (other = TAILQ_NEXT(h, next); other != NULL;
+	     other = TAILQ_NEXT(other, next)) {
+		if (g_ascii_strcasecmp(h->key, other->key) == 0)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static const char *
+check_framing(const struct evkeyval *h)
+{
+	if (g_ascii_strcasecmp(h->key, "Content-Length") == 0 &&
+	    (*h->value == '\0' || strlen(h->value) > 18 ||
+		h->value[strspn(h->value, "0123456789")] != '\0'))
+		return "Content-Length is not a plain number";
+	if (g_ascii_strcasecmp(h->key, "Transfer-Encoding") == 0 &&
+	    g_ascii_strcasecmp(h->value, "chunked") != 0)
+		return "unknown Transfer-Encoding";
+	return NULL;
+}
+
+const char *
+http_check_headers(const struct evkeyvalq *headers)
+{
+	const struct evkeyval *h;
+	const char *wrong;
+	int n = 0;
+
+	TAILQ_FOREACH(h, headers, next)
+	{
+		if (++n > MAX_HEADERS)
+			return "too many headers";
+		if (!is_token(h->key))
+			return "a header name is no token";
+		if (has_control(h->value))
+			return "a header value holds control characters";
+		if (is_repeated(h))
+			return "a header that may stand once is repeated";
+		wrong = check_framing(h);
+		if (wrong != NULL)
+			return wrong;
+	}
+	return NULL;
+}
+
+gboolean
+http_check_length(const struct evkeyvalq *headers, guint64 *length)
+{
+	const char *value = evhttp_find_header(headers, "Content-Length");
+
+	return value != NULL &&
+	    g_ascii_string_to_unsigned(value, 10, 0, G_MAXINT64, length, NULL);
+}
+
+/* Whether the Connection header names this header as hop-by-hop. */
+static gboolean
+is_named(const char *connection, const char *name)
+{
+	char **parts;
+	gboolean found = FALSE;
+	size_t i;
+
+	if (connection == NULL)
+		return FALSE;
+	parts = g_strsplit(connection, ",", -1);
+	for (i = 0; parts[i] != NULL && !found; i++)
+		found = g_ascii_strcasecmp(g_strstrip(parts[i]), name) == 0;
+	g_strfreev(parts);
+	return found;
+}
+
+void
+http_copy_end_to_end(struct evkeyvalq *to, const struct evkeyvalq *from)
+{
+	const char *connection = evhttp_find_header(from, "Connection");
+	const struct evkeyval *h;
+
+	TAILQ_FOREACH(h, from, next)
+	{
+		if (is_in(h->key, not_forwarded, G_N_ELEMENTS(not_forwarded)))
+			continue;
+		if (is_named(connection, h->key))
+			continue;
+		evhttp_add_header(to, h->key, h->value);
+	}
+}
--- /dev/null
+++ b/src/transport/http_check.h
@@ -0,0 +1,40 @@
+#ifndef TRANSPORT_HTTP_CHECK_H
+#define TRANSPORT_HTTP_CHECK_H
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+
+/*
+ * What evhttp lets through though it must not reach a backend server:
+ * contradictory lengths, unknown codings, names that are no tokens.
+ */
+
+/**
+ * http_check_headers() - Judge the headers of a request.
+ * @headers: as evhttp parsed them
+ *
+ * Return: NULL if they are sound, or what is wrong, as a fixed text.
+ */
+const char *http_check_headers(const struct evkeyvalq *headers);
+
+/**
+ * http_check_length() - Read the length that a request announces.
+ * @headers: as evhttp parsed them
+ * @length: set on success
+ *
+ * Return: whether there is a Content-Length of nothing but digits.
+ */
+gboolean http_check_length(const struct evkeyvalq *headers, guint64 *length);
+
+/**
+ * http_copy_end_to_end() - Copy the headers that may be forwarded.
+ * @to: where to
+ * @from: headers of a message
+ *
+ * Leaves out hop-by-hop headers and those that Connection names, Expect,
+ * Host, Content-Length, Authorization and Proxy-Authorization.
+ */
+void http_copy_end_to_end(struct evkeyvalq *to, const struct evkeyvalq *from);
+
+#endif
--- /dev/null
+++ b/src/transport/http_client.c
@@ -0,0 +1,426 @@
+#include <sys/queue.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+
+#include "transport/http_client.h"
+
+/* Idle connections older than this are not used again. */
+#define IDLE_MAX_MS 10000
+#define HEADERS_MAX_BYTES 65536
+
+/* One address: its idle connections, newest last, and how many are open. */
+typedef struct {
+	char *address;
+	char *ip;
+	uint16_t port;
+	GPtrArray *idle; /* conn_t */
+	unsigned int open;
+} target_t;
+
+typedef struct {
+	http_client_t *client;
+	target_t *target;
+	struct evhttp_connection *evcon;
+	http_call_t *call; /* NULL while idle */
+	msec_t idle_since;
+	gboolean wrote; /* bytes of the present request left the buffer */
+} conn_t;
+
+struct http_call {
+	conn_t *conn;
+	struct evhttp_request *req;
+	http_handler_t handler;
+	struct event *timer;
+	size_t max_body;
+	gboolean starting; /* within http_call() */
+	gboolean timed_out;
+	gboolean early_answer; /* a 1xx answer: the exchange has failed */
+};
+
+struct http_client {
+	struct event_base *base;
+	unsigned int max_idle;
+	GHashTable *targets; /* address to target_t */
+	GPtrArray *doomed;   /* conn_t, freed by the reaper */
+	GPtrArray *busy;     /* conn_t with a call */
+	struct event *reaper;
+};
+
+static void
+conn_free(conn_t *conn)
+{
+	conn->target->open--;
+	evhttp_connection_free(conn->evcon);
+	g_free(conn);
+}
+
+/* evhttp may still use the connection whose callback runs: free it later. */
+static void
+conn_doom(conn_t *conn)
+{
+	struct timeval now = {0, 0};
+
+	conn->call = NULL;
+	g_ptr_array_add(conn->client->doomed, conn);
+	event_add(conn->client->reaper, &now);
+}
+
+static void
+reap(evutil_socket_t fd, short what, void *arg)
+{
+	http_client_t *client = arg;
+	guint i;
+
+	(void)fd;
+	(void)what;
+	for (i = 0; i < client->doomed->len; i++)
+		conn_free(g_ptr_array_index(client->doomed, i));
+	g_ptr_array_set_size(client->doomed, 0);
+}
+
+static void
+target_free(void *p)
+{
+	target_t *target = p;
+	guint i;
+
+	for (i = 0; i < target->idle->len; i++)
+		conn_free(g_ptr_array_index(target->idle, i));
+	g_ptr_array_free(target->idle, TRUE);
+	g_free(target->address);
+	g_free(target->ip);
+	g_free(target);
+}
+
+http_client_t *
+http_client_new(struct event_base *base, unsigned int max_idle)
+{
+	http_client_t *client = g_new0(http_client_t, 1);
+
+	client->base = base;
+	client->max_idle = max_idle;
+	client->targets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_free);
+	client->doomed = g_ptr_array_new();
+	client->busy = g_ptr_array_new();
+	client->reaper = evtimer_new(base, reap, client);
+	return client;
+}
+
+static void
+call_free(http_call_t *call)
+{
+	if (call->timer != NULL)
+		event_free(call->timer);
+	g_free(call);
+}
+
+void
+http_client_free(http_client_t *client)
+{
+	while (client->busy->len > 0) {
+		conn_t *conn = g_ptr_array_index(client->busy, 0);
+
+		http_call_cancel(conn->call);
+	}
+	reap(-1, 0, client);
+	event_free(client->reaper);
+	g_hash_table_destroy(client->targets);
+	g_ptr_array_free(client->doomed, TRUE);
+	g_ptr_array_free(client->busy, TRUE);
+	g_free(client);
+}
+
+static target_t *
+target_get(http_client_t *client, const char *address)
+{
+	target_t *target = g_hash_table_lookup(client->targets, address);
+	const char *colon;
+	long port;
+
+	if (target != NULL)
+		return target;
+	colon = strrchr(address, ':');
+	if (colon == NULL)
+		return NULL;
+	port = strtol(colon + 1, NULL, 10);
+	if (port <= 0 || port > 65535)
+		return NULL;
+	target = g_new0(target_t, 1);
+	target->address = g_strdup(address);
+	target->ip = g_strndup(address, (gsize)(colon - address));
+	target->port = (uint16_t)port;
+	target->idle = g_ptr_array_new();
+	g_hash_table_insert(client->targets, target->address, target);
+	return target;
+}
+
+static void
+on_output(
+    struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *arg)
+{
+	conn_t *conn = arg;
+
+	(void)buffer;
+	if (info->n_deleted > 0)
+		conn->wrote = TRUE;
+}
+
+/* The peer closed an idle connection, or evhttp gave a busy one up. */
+static void
+on_close(struct evhttp_connection *evcon, void *arg)
+{
+	conn_t *conn = arg;
+
+	(void)evcon;
+	if (conn->call == NULL && g_ptr_array_remove(conn->target->idle, conn))
+		conn_doom(conn);
+}
+
+static conn_t *
+conn_new(http_client_t *client, target_t *target)
+{
+	conn_t *conn = g_new0(conn_t, 1);
+	struct bufferevent *bev;
+
+	conn->client = client;
+	conn->target = target;
+	conn->evcon = evhttp_connection_base_new(
+	    client->base, NULL, target->ip, target->port);
+	evhttp_connection_set_max_headers_size(conn->evcon, HEADERS_MAX_BYTES);
+	evhttp_connection_set_closecb(conn->evcon, on_close, conn);
+	bev = evhttp_connection_get_bufferevent(conn->evcon);
+	evbuffer_add_cb(bufferevent_get_output(bev), on_output, conn);
+	target->open++;
+	return conn;
+}
+
+static conn_t *
+conn_take(http_client_t *client, target_t *target, gboolean fresh)
+{
+	msec_t now = clock_now();
+	conn_t *conn;
+
+	while (!fresh && target->idle->len > 0) {
+		conn = g_ptr_array_index(target->idle, target->idle->len - 1);
+		g_ptr_array_set_size(target->idle, (gint)target->idle->len - 1);
+		if (now - conn->idle_since < IDLE_MAX_MS)
+			return conn;
+		conn_doom(conn);
+	}
+	return conn_new(client, target);
+}
+
+/* Keeps a connection for the next call, if nothing is left unread on it. */
+static void
+conn_give(conn_t *conn)
+{
+	struct bufferevent *bev =
+	    evhttp_connection_get_bufferevent(conn->evcon);
+	target_t *target = conn->target;
+
+	conn->call = NULL;
+	if (target->idle->len >= conn->client->max_idle ||
+	    evbuffer_get_length(bufferevent_get_input(bev)) > 0) {
+		conn_doom(conn);
+		return;
+	}
+	conn->idle_since = clock_now();
+	g_ptr_array_add(target->idle, conn);
+}
+
+static gboolean
+wants_close(struct evhttp_request *req)
+{
+	const char *value =
+	    evhttp_find_header(req->input_headers, "Connection");
+
+	return req->major < 1 || (req->major == 1 && req->minor < 1) ||
+	    (value != NULL && g_ascii_strcasecmp(value, "close") == 0);
+}
+
+static http_outcome_t
+outcome_of(const http_call_t *call, gboolean answered)
+{
+	if (answered && !call->early_answer)
+		return HTTP_ANSWERED;
+	if (!call->conn->wrote)
+		return HTTP_NOT_SENT;
+	return call->timed_out ? HTTP_OUT_OF_TIME : HTTP_BROKEN;
+}
+
+static void
+on_request_done(struct evhttp_request *req, void *arg)
+{
+	http_call_t *call = arg;
+	conn_t *conn = call->conn;
+	gboolean answered = req != NULL && req->response_code != 0;
+	http_outcome_t outcome;
+
+	if (call->starting) {
+		/* The caller has no handle yet: the timer tells it. */
+		call->req = NULL;
+		return;
+	}
+	if (answered && req->response_code < 200)
+		call->early_answer = TRUE;
+	outcome = outcome_of(call, answered);
+	g_ptr_array_remove_fast(conn->client->busy, conn);
+	if (outcome == HTTP_ANSWERED) {
+		call->handler.on_done(call->handler.arg, outcome,
+		    req->response_code, req->input_headers, req->input_buffer);
+		if (wants_close(req))
+			conn_doom(conn);
+		else
+			conn_give(conn);
+	} else {
+		call->handler.on_done(
+		    call->handler.arg, outcome, 0, NULL, NULL);
+		conn_doom(conn);
+	}
+	call_free(call);
+}
+
+static int
+on_header(struct evhttp_request *req, void *arg)
+{
+	http_call_t *call = arg;
+
+	if (req->response_code < 200) {
+		call->early_answer = TRUE;
+		return -1;
+	}
+	if (call->handler.on_head != NULL)
+		call->handler.on_head(
+		    call->handler.arg, req->response_code, req->input_headers);
+	return 0;
+}
+
+static void
+on_chunk(struct evhttp_request *req, void *arg)
+{
+	http_call_t *call = arg;
+
+	call->handler.on_piece(call->handler.arg, req->input_buffer);
+}
+
+/* evhttp_cancel_request() would not tell our caller; end the call here. */
+static void
+on_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	http_call_t *call = arg;
+	http_handler_t handler = call->handler;
+	http_outcome_t outcome;
+
+	(void)fd;
+	(void)what;
+	call->timed_out = TRUE;
+	outcome = outcome_of(call, FALSE);
+	http_call_cancel(call);
+	handler.on_done(handler.arg, outcome, 0, NULL, NULL);
+}
+
+static void
+copy_headers(struct evkeyvalq *to, const struct evkeyvalq *from)
+{
+	const struct evkeyval *h;
+
+	if (from == NULL)
+		return;
+	TAILQ_FOREACH(h, from, next)
+	evhttp_add_header(to, h->key, h->value);
+}
+
+static void
+fill_request(struct evhttp_request *req, const http_request_t *request)
+{
+	copy_headers(req->output_headers, request->headers);
+	if (evhttp_find_header(req->output_headers, "Host") == NULL)
+		evhttp_add_header(
+		    req->output_headers, "Host", request->address);
+	if (request->body != NULL)
+		evbuffer_add_buffer(req->output_buffer, request->body);
+}
+
+static void
+arm_timer(http_client_t *client, http_call_t *call, msec_t timeout_ms)
+{
+	struct timeval tv = {
+	    .tv_sec = (time_t)(timeout_ms / MSEC_PER_SEC),
+	    .tv_usec = (suseconds_t)(timeout_ms % MSEC_PER_SEC) * 1000,
+	};
+
+	call->timer = evtimer_new(client->base, on_timeout, call);
+	event_add(call->timer, &tv);
+}
+
+http_call_t *
+http_call(http_client_t *client, const http_request_t *request,
+    const http_handler_t *handler)
+{
+	target_t *target = target_get(client, request->address);
+	http_call_t *call;
+	conn_t *conn;
+
+	if (target == NULL)
+		return NULL;
+	conn = conn_take(client, target, request->fresh);
+	call = g_new0(http_call_t, 1);
+	call->conn = conn;
+	call->handler = *handler;
+	conn->call = call;
+	conn->wrote = FALSE;
+	evhttp_connection_set_max_body_size(conn->evcon,
+	    request->max_body > 0 ? (ev_ssize_t)request->max_body : -1);
+	g_ptr_array_add(client->busy, conn);
+	call->req = evhttp_request_new(on_request_done, call);
+	evhttp_request_set_header_cb(call->req, on_header);
+	if (handler->on_piece != NULL)
+		evhttp_request_set_chunked_cb(call->req, on_chunk);
+	fill_request(call->req, request);
+	call->starting = TRUE;
+	if (evhttp_make_request(
+		conn->evcon, call->req, request->method, request->path) != 0)
+		call->req = NULL;
+	call->starting = FALSE;
+	arm_timer(client, call, call->req != NULL ? request->timeout_ms : 0);
+	return call;
+}
+
+void
+http_call_cancel(http_call_t *call)
+{
+	conn_t *conn = call->conn;
+
+	g_ptr_array_remove_fast(conn->client->busy, conn);
+	/* The connection is freed later: no callback may find the call. */
+	if (call->req != NULL)
+		evhttp_cancel_request(call->req);
+	conn_doom(conn);
+	call_free(call);
+}
+
+void
+http_call_pause(http_call_t *call, gboolean paused)
+{
+	struct bufferevent *bev =
+	    evhttp_connection_get_bufferevent(call->conn->evcon);
+
+	if (paused)
+		bufferevent_disable(bev, EV_READ);
+	else
+		bufferevent_enable(bev, EV_READ);
+}
+
+unsigned int
+http_client_connections(const http_client_t *client, const char *address)
+{
+	const target_t *target = g_hash_table_lookup(client->targets, address);
+
+	return target != NULL ? target->open : 0;
+}
--- /dev/null
+++ b/src/transport/http_client.h
@@ -0,0 +1,97 @@
+#ifndef TRANSPORT_HTTP_CLIENT_H
+#define TRANSPORT_HTTP_CLIENT_H
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+
+#include "base/clock.h"
+
+/*
+ * Outgoing HTTP over evhttp, with a pool of idle connections for each
+ * address. A connection takes one request at a time and is used again only if
+ * nothing was left unread behind the answer, so that an answer can't reach
+ * the wrong request.
+ */
+
+typedef struct http_client http_client_t;
+typedef struct http_call http_call_t;
+
+/* What came of a call. */
+typedef enum {
+	HTTP_ANSWERED,	  /* whole answer received */
+	HTTP_NOT_SENT,	  /* no byte of the request left this process */
+	HTTP_BROKEN,	  /* sent at least in part, no whole answer */
+	HTTP_OUT_OF_TIME, /* deadline passed after something was sent */
+} http_outcome_t;
+
+/* Callbacks of one call; on_done comes exactly once, unless cancelled. */
+typedef struct {
+	/* Status and headers are in; may be NULL. */
+	void (*on_head)(void *arg, int status, const struct evkeyvalq *headers);
+	/* A piece of the body; NULL: the body is held for on_done. */
+	void (*on_piece)(void *arg, struct evbuffer *piece);
+	/*
+	 * @status, @headers and @body are those of the answer, body empty if
+	 * on_piece took it; 0 and NULL unless the outcome is HTTP_ANSWERED.
+	 */
+	void (*on_done)(void *arg, http_outcome_t outcome, int status,
+	    const struct evkeyvalq *headers, struct evbuffer *body);
+	void *arg;
+} http_handler_t;
+
+typedef struct {
+	const char *address; /* "IP:PORT" */
+	enum evhttp_cmd_type method;
+	const char *path;		 /* with query */
+	const struct evkeyvalq *headers; /* copied; may be NULL */
+	struct evbuffer *body;		 /* drained; may be NULL */
+	msec_t timeout_ms;
+	gboolean fresh;	 /* on a new connection, not an idle one */
+	size_t max_body; /* of a held answer, bytes; 0: no bound */
+} http_request_t;
+
+/**
+ * http_client_new() - Make a client on a loop.
+ * @base: the loop
+ * @max_idle: most idle connections kept for each address
+ */
+http_client_t *http_client_new(struct event_base *base, unsigned int max_idle);
+void http_client_free(http_client_t *client);
+
+/**
+ * http_call() - Send a request.
+ * @client: the client
+ * @request: what to send; need not outlive the call
+ * @handler: callbacks; copied
+ *
+ * Return: a handle that is good until on_done has returned, or NULL if the
+ * address is no "IP:PORT" (no callback comes then).
+ */
+http_call_t *http_call(http_client_t *client, const http_request_t *request,
+    const http_handler_t *handler);
+
+/**
+ * http_call_cancel() - Give up a call: closes its connection, no callback.
+ * @call: the call
+ */
+void http_call_cancel(http_call_t *call);
+
+/**
+ * http_call_pause() - Stop or go on reading the answer.
+ * @call: the call
+ * @paused: whether to stop
+ */
+void http_call_pause(http_call_t *call, gboolean paused);
+
+/**
+ * http_client_connections() - Connections now open to an address.
+ * @client: the client
+ * @address: "IP:PORT"
+ */
+unsigned int http_client_connections(
+    const http_client_t *client, const char *address);
+
+#endif
--- /dev/null
+++ b/src/transport/http_server.c
@@ -0,0 +1,495 @@
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/bufferevent.h>
+#include <event2/bufferevent_ssl.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <openssl/ssl.h>
+
+#include "base/error.h"
+#include "transport/http_check.h"
+#include "transport/http_server.h"
+
+#define IDLE_TIMEOUT_SEC 60
+
+static const struct timeval sweep_period = {0, 100000};
+#define METHODS \
+	(EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | \
+	    EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH)
+
+/*
+ * One connection of a caller. evhttp tells nobody about a connection before
+ * its first whole request, so the server makes the bufferevent itself, holds
+ * a reference, and sees by the callbacks being gone that evhttp let go of it.
+ */
+typedef struct {
+	http_server_t *server;
+	struct bufferevent *bev;
+	struct event *deadline; /* for the whole of a request to come in */
+	size_t held;		/* bytes received of the present request */
+	http_exchange_t *x;	/* the request being answered */
+	gboolean receiving;
+	gboolean refused; /* over the bound on connections */
+} conn_t;
+
+struct http_exchange {
+	conn_t *conn;
+	struct evhttp_connection *evcon;
+	struct evhttp_request *req;
+	struct event *closed; /* the caller hung up */
+	void (*gone)(void *arg);
+	void *gone_arg;
+	void (*drained)(void *arg);
+	void *drained_arg;
+	gboolean ended;
+};
+
+struct http_server {
+	struct event_base *base;
+	struct evhttp *http;
+	struct evhttp_bound_socket *bound;
+	http_server_conf_t conf;
+	http_serve_t serve;
+	http_refuse_t refuse;
+	void *arg;
+	GHashTable *conns; /* bufferevent to conn_t */
+	struct event *sweeper;
+	size_t held;
+	unsigned int exchanges;
+	gboolean draining;
+};
+
+static void
+release(conn_t *conn)
+{
+	conn->server->held -= conn->held;
+	conn->held = 0;
+}
+
+static void
+exchange_free(http_exchange_t *x)
+{
+	x->conn->x = NULL;
+	x->conn->server->exchanges--;
+	release(x->conn);
+	evhttp_connection_set_closecb(x->evcon, NULL, NULL);
+	if (x->closed != NULL)
+		event_free(x->closed);
+	g_free(x);
+}
+
+static void
+conn_free(void *p)
+{
+	conn_t *conn = p;
+
+	release(conn);
+	event_free(conn->deadline);
+	bufferevent_decref(conn->bev);
+	g_free(conn);
+}
+
+/* The connection goes down before its reply has ended. */
+static void
+on_conn_close(struct evhttp_connection *evcon, void *arg)
+{
+	http_exchange_t *x = arg;
+
+	(void)evcon;
+	if (x->gone != NULL && !x->ended)
+		x->gone(x->gone_arg);
+	exchange_free(x);
+}
+
+/* evhttp reads the end of the stream and frees the connection. */
+static void
+hang_up(conn_t *conn)
+{
+	shutdown(bufferevent_getfd(conn->bev), SHUT_RDWR);
+}
+
+/*
+ * Sends a refusal past evhttp, which can't answer before it has read the
+ * whole request, and closes. Over TLS the connection is closed only.
+ */
+static void
+refuse_raw(conn_t *conn, int status, const char *reason)
+{
+	http_server_t *server = conn->server;
+	char *body = server->refuse(reason);
+	char *text = g_strdup_printf("HTTP/1.1 %d Refused\r\n"
+				     "Content-Type: application/json\r\n"
+				     "Content-Length: %zu\r\n"
+				     "Connection: close\r\n\r\n%s",
+	    status, strlen(body), body);
+
+	if (server->conf.tls == NULL)
+		(void)send(bufferevent_getfd(conn->bev), text, strlen(text),
+		    MSG_NOSIGNAL | MSG_DONTWAIT);
+	hang_up(conn);
+	g_free(text);
+	g_free(body);
+}
+
+static void
+on_deadline(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	refuse_raw(arg, 408, "request-too-slow");
+}
+
+static void
+start_receiving(conn_t *conn)
+{
+	msec_t ms = conn->server->conf.receive_ms;
+	struct timeval tv = {ms / MSEC_PER_SEC, (ms % MSEC_PER_SEC) * 1000};
+
+	conn->receiving = TRUE;
+	event_add(conn->deadline, &tv);
+}
+
+static void
+on_input(
+    struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *arg)
+{
+	conn_t *conn = arg;
+	http_server_t *server = conn->server;
+
+	(void)buffer;
+	if (info->n_added == 0)
+		return;
+	conn->held += info->n_added;
+	server->held += info->n_added;
+	if (conn->x == NULL && !conn->receiving)
+		start_receiving(conn);
+	if (conn->refused)
+		refuse_raw(conn, 503, "too-many-connections");
+	else if (server->held > server->conf.body_memory_bytes)
+		refuse_raw(conn, 503, "body-memory-full");
+}
+
+static gboolean
+is_released(const conn_t *conn)
+{
+	bufferevent_data_cb on_read, on_write;
+	bufferevent_event_cb on_event;
+
+	bufferevent_getcb(conn->bev, &on_read, &on_write, &on_event, NULL);
+	return on_read == NULL && on_write == NULL && on_event == NULL;
+}
+
+static gboolean
+is_idle(const conn_t *conn)
+{
+	return conn->x == NULL && !conn->receiving;
+}
+
+static gboolean
+sweep_conn(gpointer key, gpointer value, gpointer arg)
+{
+	http_server_t *server = arg;
+	conn_t *conn = value;
+
+	(void)key;
+	if (is_released(conn))
+		return conn->x == NULL;
+	if (conn->refused || (server->draining && is_idle(conn)))
+		hang_up(conn);
+	return FALSE;
+}
+
+static void
+sweep(evutil_socket_t fd, short what, void *arg)
+{
+	http_server_t *server = arg;
+
+	(void)fd;
+	(void)what;
+	g_hash_table_foreach_remove(server->conns, sweep_conn, server);
+}
+
+static struct bufferevent *
+new_bufferevent(struct event_base *base, void *arg)
+{
+	http_server_t *server = arg;
+	conn_t *conn = g_new0(conn_t, 1);
+
+	if (server->conf.tls == NULL)
+		conn->bev =
+		    bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+	else
+		conn->bev = bufferevent_openssl_socket_new(base, -1,
+		    SSL_new(server->conf.tls), BUFFEREVENT_SSL_ACCEPTING,
+		    BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_incref(conn->bev);
+	conn->server = server;
+	conn->deadline = evtimer_new(base, on_deadline, conn);
+	conn->refused =
+	    g_hash_table_size(server->conns) >= server->conf.max_connections;
+	evbuffer_add_cb(bufferevent_get_input(conn->bev), on_input, conn);
+	g_hash_table_insert(server->conns, conn->bev, conn);
+	return conn->bev;
+}
+
+static void
+on_closed(evutil_socket_t fd, short what, void *arg)
+{
+	http_exchange_t *x = arg;
+
+	(void)fd;
+	(void)what;
+	evhttp_connection_free(x->evcon);
+}
+
+static void
+refuse_headers(http_exchange_t *x, const char *wrong)
+{
+	struct evbuffer *body = evbuffer_new();
+	char *text = x->conn->server->refuse(wrong);
+
+	/* What follows on this connection can't be told apart any more. */
+	evhttp_add_header(x->req->output_headers, "Connection", "close");
+	evbuffer_add(body, text, strlen(text));
+	http_reply(x, 400, NULL, body);
+	evbuffer_free(body);
+	g_free(text);
+}
+
+static void
+on_request(struct evhttp_request *req, void *arg)
+{
+	http_server_t *server = arg;
+	http_exchange_t *x = g_new0(http_exchange_t, 1);
+	const char *wrong = http_check_headers(req->input_headers);
+
+	x->req = req;
+	x->evcon = evhttp_request_get_connection(req);
+	x->conn = g_hash_table_lookup(
+	    server->conns, evhttp_connection_get_bufferevent(x->evcon));
+	x->conn->receiving = FALSE;
+	x->conn->x = x;
+	event_del(x->conn->deadline);
+	evhttp_connection_set_closecb(x->evcon, on_conn_close, x);
+	server->exchanges++;
+	if (wrong != NULL)
+		refuse_headers(x, wrong);
+	else
+		server->serve(server->arg, x);
+}
+
+static gboolean
+listen_on(http_server_t *server, const char *address, GError **err)
+{
+	const char *colon = strrchr(address, ':');
+	char *ip;
+
+	if (colon == NULL) {
+		error_set(
+		    err, ERROR_INVALID, "listen", address, "expected IP:PORT");
+		return FALSE;
+	}
+	ip = g_strndup(address, (gsize)(colon - address));
+	server->bound = evhttp_bind_socket_with_handle(
+	    server->http, ip, (uint16_t)strtoul(colon + 1, NULL, 10));
+	g_free(ip);
+	if (server->bound != NULL)
+		return TRUE;
+	error_set(
+	    err, ERROR_UNAVAILABLE, "listen", address, "%s", g_strerror(errno));
+	return FALSE;
+}
+
+http_server_t *
+http_server_new(struct event_base *base, const http_server_conf_t *conf,
+    http_serve_t serve, http_refuse_t refuse, void *arg, GError **err)
+{
+	http_server_t *server = g_new0(http_server_t, 1);
+
+	server->base = base;
+	server->conf = *conf;
+	server->conf.tls = NULL;
+	server->serve = serve;
+	server->refuse = refuse;
+	server->arg = arg;
+	server->conns = g_hash_table_new_full(NULL, NULL, NULL, conn_free);
+	server->sweeper = event_new(base, -1, EV_PERSIST, sweep, server);
+	event_add(server->sweeper, &sweep_period);
+	server->http = evhttp_new(base);
+	evhttp_set_allowed_methods(server->http, METHODS);
+	evhttp_set_max_headers_size(
+	    server->http, (ev_ssize_t)conf->max_head_bytes);
+	evhttp_set_max_body_size(
+	    server->http, (ev_ssize_t)conf->max_body_bytes);
+	evhttp_set_timeout(server->http, IDLE_TIMEOUT_SEC);
+	evhttp_set_gencb(server->http, on_request, server);
+	evhttp_set_bevcb(server->http, new_bufferevent, server);
+	if (conf->tls != NULL)
+		http_server_set_tls(server, conf->tls);
+	if (listen_on(server, conf->address, err))
+		return server;
+	http_server_free(server);
+	return NULL;
+}
+
+void
+http_server_free(http_server_t *server)
+{
+	evhttp_free(server->http);
+	event_free(server->sweeper);
+	g_hash_table_destroy(server->conns);
+	http_server_set_tls(server, NULL);
+	g_free(server);
+}
+
+void
+http_server_set_tls(http_server_t *server, SSL_CTX *tls)
+{
+	if (tls != NULL)
+		SSL_CTX_up_ref(tls);
+	if (server->conf.tls != NULL)
+		SSL_CTX_free(server->conf.tls);
+	server->conf.tls = tls;
+}
+
+void
+http_server_drain(http_server_t *server)
+{
+	if (!server->draining)
+		evhttp_del_accept_socket(server->http, server->bound);
+	server->draining = TRUE;
+	sweep(-1, 0, server);
+}
+
+unsigned int
+http_server_connections(const http_server_t *server)
+{
+	return g_hash_table_size(server->conns);
+}
+
+unsigned int
+http_server_exchanges(const http_server_t *server)
+{
+	return server->exchanges;
+}
+
+struct evhttp_request *
+http_exchange_request(const http_exchange_t *x)
+{
+	return x->req;
+}
+
+const struct evkeyvalq *
+http_exchange_headers(const http_exchange_t *x)
+{
+	return x->req->input_headers;
+}
+
+struct evbuffer *
+http_exchange_body(const http_exchange_t *x)
+{
+	return x->req->input_buffer;
+}
+
+void
+http_exchange_watch(http_exchange_t *x, void (*gone)(void *arg), void *arg)
+{
+	struct bufferevent *bev = x->conn->bev;
+
+	x->gone = gone;
+	x->gone_arg = arg;
+	if (x->closed != NULL)
+		return;
+	/* evhttp itself does not look while a request runs. */
+	x->closed = event_new(x->conn->server->base, bufferevent_getfd(bev),
+	    EV_CLOSED, on_closed, x);
+	event_add(x->closed, NULL);
+}
+
+static void
+add_headers(http_exchange_t *x, const struct evkeyvalq *headers)
+{
+	const struct evkeyval *h;
+
+	if (headers != NULL) {
+		TAILQ_FOREACH(h, headers, next)
+		evhttp_add_header(x->req->output_headers, h->key, h->value);
+	}
+	if (x->conn->server->draining)
+		evhttp_add_header(
+		    x->req->output_headers, "Connection", "close");
+}
+
+static const char *
+reason_of(int status)
+{
+	return status < 400 ? "OK" : "Refused";
+}
+
+/* evhttp owns the request from here on; we no longer watch its caller. */
+static struct evhttp_request *
+detach(http_exchange_t *x)
+{
+	struct evhttp_request *req = x->req;
+
+	x->ended = TRUE;
+	exchange_free(x);
+	return req;
+}
+
+void
+http_reply(http_exchange_t *x, int status, const struct evkeyvalq *headers,
+    struct evbuffer *body)
+{
+	add_headers(x, headers);
+	evhttp_send_reply(detach(x), status, reason_of(status), body);
+}
+
+void
+http_reply_start(
+    http_exchange_t *x, int status, const struct evkeyvalq *headers)
+{
+	add_headers(x, headers);
+	evhttp_send_reply_start(x->req, status, reason_of(status));
+}
+
+static void
+on_drained(struct evhttp_connection *evcon, void *arg)
+{
+	http_server_t *server = arg;
+	conn_t *conn = g_hash_table_lookup(
+	    server->conns, evhttp_connection_get_bufferevent(evcon));
+
+	if (conn != NULL && conn->x != NULL && conn->x->drained != NULL)
+		conn->x->drained(conn->x->drained_arg);
+}
+
+size_t
+http_reply_piece(http_exchange_t *x, struct evbuffer *piece,
+    void (*drained)(void *arg), void *arg)
+{
+	struct bufferevent *bev = x->conn->bev;
+
+	x->drained = drained;
+	x->drained_arg = arg;
+	evhttp_send_reply_chunk_with_cb(
+	    x->req, piece, on_drained, x->conn->server);
+	return evbuffer_get_length(bufferevent_get_output(bev));
+}
+
+void
+http_reply_end(http_exchange_t *x)
+{
+	evhttp_send_reply_end(detach(x));
+}
+
+void
+http_reply_abort(http_exchange_t *x)
+{
+	x->ended = TRUE;
+	evhttp_connection_free(x->evcon);
+}
