--- a/src/host/placeholder.c
+++ /dev/null
@@ -1,1 +0,0 @@
-typedef int host_placeholder_t;
--- /dev/null
+++ b/src/host/settings.c
@@ -0,0 +1,192 @@
+#include <string.h>
+
+#include "host/settings.h"
+#include "protocol/ini.h"
+#include "protocol/text.h"
+
+#define FILE_MAX_BYTES 65536
+#define NAME_CHARS 64
+#define PATH_CHARS 4096
+
+static const char *const groups[] = {
+    "host", "store", "fleet", "limits", "tls", "log"};
+
+static void
+check_address(
+    const ini_t *ini, const char *group, const char *key, const char *address)
+{
+	if (address != NULL && !text_is_address(address))
+		ini_error(ini, group, key, "%s: expected IP:PORT, found \"%s\"",
+		    key, address);
+}
+
+static void
+read_host(settings_t *s, const ini_t *ini)
+{
+	gint64 drain_sec = 30;
+	const ini_field_t fields[] = {
+	    {"id", INI_STRING, TRUE, 1, NAME_CHARS, &s->id},
+	    {"region", INI_STRING, TRUE, 1, NAME_CHARS, &s->region},
+	    {"failure_domain", INI_STRING, TRUE, 1, NAME_CHARS, &s->domain},
+	    {"callers", INI_STRING, TRUE, 1, NAME_CHARS, &s->callers},
+	    {"rpc", INI_STRING, TRUE, 1, NAME_CHARS, &s->rpc},
+	    {"operators", INI_STRING, TRUE, 1, NAME_CHARS, &s->operators},
+	    {"drain_sec", INI_NUMBER, FALSE, 1, 3600, &drain_sec},
+	};
+
+	ini_group(ini, "host", fields, G_N_ELEMENTS(fields));
+	check_address(ini, "host", "callers", s->callers);
+	check_address(ini, "host", "rpc", s->rpc);
+	check_address(ini, "host", "operators", s->operators);
+	s->drain_ms = drain_sec * 1000;
+}
+
+static void
+read_store(settings_t *s, const ini_t *ini)
+{
+	char *kind = NULL;
+	const ini_field_t fields[] = {
+	    {"kind", INI_STRING, FALSE, 1, NAME_CHARS, &kind},
+	    {"address", INI_STRING, TRUE, 1, NAME_CHARS, &s->store},
+	};
+
+	ini_group(ini, "store", fields, G_N_ELEMENTS(fields));
+	check_address(ini, "store", "address", s->store);
+	if (kind != NULL && strcmp(kind, "json") != 0)
+		ini_error(ini, "store", "kind",
+		    "kind: expected json, found \"%s\"", kind);
+	g_free(kind);
+}
+
+static void
+read_fleet(settings_t *s, const ini_t *ini)
+{
+	char *seeds = NULL;
+	const ini_field_t fields[] = {
+	    {"seeds", INI_STRING, FALSE, 0, 4096, &seeds},
+	    {"secret_file", INI_STRING, TRUE, 1, PATH_CHARS, &s->secret_file},
+	};
+	size_t i;
+
+	ini_group(ini, "fleet", fields, G_N_ELEMENTS(fields));
+	s->seeds = g_strsplit_set(seeds != NULL ? seeds : "", " ", -1);
+	for (i = 0; s->seeds[i] != NULL; i++) {
+		if (*s->seeds[i] != '\0')
+			check_address(ini, "fleet", "seeds", s->seeds[i]);
+	}
+	g_free(seeds);
+}
+
+static void
+read_limits(settings_t *s, const ini_t *ini)
+{
+	const ini_field_t fields[] = {
+	    {"max_body_bytes", INI_NUMBER, FALSE, 0, 1e9, &s->max_body_bytes},
+	    {"body_memory_bytes", INI_NUMBER, FALSE, 1e5, 1e11,
+		&s->body_memory_bytes},
+	    {"max_connections", INI_NUMBER, FALSE, 1, 60000,
+		&s->max_connections},
+	    {"max_queue", INI_NUMBER, FALSE, 0, 60000, &s->max_queue},
+	};
+
+	if (g_key_file_has_group(ini->file, "limits"))
+		ini_group(ini, "limits", fields, G_N_ELEMENTS(fields));
+}
+
+static void
+read_tls(settings_t *s, const ini_t *ini)
+{
+	const ini_field_t fields[] = {
+	    {"certificate", INI_STRING, TRUE, 1, PATH_CHARS, &s->certificate},
+	    {"key", INI_STRING, TRUE, 1, PATH_CHARS, &s->key},
+	};
+
+	if (g_key_file_has_group(ini->file, "tls"))
+		ini_group(ini, "tls", fields, G_N_ELEMENTS(fields));
+}
+
+static void
+read_log(settings_t *s, const ini_t *ini)
+{
+	char *level = NULL;
+	const ini_field_t fields[] = {
+	    {"level", INI_STRING, FALSE, 1, NAME_CHARS, &level},
+	};
+
+	if (!g_key_file_has_group(ini->file, "log"))
+		return;
+	ini_group(ini, "log", fields, G_N_ELEMENTS(fields));
+	if (level != NULL && log_level_parse(level, &s->log_level) != 0)
+		ini_error(ini, "log", "level",
+		    "level: expected debug, info, warn or error, found \"%s\"",
+		    level);
+	g_free(level);
+}
+
+static void
+check_groups(const ini_t *ini)
+{
+	char **names = g_key_file_get_groups(ini->file, NULL);
+	size_t i, k;
+
+	for (i = 0; names[i] != NULL; i++) {
+		for (k = 0; k < G_N_ELEMENTS(groups); k++) {
+			if (strcmp(names[i], groups[k]) == 0)
+				break;
+		}
+		if (k == G_N_ELEMENTS(groups))
+			ini_error(ini, names[i], NULL, "unknown group [%s]",
+			    names[i]);
+	}
+	g_strfreev(names);
+}
+
+gboolean
+settings_init(settings_t *s, const char *path, GPtrArray *errors)
+{
+	GError *err = NULL;
+	guint before = errors->len;
+	char *text;
+	ini_t ini;
+
+	memset(s, 0, sizeof(*s));
+	s->log_level = LOG_INFO;
+	s->max_body_bytes = 8 * 1024 * 1024;
+	s->body_memory_bytes = 64 * 1024 * 1024;
+	s->max_connections = 2000;
+	s->max_queue = 256;
+	text = ini_read_file(path, FILE_MAX_BYTES, &err);
+	if (text == NULL) {
+		g_ptr_array_add(errors, g_strdup(err->message));
+		g_error_free(err);
+		return FALSE;
+	}
+	ini_init(&ini, path, text, errors);
+	check_groups(&ini);
+	read_host(s, &ini);
+	read_store(s, &ini);
+	read_fleet(s, &ini);
+	read_limits(s, &ini);
+	read_tls(s, &ini);
+	read_log(s, &ini);
+	ini_finish(&ini);
+	g_free(text);
+	return errors->len == before;
+}
+
+void
+settings_finish(settings_t *s)
+{
+	g_free(s->id);
+	g_free(s->region);
+	g_free(s->domain);
+	g_free(s->callers);
+	g_free(s->rpc);
+	g_free(s->operators);
+	g_free(s->store);
+	g_strfreev(s->seeds);
+	g_free(s->secret_file);
+	g_free(s->certificate);
+	g_free(s->key);
+	memset(s, 0, sizeof(*s));
+}
--- /dev/null
+++ b/src/host/settings.h
@@ -0,0 +1,46 @@
+#ifndef HOST_SETTINGS_H
+#define HOST_SETTINGS_H
+
+#include <glib.h>
+
+#include "base/log.h"
+
+/* Settings of one entry host, from its INI file. */
+typedef struct {
+	/* [host] */
+	char *id;
+	char *region;
+	char *domain;	 /* failure domain */
+	char *callers;	 /* "IP:PORT" for callers */
+	char *rpc;	 /* "IP:PORT" for hosts and the operators' command */
+	char *operators; /* "IP:PORT" for counters and state over HTTP */
+	gint64 drain_ms; /* bound of a graceful stop */
+	/* [store] */
+	char *store; /* "IP:PORT" */
+	/* [fleet] */
+	char **seeds; /* "IP:PORT" of other hosts' RPC; may be empty */
+	char *secret_file;
+	/* [limits] */
+	gint64 max_body_bytes;
+	gint64 body_memory_bytes;
+	gint64 max_connections;
+	gint64 max_queue; /* requests that wait for a slot */
+	/* [tls], both NULL where callers use plain HTTP */
+	char *certificate;
+	char *key;
+	/* [log] */
+	log_level_t log_level;
+} settings_t;
+
+/**
+ * settings_init() - Read and check a settings file.
+ * @s: memory of the caller
+ * @path: the file
+ * @errors: takes a line (char *) for each mistake, with its place
+ *
+ * Return: whether all is right; settings_finish() is due either way.
+ */
+gboolean settings_init(settings_t *s, const char *path, GPtrArray *errors);
+void settings_finish(settings_t *s);
+
+#endif
--- a/src/protocol/text.c
+++ b/src/protocol/text.c
@@ -143,26 +143,21 @@
 	g_free(depends); /* resolved once all services are known */
 }
 
-static void
-check_address(const ini_t *ini, const char *group, const char *address)
+gboolean
+text_is_address(const char *address)
 {
-	char *host = g_strdup(address);
-	char *colon = strrchr(host, ':');
-	unsigned char addr[sizeof(struct in6_addr)];
-	gboolean ok = FALSE;
-	char *end;
-	long port;
-
-	if (colon != NULL) {
-		*colon = '\0';
-		port = strtol(colon + 1, &end, 10);
-		ok = end != colon + 1 && *end == '\0' && port > 0 &&
-		    port < 65536 && inet_pton(AF_INET, host, addr) == 1;
-	}
-	if (!ok)
-		ini_error(ini, group, "address",
-		    "address: expected IP:PORT, found \"%s\"", address);
+	const char *colon = strrchr(address, ':');
+	unsigned char addr[sizeof(struct in_addr)];
+	gboolean ok;
+	char *host;
+
+	if (colon == NULL ||
+	    !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, NULL, NULL))
+		return FALSE;
+	host = g_strndup(address, (gsize)(colon - address));
+	ok = inet_pton(AF_INET, host, addr) == 1;
 	g_free(host);
+	return ok;
 }
 
 static void
@@ -188,8 +183,9 @@
 	    resolve(ini, group, "service", service, catalog_find_service, c);
 	row.domain =
 	    resolve(ini, group, "domain", domain, catalog_find_domain, c);
-	if (row.address != NULL)
-		check_address(ini, group, row.address);
+	if (row.address != NULL && !text_is_address(row.address))
+		ini_error(ini, group, "address",
+		    "address: expected IP:PORT, found \"%s\"", row.address);
 	if (row.version == NULL && row.service != ID_NONE)
 		row.version =
 		    g_strdup(catalog_service(c, row.service)->version);
--- a/src/protocol/text.h
+++ b/src/protocol/text.h
@@ -8,6 +8,12 @@
 /* Most bytes of an operators' text. */
 #define TEXT_MAX_BYTES (1024 * 1024)
 
+/**
+ * text_is_address() - Is this an "IP:PORT" with a numeric IPv4 address?
+ * @address: the text
+ */
+gboolean text_is_address(const char *address);
+
 /**
  * text_parse() - Build a catalog from the operators' text.
  * @c: initialised, empty; filled as far as the text allows
