--- a/src/host/settings.c
+++ b/src/host/settings.c
@@ -162,13 +162,15 @@
 		return FALSE;
 	}
 	ini_init(&ini, path, text, errors);
-	check_groups(&ini);
-	read_host(s, &ini);
-	read_store(s, &ini);
-	read_fleet(s, &ini);
-	read_limits(s, &ini);
-	read_tls(s, &ini);
-	read_log(s, &ini);
+	if (ini.readable) {
+		check_groups(&ini);
+		read_host(s, &ini);
+		read_store(s, &ini);
+		read_fleet(s, &ini);
+		read_limits(s, &ini);
+		read_tls(s, &ini);
+		read_log(s, &ini);
+	}
 	ini_finish(&ini);
 	g_free(text);
 	return errors->len == before;
--- a/src/protocol/ini.c
+++ b/src/protocol/ini.c
@@ -105,10 +105,11 @@
 ini_init(ini_t *ini, const char *name, const char *text, GPtrArray *errors)
 {
 	GError *err = NULL;
-	guint before = errors->len;
 
 	ini->name = name;
 	ini->errors = errors;
+	ini->first = errors->len;
+	ini->readable = FALSE;
 	ini->file = g_key_file_new();
 	ini->lines =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -117,17 +118,32 @@
 		return;
 	}
 	scan(ini, text);
-	if (!g_key_file_load_from_data(
-		ini->file, text, strlen(text), G_KEY_FILE_NONE, &err)) {
-		if (errors->len == before)
-			report_at(ini, 1, "%s", err->message);
-		g_error_free(err);
-	}
+	ini->readable = g_key_file_load_from_data(
+	    ini->file, text, strlen(text), G_KEY_FILE_NONE, &err);
+	if (!ini->readable && errors->len == ini->first)
+		report_at(ini, 1, "%s", err->message);
+	g_clear_error(&err);
+}
+
+/* Compares by the line number that follows the text's name. */
+static gint
+by_line(gconstpointer a, gconstpointer b, gpointer name)
+{
+	size_t skip = strlen(name) + 1;
+	const char *x = *(char *const *)a + skip;
+	const char *y = *(char *const *)b + skip;
+
+	return (gint)(strtol(x, NULL, 10) - strtol(y, NULL, 10));
 }
 
 void
 ini_finish(ini_t *ini)
 {
+	guint n = ini->errors->len - ini->first;
+
+	if (n > 0)
+		g_qsort_with_data(ini->errors->pdata + ini->first, (gint)n,
+		    sizeof(gpointer), by_line, (gpointer)ini->name);
 	g_key_file_free(ini->file);
 	g_hash_table_destroy(ini->lines);
 }
--- a/src/protocol/ini.h
+++ b/src/protocol/ini.h
@@ -14,6 +14,8 @@
 	GKeyFile *file;
 	GHashTable *lines; /* "group\nkey" or "group" to its line */
 	GPtrArray *errors; /* char *, owned by whoever called ini_init() */
+	guint first;	   /* index of the first mistake of this text */
+	gboolean readable; /* its values can be asked for */
 } ini_t;
 
 /**
@@ -24,10 +26,16 @@
  * @errors: array of char * that takes a line for each mistake; must outlive
  *	@ini
  *
- * A text with mistakes can still be read from, to find more of them.
+ * Where the text is no INI at all, @readable stays false; other mistakes leave
+ * it readable, so that more of them can be found.
  */
 void ini_init(
     ini_t *ini, const char *name, const char *text, GPtrArray *errors);
+
+/**
+ * ini_finish() - Put the mistakes in order of their lines, free the rest.
+ * @ini: the text
+ */
 void ini_finish(ini_t *ini);
 
 /**
--- a/src/protocol/text.c
+++ b/src/protocol/text.c
@@ -434,10 +434,12 @@
 	    .spill_cap = 0.3,
 	};
 	ini_init(&ini, name, text, errors);
-	read_groups(&ini, c);
-	read_depends(&ini, c);
-	check_cycles(&ini, c);
-	check_served(&ini, c);
+	if (ini.readable) {
+		read_groups(&ini, c);
+		read_depends(&ini, c);
+		check_cycles(&ini, c);
+		check_served(&ini, c);
+	}
 	g_array_sort(c->routes, longest_prefix_first);
 	ini_finish(&ini);
 	return errors->len == before ? 0 : -1;
