--- /dev/null
+++ b/src/state/route_policy.c
@@ -0,0 +1,156 @@
+#include <string.h>
+
+#include "state/route_policy.h"
+
+#define PART_SCALE 1000	   /* a full endpoint's load in comparisons */
+#define FAR_DOMAIN_COST 50 /* of PART_SCALE: breaks near ties */
+
+void
+route_policy_init(route_policy_t *p, route_policy_kind_t kind, uint64_t seed)
+{
+	memset(p, 0, sizeof(*p));
+	p->kind = kind;
+	p->random = seed ? seed : 1;
+	if (kind == ROUTE_HELD_SLOTS)
+		p->u.held_slots.reserve = 1;
+}
+
+/* xorshift64*: small, and its whole state is one word. */
+static uint32_t
+random_below(route_policy_t *p, uint32_t n)
+{
+	p->random ^= p->random >> 12;
+	p->random ^= p->random << 25;
+	p->random ^= p->random >> 27;
+	return (uint32_t)((p->random * 0x2545f4914f6cdd1dULL) >> 33) % n;
+}
+
+static uint32_t
+cost(const route_candidate_t *c)
+{
+	uint32_t used = (uint32_t)c->own + c->others;
+
+	return used * PART_SCALE / MAX(c->slots, 1) +
+	    (c->near ? 0 : FAR_DOMAIN_COST);
+}
+
+static int
+pick_in_turn(uint32_t *next, const route_candidate_t *rows, unsigned int n)
+{
+	unsigned int i, k;
+
+	for (i = 0; i < n; i++) {
+		k = (*next + i) % n;
+		if (rows[k].own >= rows[k].slots)
+			continue;
+		*next = k + 1;
+		return (int)k;
+	}
+	return -1;
+}
+
+static int
+pick_least_load(uint32_t *next, const route_candidate_t *rows, unsigned int n)
+{
+	unsigned int i, k;
+	int best = -1;
+
+	for (i = 0; i < n; i++) {
+		k = (*next + i) % n;
+		if (rows[k].own >= rows[k].slots)
+			continue;
+		if (best < 0 || rows[k].load < rows[best].load)
+			best = (int)k;
+	}
+	if (best >= 0)
+		*next = (uint32_t)best + 1;
+	return best;
+}
+
+static gboolean
+has_room(const route_candidate_t *c, uint16_t reserve)
+{
+	return c->own < c->slots && c->room > reserve;
+}
+
+/* Draws the k-th of the candidates that have room. */
+static int
+nth_with_room(
+    const route_candidate_t *rows, unsigned int n, uint16_t reserve, uint32_t k)
+{
+	unsigned int i;
+
+	for (i = 0; i < n; i++) {
+		if (!has_room(&rows[i], reserve))
+			continue;
+		if (k == 0)
+			return (int)i;
+		k--;
+	}
+	return -1;
+}
+
+static int
+pick_two_choices(route_policy_t *p, const route_candidate_t *rows,
+    unsigned int n, uint16_t reserve)
+{
+	uint32_t first, second, open = 0;
+	unsigned int i;
+	int a, b;
+
+	for (i = 0; i < n; i++)
+		open += has_room(&rows[i], reserve);
+	if (open == 0)
+		return -1;
+	first = random_below(p, open);
+	a = nth_with_room(rows, n, reserve, first);
+	if (open == 1)
+		return a;
+	second = random_below(p, open - 1);
+	b = nth_with_room(rows, n, reserve, second + (second >= first));
+	return cost(&rows[b]) < cost(&rows[a]) ? b : a;
+}
+
+/* A held slot is this host's to use, whatever peers are thought to do. */
+static int
+pick_held(const route_candidate_t *rows, unsigned int n)
+{
+	int best = -1, spare, most = 0;
+	unsigned int i;
+
+	for (i = 0; i < n; i++) {
+		if (rows[i].shed || rows[i].own >= rows[i].slots)
+			continue;
+		spare = (int)rows[i].held - rows[i].own;
+		if (spare <= 0 || spare < most)
+			continue;
+		if (best >= 0 && spare == most &&
+		    cost(&rows[i]) >= cost(&rows[best]))
+			continue;
+		best = (int)i;
+		most = spare;
+	}
+	return best;
+}
+
+int
+route_policy_pick(
+    route_policy_t *p, const route_candidate_t *rows, unsigned int n)
+{
+	int held;
+
+	switch (p->kind) {
+	case ROUTE_ROUND_ROBIN:
+		return pick_in_turn(&p->u.round_robin.next, rows, n);
+	case ROUTE_LEAST_LOAD:
+		return pick_least_load(&p->u.least_load.next, rows, n);
+	case ROUTE_TWO_CHOICES:
+		return pick_two_choices(p, rows, n, 0);
+	case ROUTE_HELD_SLOTS:
+		held = pick_held(rows, n);
+		if (held >= 0)
+			return held;
+		return pick_two_choices(p, rows, n, p->u.held_slots.reserve);
+	}
+	return -1;
+}
--- /dev/null
+++ b/tests/process/test_routing_oracles.sh
@@ -0,0 +1,29 @@
+#!/bin/sh
+# Breaks one rule at a time towards each decision under fuzzing and requires
+# that its oracle notices: an oracle that cannot fail proves nothing.
+# usage: test_routing_oracles.sh BUILD-DIR
+set -eu
+build=$1
+[ -x "$build/tests/fuzz_route" ] || {
+	echo "no fuzz targets in this build: nothing to check"
+	exit 0
+}
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+missed=0
+while read -r target rule; do
+	if FUZZ_BREAK=$rule "$build/tests/$target" -seed=1 -runs=100000 \
+	    -max_len=512 -verbosity=0 -artifact_prefix="$scratch/" \
+	    >"$scratch/log" 2>&1 || ! grep -qa '^oracle:' "$scratch/log"; then
+		echo "not noticed: $target $rule"
+		missed=$((missed + 1))
+	fi
+done <<END
+fuzz_route slots
+fuzz_route spill
+fuzz_route share
+fuzz_route leaving
+fuzz_route ejection
+END
+echo "$missed broken rules not noticed"
+[ "$missed" -eq 0 ]
