--- /dev/null
+++ b/src/host/host.h
@@ -0,0 +1,97 @@
+#ifndef HOST_HOST_H
+#define HOST_HOST_H
+
+#include <event2/event.h>
+
+#include "base/metrics.h"
+#include "coordination/freshness.h"
+#include "coordination/retry_budget.h"
+#include "host/mirror.h"
+#include "host/settings.h"
+#include "state/catalog.h"
+#include "state/endpoint_stats.h"
+#include "state/keys.h"
+#include "state/route_choice.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+#include "transport/store.h"
+
+/*
+ * One entry host: all state of the process, and the wiring between what
+ * arrives and the pure modules that decide. host_t owns everything in it.
+ */
+
+typedef enum {
+	HOST_STARTING, /* no configuration or no place in the roster yet */
+	HOST_SERVING,
+	HOST_DRAINING, /* graceful stop: takes nothing new */
+} host_phase_t;
+
+/* Counters of what this host did; all since the start of the process. */
+typedef struct {
+	metric_id_t requests, answered, refused, retries, hang_ups, lookups;
+	metric_id_t queued, key_refused, rate_refused, probes_failed;
+	metric_id_t in_flight, config_version, fresh_ms;
+} host_metrics_t;
+
+typedef struct carry carry_t;
+
+typedef struct host {
+	settings_t settings;
+	struct event_base *base;
+	host_phase_t phase;
+	uint64_t incarnation;
+	metrics_t metrics;
+	host_metrics_t m;
+	http_client_t *http;
+	http_server_t *callers;
+	http_server_t *operators;
+	store_t store;
+	mirror_t mirror;
+	/* Configuration in force; version 0: none yet. */
+	catalog_t catalog;
+	char *catalog_text;
+	keys_t keys;
+	freshness_t fresh;
+	endpoint_stats_t stats;
+	route_choice_t routes;
+	GHashTable *budgets; /* service name to retry_budget_t */
+	GPtrArray *carries;  /* carry_t under way */
+	uint64_t next_request;
+	struct event *ticker, *term, *interrupt, *dump_signal;
+	msec_t drain_until;
+} host_t;
+
+/**
+ * host_init() - Make a host from its settings.
+ * @h: memory of the caller
+ * @settings: moved into @h
+ * @err: set if a port can't be bound
+ */
+gboolean host_init(host_t *h, settings_t *settings, GError **err);
+void host_finish(host_t *h);
+
+/**
+ * host_run() - Serve until told to stop.
+ * @h: the host
+ *
+ * Return: exit status of the process.
+ */
+int host_run(host_t *h);
+
+/**
+ * host_take_catalog() - Put a configuration in force.
+ * @h: the host
+ * @c: moved into @h
+ * @text: from which it was read; copied
+ */
+void host_take_catalog(host_t *h, catalog_t *c, const char *text);
+
+/**
+ * host_retry_budget() - The retry budget of a service.
+ * @h: the host
+ * @service: its name
+ */
+retry_budget_t *host_retry_budget(host_t *h, const char *service);
+
+#endif
--- /dev/null
+++ b/src/host/probe.c
@@ -0,0 +1,94 @@
+#include <string.h>
+
+#include <jansson.h>
+
+#include "base/log.h"
+#include "host/probe.h"
+
+#define PROBE_PATH "/health"
+#define PROBE_TIMEOUT_MS 800
+#define PROBE_MAX_BYTES 4096
+
+typedef struct {
+	host_t *host;
+	char *endpoint; /* by name: the catalog may change meanwhile */
+	msec_t sent_at;
+} probe_t;
+
+static void
+take_report(const probe_t *p, const json_t *root)
+{
+	endpoint_id_t id =
+	    catalog_find_endpoint(&p->host->catalog, p->endpoint);
+	const char *health =
+	    json_string_value(json_object_get(root, "health"));
+	const json_t *running = json_object_get(root, "running");
+	const json_t *slots = json_object_get(root, "slots");
+	endpoint_report_t report = {.taken_at = p->sent_at};
+
+	if (id == ID_NONE || health == NULL)
+		return;
+	report.healthy = strcmp(health, "bad") != 0;
+	report.draining = strcmp(health, "draining") == 0;
+	if (json_is_number(running) && json_is_number(slots) &&
+	    json_number_value(slots) > 0)
+		report.load =
+		    json_number_value(running) / json_number_value(slots);
+	endpoint_stats_report(&p->host->stats, id, &report);
+}
+
+static void
+on_done(void *arg, http_outcome_t outcome, int status,
+    const struct evkeyvalq *headers, struct evbuffer *body)
+{
+	probe_t *p = arg;
+	host_t *h = p->host;
+	json_t *root = NULL;
+	size_t len;
+
+	(void)headers;
+	if (outcome == HTTP_ANSWERED && status == HTTP_OK) {
+		len = evbuffer_get_length(body);
+		root = json_loadb((const char *)evbuffer_pullup(body, -1),
+		    len, JSON_REJECT_DUPLICATES, NULL);
+	}
+	if (root != NULL)
+		take_report(p, root);
+	else
+		metrics_count(&h->metrics, h->m.probes_failed, 1);
+	json_decref(root);
+	g_free(p->endpoint);
+	g_free(p);
+}
+
+static void
+probe_one(host_t *h, const endpoint_t *e)
+{
+	http_request_t request = {
+	    .address = e->address,
+	    .method = EVHTTP_REQ_GET,
+	    .path = PROBE_PATH,
+	    .timeout_ms = PROBE_TIMEOUT_MS,
+	    .max_body = PROBE_MAX_BYTES,
+	};
+	http_handler_t handler = {.on_done = on_done};
+	probe_t *p = g_new0(probe_t, 1);
+
+	p->host = h;
+	p->endpoint = g_strdup(e->name);
+	p->sent_at = clock_now();
+	handler.arg = p;
+	if (http_call(h->http, &request, &handler) == NULL) {
+		g_free(p->endpoint);
+		g_free(p);
+	}
+}
+
+void
+probe_all(host_t *h)
+{
+	guint i;
+
+	for (i = 0; i < h->catalog.endpoints->len; i++)
+		probe_one(h, catalog_endpoint(&h->catalog, (endpoint_id_t)i));
+}
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -38,6 +38,8 @@
 	struct event *timer;
 	size_t max_body;
 	gboolean starting; /* within http_call() */
+	gboolean in_head;   /* within on_head: evhttp still uses the request */
+	gboolean cancelled; /* there; ends without a callback */
 	gboolean timed_out;
 	gboolean early_answer; /* a 1xx answer: the exchange has failed */
 };
@@ -267,10 +269,15 @@
 		call->req = NULL;
 		return;
 	}
+	g_ptr_array_remove_fast(conn->client->busy, conn);
+	if (call->cancelled) {
+		conn_doom(conn);
+		call_free(call);
+		return;
+	}
 	if (answered && req->response_code < 200)
 		call->early_answer = TRUE;
 	outcome = outcome_of(call, answered);
-	g_ptr_array_remove_fast(conn->client->busy, conn);
 	if (outcome == HTTP_ANSWERED) {
 		call->handler.on_done(call->handler.arg, outcome,
 		    req->response_code, req->input_headers, req->input_buffer);
@@ -295,10 +302,13 @@
 		call->early_answer = TRUE;
 		return -1;
 	}
-	if (call->handler.on_head != NULL)
-		call->handler.on_head(
-		    call->handler.arg, req->response_code, req->input_headers);
-	return 0;
+	if (call->handler.on_head == NULL)
+		return 0;
+	call->in_head = TRUE;
+	call->handler.on_head(
+	    call->handler.arg, req->response_code, req->input_headers);
+	call->in_head = FALSE;
+	return call->cancelled ? -1 : 0;
 }
 
 static void
@@ -397,6 +407,10 @@
 {
 	conn_t *conn = call->conn;
 
+	if (call->in_head) {
+		call->cancelled = TRUE;
+		return;
+	}
 	g_ptr_array_remove_fast(conn->client->busy, conn);
 	/* The connection is freed later: no callback may find the call. */
 	if (call->req != NULL)
@@ -417,6 +431,12 @@
 		bufferevent_enable(bev, EV_READ);
 }
 
+void
+http_call_rehandle(http_call_t *call, const http_handler_t *handler)
+{
+	call->handler = *handler;
+}
+
 unsigned int
 http_client_connections(const http_client_t *client, const char *address)
 {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -86,6 +86,13 @@
  */
 void http_call_pause(http_call_t *call, gboolean paused);
 
+/**
+ * http_call_rehandle() - Give a call's answer to somebody else.
+ * @call: the call
+ * @handler: callbacks from now on; copied. on_piece must be set if it was.
+ */
+void http_call_rehandle(http_call_t *call, const http_handler_t *handler);
+
 /**
  * http_client_connections() - Connections now open to an address.
  * @client: the client
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -490,6 +490,11 @@
 void
 http_reply_abort(http_exchange_t *x)
 {
+	/* A reset, since an orderly end may pass for the end of the body. */
+	struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(bufferevent_getfd(x->conn->bev), SOL_SOCKET, SO_LINGER,
+	    &reset, sizeof(reset));
 	x->ended = TRUE;
 	evhttp_connection_free(x->evcon);
 }
