--- /dev/null
+++ b/tests/fuzz/keys_store.h
@@ -0,0 +1,181 @@
+#ifndef FUZZ_KEYS_STORE_H
+#define FUZZ_KEYS_STORE_H
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/withdrawals.h"
+
+/* The types of the fuzzed world, its fake store and its messages. */
+
+enum {
+	IDS = 3,
+	KEYS = 2,
+	PROCS = 6,
+	MESSAGES = 160,
+	OPS = 64
+};
+
+#define PROMISE_MS 5000
+#define STORE_LIMIT_MS 400
+
+/* Rules that a self-test breaks, to see that the oracle notices. */
+typedef enum {
+	RULES_KEPT,
+	BROKEN_VOUCH,	/* vouches for those who haven't confirmed */
+	BROKEN_RECEIPT, /* a basis counts from the answer's receipt */
+	BROKEN_RELAY,	/* a relay counts without the peer's keys */
+	BROKEN_TOLD,	/* a vouch counts without the peer's keys */
+	BROKEN_DONE,	/* done without confirmations */
+	BROKEN_ROSTER,	/* done on an old view of the roster */
+	BROKEN_LOST,	/* a lost answer is taken for no effect */
+} rules_t;
+
+typedef enum {
+	SCAN,
+	WRITE,
+	READ,
+	JOIN,
+	ASK,
+	TELL,
+	FETCH
+} message_kind_t;
+
+typedef struct {
+	message_kind_t kind;
+	gboolean answer;
+	int from, to; /* processes of the question; to is -1 for the store */
+	msec_t sent;  /* on the clock of the asker */
+	int key;
+	uint32_t id, attempt;
+	uint64_t since, version; /* of keys: asked for; complete up to */
+	uint64_t issued[KEYS], withdrawn[KEYS], roster[IDS], rows[IDS];
+	write_result_t result;
+	place_t place;
+	gboolean vouch, knows;
+	msec_t age;
+	key_row_t delta[2 * KEYS];
+	guint ndelta;
+} message_t;
+
+/* An operation of the store that is under way for a key. */
+typedef struct {
+	gboolean waiting, write;
+	uint32_t id, attempt;
+	msec_t limit;
+} request_t;
+
+typedef struct {
+	gboolean alive, paused;
+	replica_t self;
+	keys_t keys;
+	freshness_t fresh;
+	roster_view_t view;
+	uint64_t view_version, roster[IDS];
+	msec_t vouched[IDS];
+	gboolean acked[IDS];
+	withdrawals_t withdrawals;
+	request_t requests[KEYS];
+} proc_t;
+
+typedef struct {
+	rules_t rules;
+	msec_t now;
+	gboolean store_up,
+	    silent; /* silent: a store that is down says nothing */
+	gboolean cut[IDS][IDS], store_cut[IDS];
+	uint64_t version, issued[KEYS], withdrawn[KEYS], roster[IDS], rows[IDS];
+	msec_t withdrawn_at[KEYS];
+	gboolean effect[PROCS][KEYS], done[KEYS];
+	digest_t digests[KEYS];
+	proc_t procs[PROCS];
+	int nprocs;
+	message_t messages[MESSAGES];
+	int nmessages;
+	const char *violation;
+} world_t;
+
+/* Each process has its own clock, so that none is taken for another's. */
+static msec_t
+clock_of(const world_t *w, int p)
+{
+	return w->now + (msec_t)p * 100000;
+}
+
+static void
+post(world_t *w, const message_t *m)
+{
+	if (w->nmessages < MESSAGES)
+		w->messages[w->nmessages++] = *m;
+}
+
+static void
+message_take(world_t *w, int i)
+{
+	w->nmessages--;
+	w->messages[i] = w->messages[w->nmessages];
+}
+
+static void
+verify(world_t *w, gboolean holds, const char *what)
+{
+	if (!holds && w->violation == NULL)
+		w->violation = what;
+}
+
+static void
+store_write(world_t *w, message_t *m)
+{
+	const replica_t *self = &w->procs[m->from].self;
+
+	if (w->roster[self->host] != self->incarnation) {
+		m->result = WRITE_FENCED;
+		return;
+	}
+	if (w->withdrawn[m->key] == 0) {
+		w->withdrawn[m->key] = ++w->version;
+		w->withdrawn_at[m->key] = w->now;
+		w->effect[m->from][m->key] = TRUE;
+	}
+	m->version = w->withdrawn[m->key];
+	m->result = WRITE_WON;
+}
+
+static void
+store_join(world_t *w, const message_t *m)
+{
+	const replica_t *self = &w->procs[m->from].self;
+
+	if (w->roster[self->host] < self->incarnation) {
+		w->roster[self->host] = self->incarnation;
+		w->rows[self->host] = ++w->version;
+	}
+}
+
+static void
+at_store(world_t *w, message_t *m)
+{
+	if (!w->store_up) {
+		if (w->silent || m->kind != WRITE)
+			return;
+		m->result = WRITE_DOWN;
+	} else if (m->kind == WRITE) {
+		store_write(w, m);
+	} else if (m->kind == JOIN) {
+		store_join(w, m);
+	} else if (m->kind == READ) {
+		m->version = w->withdrawn[m->key];
+		m->place = m->version != 0 ? PLACE_OURS : PLACE_OPEN;
+	}
+	if (m->kind == SCAN || m->kind == JOIN) {
+		m->version = w->version;
+		memcpy(m->issued, w->issued, sizeof(m->issued));
+		memcpy(m->withdrawn, w->withdrawn, sizeof(m->withdrawn));
+		memcpy(m->roster, w->roster, sizeof(m->roster));
+		memcpy(m->rows, w->rows, sizeof(m->rows));
+	}
+	m->answer = TRUE;
+	post(w, m);
+}
+
+#endif
--- /dev/null
+++ b/tests/fuzz/keys_world.h
@@ -0,0 +1,212 @@
+#ifndef FUZZ_KEYS_WORLD_H
+#define FUZZ_KEYS_WORLD_H
+
+#include "keys_hosts.h"
+
+/*
+ * A few hosts with the modules under test, a fake store and a fake network,
+ * driven by bytes. The oracle knows the promise only: no host says yes to a
+ * key once its withdrawal was reported done, nor 5 s after the store took it;
+ * and what a withdrawal reports of the store is so.
+ */
+
+static void
+world_init(world_t *w, rules_t rules)
+{
+	int i;
+
+	memset(w, 0, sizeof(*w));
+	w->rules = rules;
+	w->now = 1000000;
+	w->store_up = TRUE;
+	for (i = 0; i < KEYS; i++) {
+		digest_of(&i, sizeof(i), &w->digests[i]);
+		w->issued[i] = ++w->version;
+	}
+	for (i = 0; i < IDS; i++)
+		proc_start(w, (uint32_t)i);
+}
+
+static void
+world_finish(world_t *w)
+{
+	int i;
+
+	for (i = 0; i < w->nprocs; i++) {
+		withdrawals_finish(&w->procs[i].withdrawals);
+		keys_finish(&w->procs[i].keys);
+		roster_view_finish(&w->procs[i].view);
+	}
+}
+
+static gboolean
+is_cut(const world_t *w, const message_t *m)
+{
+	uint32_t from = w->procs[m->from].self.host;
+
+	return m->to < 0 ? w->store_cut[from]
+			 : w->cut[from][w->procs[m->to].self.host];
+}
+
+static void
+deliver(world_t *w, message_t m)
+{
+	int at = m.answer ? m.from : m.to;
+
+	if (is_cut(w, &m) || (at >= 0 && !w->procs[at].alive))
+		return;
+	if (at >= 0 && w->procs[at].paused)
+		post(w, &m);
+	else if (!m.answer && m.to < 0)
+		at_store(w, &m);
+	else if (!m.answer)
+		at_peer(w, &m);
+	else if (m.kind == SCAN || m.kind == JOIN)
+		on_scan(w, &m);
+	else if (m.kind == ASK)
+		on_answer(w, &m);
+	else if (m.kind == FETCH)
+		on_rows(w, &m);
+	else
+		on_withdrawal(w, &m);
+}
+
+/* A request to the store goes over one TCP connection: never doubled. */
+static void
+deliver_at(world_t *w, int i, gboolean twice)
+{
+	message_t m = w->messages[i];
+
+	if (!twice || (m.to < 0 && !m.answer))
+		message_take(w, i);
+	deliver(w, m);
+}
+
+static void
+deliver_all(world_t *w)
+{
+	int i, n, hops;
+
+	for (hops = 0; hops < 4; hops++) {
+		n = w->nmessages;
+		for (i = 0; i < n; i++)
+			deliver(w, w->messages[i]);
+		memmove(w->messages, w->messages + n,
+		    (size_t)(w->nmessages - n) * sizeof(message_t));
+		w->nmessages -= n;
+	}
+}
+
+static void
+tick_all(world_t *w)
+{
+	int i;
+
+	for (i = 0; i < w->nprocs; i++) {
+		if (w->procs[i].alive && !w->procs[i].paused)
+			proc_tick(w, i);
+	}
+}
+
+static void
+judge(world_t *w)
+{
+	const proc_t *h;
+	gboolean yes;
+	int i, k;
+
+	for (i = 0; i < w->nprocs; i++) {
+		h = &w->procs[i];
+		for (k = 0; k < KEYS; k++) {
+			if (!h->alive || h->paused)
+				continue;
+			yes = keys_check(&h->keys, &h->fresh, &w->digests[k],
+				  clock_of(w, i))
+				  .kind == KEY_OK;
+			verify(w, !yes || !w->done[k], "yes after done");
+			verify(w,
+			    !yes || w->withdrawn[k] == 0 ||
+				w->now <= w->withdrawn_at[k] + PROMISE_MS,
+			    "yes 5 s after the store's acceptance");
+		}
+	}
+}
+
+/* Carries out one event. */
+static void
+world_step(world_t *w, uint8_t op, uint8_t arg)
+{
+	int p = arg % w->nprocs, id = arg % IDS, i;
+
+	switch (op % 16) {
+	case 0: /* fall through */
+	case 1:
+	case 2: /* fall through */
+	case 3: /* a quiet time, in which all is delivered */
+		for (i = 0; i <= arg % 8; i++) {
+			w->now += 200;
+			tick_all(w);
+			deliver_all(w);
+			judge(w);
+		}
+		break;
+	case 4:
+		w->now += (msec_t)arg * 16;
+		break;
+	case 5:
+		tick_all(w);
+		break;
+	case 6: /* fall through */
+	case 7:
+		if (w->nmessages > 0)
+			deliver_at(w, arg % w->nmessages, op % 16 == 7);
+		break;
+	case 8:
+		if (w->nmessages > 0)
+			message_take(w, arg % w->nmessages);
+		break;
+	case 9:
+	case 10:
+		if (w->procs[p].alive && !w->procs[p].paused)
+			withdraw(w, p, (arg >> 4) % KEYS);
+		break;
+	case 11: /* a new incarnation; the old one may be running yet */
+		w->procs[p].alive = (arg & 0x80) != 0;
+		proc_start(w, w->procs[p].self.host);
+		break;
+	case 12:
+		w->procs[p].paused = !w->procs[p].paused;
+		break;
+	case 13:
+		w->store_up = !w->store_up;
+		w->silent = arg & 1;
+		break;
+	case 14:
+		w->cut[id][arg / IDS % IDS] ^= TRUE;
+		break;
+	case 15:
+		w->store_cut[id] ^= TRUE;
+		break;
+	}
+	judge(w);
+}
+
+/* Runs a whole input; returns what was violated, or NULL. */
+static const char *
+world_run(const uint8_t *data, size_t size, rules_t rules)
+{
+	world_t *w = g_new(world_t, 1);
+	const char *violation;
+	size_t i;
+
+	world_init(w, rules);
+	world_step(w, 0, 3);
+	for (i = 0; i + 1 < size && i < 2 * OPS && w->violation == NULL; i += 2)
+		world_step(w, data[i], data[i + 1]);
+	violation = w->violation;
+	world_finish(w);
+	g_free(w);
+	return violation;
+}
+
+#endif
--- /dev/null
+++ b/tests/test_keys.c
@@ -0,0 +1,293 @@
+#include <stdio.h>
+
+#include "fuzz/keys_world.h"
+#include "suite.h"
+
+enum {
+	INPUTS = 20000,
+	INPUT_BYTES = 2 * OPS
+};
+
+/* First of the random inputs on which the oracle speaks, or -1. */
+static int
+first_violation(rules_t rules, int from, int inputs, const char **what)
+{
+	GRand *rand = g_rand_new();
+	uint8_t data[INPUT_BYTES];
+	size_t k;
+	int i;
+
+	for (i = from; i < from + inputs; i++) {
+		g_rand_set_seed(rand, (guint32)i);
+		for (k = 0; k < sizeof(data); k++)
+			data[k] = (uint8_t)g_rand_int(rand);
+		*what = world_run(data, sizeof(data), rules);
+		if (*what != NULL)
+			break;
+	}
+	g_rand_free(rand);
+	return i < from + inputs ? i : -1;
+}
+
+static void
+the_oracle_catches_broken_rules(void)
+{
+	/* The search begins where an input was found before. */
+	static const struct {
+		rules_t rules;
+		int from;
+	} rows[] = {{BROKEN_VOUCH, 148}, {BROKEN_RECEIPT, 203},
+	    {BROKEN_RELAY, 85}, {BROKEN_TOLD, 195}, {BROKEN_DONE, 56},
+	    {BROKEN_ROSTER, 3856}, {BROKEN_LOST, 13}};
+	const char *what;
+	size_t i;
+	int at;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		at =
+		    first_violation(rows[i].rules, rows[i].from, INPUTS, &what);
+		ck_assert_msg(at >= 0, "rule %d is not noticed", rows[i].rules);
+		printf("rule %d: input %d: %s\n", rows[i].rules, at, what);
+		ck_assert_int_eq(
+		    first_violation(RULES_KEPT, at, 100, &what), -1);
+	}
+}
+
+static key_verdict_kind_t
+verdict(const world_t *w, int p, int key)
+{
+	const proc_t *h = &w->procs[p];
+
+	return keys_check(&h->keys, &h->fresh, &w->digests[key], clock_of(w, p))
+	    .kind;
+}
+
+static void
+run_ms(world_t *w, msec_t ms)
+{
+	for (; ms > 0; ms -= 200)
+		world_step(w, 0, 0);
+	ck_assert_msg(w->violation == NULL, "%s", w->violation);
+}
+
+static world_t *
+world_started(void)
+{
+	world_t *w = g_new(world_t, 1);
+
+	world_init(w, RULES_KEPT);
+	run_ms(w, 2000);
+	return w;
+}
+
+static void
+world_done(world_t *w)
+{
+	world_finish(w);
+	g_free(w);
+}
+
+/* What is out of reach for a minute, and whether each host goes on. */
+static void
+outages_refuse_only_the_cut_off(void)
+{
+	static const struct {
+		gboolean store_up, cut_store_of_0, cut_0_1;
+		key_verdict_kind_t of_0, of_1, of_2;
+	} rows[] = {
+	    {TRUE, FALSE, FALSE, KEY_OK, KEY_OK, KEY_OK},
+	    {FALSE, FALSE, FALSE, KEY_OK, KEY_OK, KEY_OK},
+	    {TRUE, TRUE, FALSE, KEY_OK, KEY_OK, KEY_OK},
+	    {TRUE, TRUE, TRUE, KEY_OK, KEY_OK, KEY_OK},
+	    {FALSE, FALSE, TRUE, KEY_NOT_FRESH, KEY_NOT_FRESH, KEY_OK},
+	};
+	world_t *w;
+	size_t i;
+	int ms;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		w = world_started();
+		w->store_up = rows[i].store_up;
+		w->store_cut[0] = rows[i].cut_store_of_0;
+		w->cut[0][1] = w->cut[1][0] = rows[i].cut_0_1;
+		for (ms = 0; ms < 60000; ms += 200) {
+			run_ms(w, 200);
+			ck_assert_int_eq(verdict(w, 2, 0), rows[i].of_2);
+			if (ms < FRESH_MS)
+				continue;
+			ck_assert_int_eq(verdict(w, 0, 0), rows[i].of_0);
+			ck_assert_int_eq(verdict(w, 1, 0), rows[i].of_1);
+		}
+		world_done(w);
+	}
+}
+
+static void
+a_fresh_host_waits_for_the_keys(void)
+{
+	world_t *w = world_started();
+
+	w->store_up = FALSE;
+	proc_start(w, 0);
+	run_ms(w, 10000);
+	ck_assert_int_eq(verdict(w, 3, 0), KEY_NOT_FRESH);
+	w->store_up = TRUE;
+	run_ms(w, 1000);
+	ck_assert_int_eq(verdict(w, 3, 0), KEY_OK);
+	ck_assert_int_eq(verdict(w, 0, 0), KEY_NOT_FRESH);
+	world_done(w);
+}
+
+/* A withdrawal at host 0, with faults; when it is reported done. */
+static void
+withdrawals_end_in_time(void)
+{
+	static const struct {
+		gboolean store_up, cut_0_1;
+		withdrawal_state_t soon, late;
+		key_verdict_kind_t of_1;
+	} rows[] = {
+	    {TRUE, FALSE, WITHDRAWAL_DONE, WITHDRAWAL_DONE, KEY_WITHDRAWN},
+	    {TRUE, TRUE, WITHDRAWAL_ACCEPTED, WITHDRAWAL_DONE, KEY_WITHDRAWN},
+	    {FALSE, FALSE, WITHDRAWAL_UNAVAILABLE, WITHDRAWAL_UNAVAILABLE,
+		KEY_WITHDRAWN},
+	    {FALSE, TRUE, WITHDRAWAL_UNAVAILABLE, WITHDRAWAL_UNAVAILABLE,
+		KEY_NOT_FRESH},
+	};
+	world_t *w;
+	const withdrawal_t *x;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		w = world_started();
+		run_ms(w, 4000);
+		w->store_up = rows[i].store_up;
+		w->cut[0][1] = w->cut[1][0] = rows[i].cut_0_1;
+		withdraw(w, 0, 0);
+		x = withdrawals_get(&w->procs[0].withdrawals, 1);
+		run_ms(w, 600);
+		ck_assert_int_eq(x->state, rows[i].soon);
+		run_ms(w, 4000);
+		ck_assert_int_eq(x->state, rows[i].late);
+		ck_assert_int_eq(verdict(w, 1, 0), rows[i].of_1);
+		w->store_up = TRUE;
+		run_ms(w, 5000);
+		ck_assert(w->done[0]);
+		ck_assert_int_eq(verdict(w, 1, 0), KEY_WITHDRAWN);
+		ck_assert_int_eq(verdict(w, 1, 1), KEY_OK);
+		world_done(w);
+	}
+}
+
+/* The host that took it dies before it could write; another one stores it. */
+static void
+a_withdrawal_outlives_its_host(void)
+{
+	world_t *w = world_started();
+
+	w->store_up = FALSE;
+	withdraw(w, 0, 0);
+	run_ms(w, 1000);
+	w->procs[0].alive = FALSE;
+	proc_start(w, 0);
+	run_ms(w, 10000);
+	ck_assert_int_eq(verdict(w, 1, 0), KEY_WITHDRAWN);
+	w->store_up = TRUE;
+	run_ms(w, 8000);
+	ck_assert(w->done[0]);
+	ck_assert_int_eq(verdict(w, 3, 0), KEY_WITHDRAWN);
+	ck_assert_int_eq(verdict(w, 3, 1), KEY_OK);
+	world_done(w);
+}
+
+/* Rows in any order, doubled, give the same answers and the same delta. */
+static void
+merging_needs_no_order(void)
+{
+	static const struct {
+		int key;
+		uint64_t version;
+		gboolean withdrawn;
+	} rows[] = {{0, 1, 0}, {1, 2, 0}, {0, 3, 1}, {1, 0, 1}, {2, 4, 0}};
+	GRand *rand = g_rand_new_with_seed(1);
+	GArray *delta = g_array_new(FALSE, FALSE, sizeof(key_row_t));
+	key_row_t row = {.workspace = "w"};
+	digest_t digests[3];
+	keys_t k;
+	int i, n, at, seen;
+
+	for (i = 0; i < 3; i++)
+		digest_of(&i, sizeof(i), &digests[i]);
+	for (n = 0; n < 200; n++) {
+		keys_init(&k);
+		for (i = 0, seen = 0; seen != 0x1f || i < 10; i++) {
+			at = g_rand_int_range(rand, 0, 5);
+			seen |= 1 << at;
+			row.digest = digests[rows[at].key];
+			row.version = rows[at].version;
+			row.withdrawn = rows[at].withdrawn;
+			keys_merge(&k, &row);
+		}
+		keys_merged_range(&k, 1, 4);
+		ck_assert_uint_eq(keys_complete(&k), 0);
+		keys_merged_range(&k, 0, 4);
+		ck_assert(keys_find(&k, &digests[0])->withdrawn);
+		ck_assert(!keys_find(&k, &digests[0])->pending);
+		ck_assert(keys_find(&k, &digests[1])->pending);
+		ck_assert(!keys_find(&k, &digests[2])->withdrawn);
+		g_array_set_size(delta, 0);
+		ck_assert_uint_eq(keys_delta(&k, 0, 1, delta), 2);
+		ck_assert_uint_eq(delta->len, 2);
+		ck_assert_uint_eq(keys_delta(&k, 2, 9, delta), 4);
+		ck_assert_uint_eq(delta->len, 5);
+		keys_finish(&k);
+	}
+	g_array_free(delta, TRUE);
+	g_rand_free(rand);
+}
+
+/* Versions that go up often don't let the record of them grow. */
+static void
+many_keys_are_kept_small(void)
+{
+	key_row_t row = {.workspace = "w"};
+	char hex[DIGEST_HEX_CHARS + 1];
+	digest_t again;
+	keys_t k;
+	uint64_t i;
+
+	keys_init(&k);
+	for (i = 1; i <= 20000; i++) {
+		row.version = i;
+		digest_of(&(uint64_t){i % 1000}, sizeof(i), &row.digest);
+		keys_merge(&k, &row);
+	}
+	ck_assert_uint_eq(keys_count(&k), 1000);
+	ck_assert_uint_le(k.by_version->len, 3000);
+	keys_finish(&k);
+	digest_to_hex(&row.digest, hex);
+	ck_assert(digest_from_hex(hex, &again));
+	ck_assert(digest_equal(&again, &row.digest));
+	hex[3] = 'x';
+	ck_assert(!digest_from_hex(hex, &again));
+	ck_assert(!digest_from_hex("00", &again));
+}
+
+int
+main(void)
+{
+	static const suite_case_t cases[] = {
+	    {"merging needs no order", merging_needs_no_order},
+	    {"many keys are kept small", many_keys_are_kept_small},
+	    {"outages refuse only the cut off",
+		outages_refuse_only_the_cut_off},
+	    {"a fresh host waits for the keys",
+		a_fresh_host_waits_for_the_keys},
+	    {"withdrawals end in time", withdrawals_end_in_time},
+	    {"a withdrawal outlives its host", a_withdrawal_outlives_its_host},
+	    {"the oracle catches broken rules",
+		the_oracle_catches_broken_rules},
+	};
+
+	return suite_run("keys", cases, sizeof(cases) / sizeof(cases[0]));
+}
