--- a/src/state/catalog.h
+++ b/src/state/catalog.h
@@ -43,7 +43,8 @@
 	char *name;
 	GArray *depends; /* service_id_t */
 	uint32_t timeout_ms;
-	char *version; /* the one that serves while no rollout runs */
+	uint32_t typical_ms; /* of one request; 0: not stated */
+	char *version;	     /* the one that serves while no rollout runs */
 } service_t;
 
 typedef struct {
