The whole path, thin: look-up and carried requests through separate processes

Cause: nothing yet went from a caller to a backend server. A host joins the roster, mirrors the control rows by one scan a second, takes configuration and keys, answers look-ups, carries requests with streaming both ways, refuses with reason and whether it ran, and stops gracefully. Tried by hand against the stand-ins: 50 MB answer whole, truncated answer cut off for the caller, broken try reported as unknown.

--- a/src/cmd/greengageloomd.c
+++ b/src/cmd/greengageloomd.c
@@ -1,5 +1,120 @@
+#include <stdio.h>
+
+#include <popt.h>
+#include <sodium.h>
+
+#include "base/log.h"
+#include "host/host.h"
+
+#define EXIT_USAGE 2
+
+static char *config_path, *listen_address, *level_name;
+static int check_only, show_version;
+
+static const struct poptOption options[] = {
+    {"config", 'c', POPT_ARG_STRING, &config_path, 0, "settings file", "FILE"},
+    {"check", 0, POPT_ARG_NONE, &check_only, 0,
+	"check the settings file and exit", NULL},
+    {"listen", 'l', POPT_ARG_STRING, &listen_address, 0,
+	"address for callers, in place of the file's", "IP:PORT"},
+    {"log-level", 0, POPT_ARG_STRING, &level_name, 0,
+	"debug, info, warn or error, in place of the file's", "LEVEL"},
+    {"version", 'V', POPT_ARG_NONE, &show_version, 0, "print the version",
+	NULL},
+    POPT_AUTOHELP POPT_TABLEEND,
+};
+
+static int
+fail_usage(poptContext ctx, const char *what)
+{
+	fprintf(stderr, "greengageloomd: %s\n", what);
+	poptPrintUsage(ctx, stderr, 0);
+	return EXIT_USAGE;
+}
+
+static gboolean
+load_settings(settings_t *s)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	gboolean ok = settings_init(s, config_path, errors);
+	guint i;
+
+	for (i = 0; i < errors->len; i++)
+		fprintf(stderr, "%s\n", (char *)g_ptr_array_index(errors, i));
+	g_ptr_array_free(errors, TRUE);
+	return ok;
+}
+
+static int
+run(settings_t *s)
+{
+	GError *err = NULL;
+	host_t host;
+	int status;
+
+	log_open(stderr, s->log_level);
+	if (!host_init(&host, s, &err)) {
+		log_event(LOG_ERROR, "host.start.failed", "error", err->message,
+		    NULL);
+		g_error_free(err);
+		host_finish(&host);
+		return 1;
+	}
+	status = host_run(&host);
+	host_finish(&host);
+	return status;
+}
+
+static int
+start(poptContext ctx)
+{
+	settings_t s;
+	int status;
+
+	if (config_path == NULL)
+		return fail_usage(ctx, "--config is needed");
+	if (!load_settings(&s)) {
+		settings_finish(&s);
+		return EXIT_USAGE;
+	}
+	if (listen_address != NULL) {
+		g_free(s.callers);
+		s.callers = g_strdup(listen_address);
+	}
+	if (level_name != NULL &&
+	    log_level_parse(level_name, &s.log_level) != 0) {
+		settings_finish(&s);
+		return fail_usage(ctx, "unknown --log-level");
+	}
+	if (check_only) {
+		printf("%s: ok\n", config_path);
+		settings_finish(&s);
+		return 0;
+	}
+	status = run(&s);
+	settings_finish(&s);
+	return status;
+}
+
 int
-main(void)
+main(int argc, char **argv)
 {
-	return 0;
+	poptContext ctx =
+	    poptGetContext(NULL, argc, (const char **)argv, options, 0);
+	int rc = poptGetNextOpt(ctx);
+	int status;
+
+	if (sodium_init() < 0)
+		return 1;
+	if (rc < -1)
+		status = fail_usage(ctx, poptStrerror(rc));
+	else if (poptPeekArg(ctx) != NULL)
+		status = fail_usage(ctx, "unexpected argument");
+	else if (show_version)
+		status =
+		    printf("greengageloomd %s\n", GREENGAGELOOM_VERSION) < 0;
+	else
+		status = start(ctx);
+	poptFreeContext(ctx);
+	return status;
 }
--- /dev/null
+++ b/src/host/dump.c
@@ -0,0 +1,119 @@
+#include <string.h>
+
+#include <jansson.h>
+
+#include "host/dump.h"
+#include "host/refusal.h"
+
+static const char *
+phase_name(host_phase_t phase)
+{
+	switch (phase) {
+	case HOST_STARTING:
+		return "starting";
+	case HOST_SERVING:
+		return "serving";
+	case HOST_DRAINING:
+		return "draining";
+	}
+	return "unknown";
+}
+
+static const char *
+state_name(endpoint_state_t state)
+{
+	switch (state) {
+	case ENDPOINT_USABLE:
+		return "usable";
+	case ENDPOINT_TRIAL:
+		return "trial";
+	case ENDPOINT_EJECTED:
+		return "ejected";
+	case ENDPOINT_LEAVING:
+		return "leaving";
+	}
+	return "unknown";
+}
+
+static json_t *
+endpoints_json(const host_t *h, msec_t now)
+{
+	json_t *list = json_array();
+	const endpoint_stat_t *stat;
+	endpoint_id_t id;
+	guint i;
+
+	for (i = 0; i < h->catalog.endpoints->len; i++) {
+		id = (endpoint_id_t)i;
+		stat = endpoint_stats_row(&h->stats, id);
+		json_array_append_new(list,
+		    json_pack("{s:s, s:s, s:i, s:i, s:f}", "name",
+			catalog_endpoint(&h->catalog, id)->name, "state",
+			state_name(endpoint_stats_state(&h->stats, id, now)),
+			"in_flight", (int)stat->in_flight, "slots",
+			(int)stat->slots, "failure_rate",
+			endpoint_stats_failure_rate(&h->stats, id)));
+	}
+	return list;
+}
+
+char *
+dump_text(const host_t *h)
+{
+	msec_t now = clock_now();
+	json_t *root = json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:I}",
+	    "host", h->settings.id, "phase", phase_name(h->phase), "region",
+	    h->settings.region, "failure_domain", h->settings.domain,
+	    "incarnation", (json_int_t)h->incarnation, "config_version",
+	    (json_int_t)h->catalog.version, "keys", (int)keys_count(&h->keys),
+	    "keys_fresh_ms",
+	    (json_int_t)MAX(freshness_until(&h->fresh) - now, 0));
+	char *text;
+
+	json_object_set_new(
+	    root, "in_flight", json_integer((json_int_t)h->carries->len));
+	json_object_set_new(
+	    root, "store_reads", json_integer((json_int_t)h->store.reads));
+	json_object_set_new(
+	    root, "store_writes", json_integer((json_int_t)h->store.writes));
+	json_object_set_new(root, "endpoints", endpoints_json(h, now));
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+static void
+set_gauges(host_t *h)
+{
+	msec_t left = freshness_until(&h->fresh) - clock_now();
+
+	metrics_set(&h->metrics, h->m.in_flight, h->carries->len);
+	metrics_set(
+	    &h->metrics, h->m.config_version, (int64_t)h->catalog.version);
+	metrics_set(&h->metrics, h->m.fresh_ms, MAX(left, 0));
+}
+
+void
+dump_serve(void *arg, http_exchange_t *x)
+{
+	host_t *h = arg;
+	const struct evhttp_uri *uri =
+	    evhttp_request_get_evhttp_uri(http_exchange_request(x));
+	const char *path = evhttp_uri_get_path(uri);
+	struct evbuffer *body = evbuffer_new();
+	char *text;
+
+	if (g_strcmp0(path, "/metrics") == 0) {
+		set_gauges(h);
+		text = metrics_render(&h->metrics);
+		evbuffer_add(body, text, strlen(text));
+		g_free(text);
+		http_reply(x, HTTP_OK, NULL, body);
+	} else if (g_strcmp0(path, "/healthz") == 0) {
+		evbuffer_add_printf(body, "%s\n", phase_name(h->phase));
+		http_reply(x, h->phase == HOST_SERVING ? 200 : 503, NULL, body);
+	} else {
+		refusal_send(x, REFUSAL_NO_ROUTE, RUN_NOT, 0);
+	}
+	evbuffer_free(body);
+}
--- /dev/null
+++ b/src/host/dump.h
@@ -0,0 +1,23 @@
+#ifndef HOST_DUMP_H
+#define HOST_DUMP_H
+
+#include "host/host.h"
+
+/* What this host is and does, for operators. No key or secret is in it. */
+
+/**
+ * dump_text() - The whole state as JSON.
+ * @h: the host
+ *
+ * Return: text to be freed with free().
+ */
+char *dump_text(const host_t *h);
+
+/**
+ * dump_serve() - Answer on the operators' address: /metrics, /healthz.
+ * @arg: the host
+ * @x: the exchange, which this ends
+ */
+void dump_serve(void *arg, http_exchange_t *x);
+
+#endif
--- /dev/null
+++ b/src/host/host.c
@@ -0,0 +1,307 @@
+#include <signal.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "host/carry.h"
+#include "host/control.h"
+#include "host/dump.h"
+#include "host/host.h"
+#include "host/join.h"
+#include "host/lookups.h"
+#include "protocol/text.h"
+
+#define TICK_MS 50
+#define IDLE_CONNECTIONS 32
+#define HEAD_MAX_BYTES 32768
+#define RECEIVE_MS 30000
+
+static void
+register_metrics(host_t *h)
+{
+	const struct {
+		metric_id_t *id;
+		metric_kind_t kind;
+		const char *name, *help;
+	} rows[] = {
+	    {&h->m.requests, METRIC_COUNTER, "requests_total",
+		"Requests taken from callers."},
+	    {&h->m.answered, METRIC_COUNTER, "requests_answered_total",
+		"Requests answered by a backend server."},
+	    {&h->m.refused, METRIC_COUNTER, "requests_refused_total",
+		"Requests refused by this host."},
+	    {&h->m.retries, METRIC_COUNTER, "retries_total",
+		"Tries after the first of a request."},
+	    {&h->m.hang_ups, METRIC_COUNTER, "callers_gone_total",
+		"Callers that hung up before their answer."},
+	    {&h->m.lookups, METRIC_COUNTER, "lookups_total",
+		"Look-ups answered."},
+	    {&h->m.key_refused, METRIC_COUNTER, "key_refused_total",
+		"Requests refused for their key."},
+	    {&h->m.rate_refused, METRIC_COUNTER, "rate_refused_total",
+		"Requests refused over their workspace's rate."},
+	    {&h->m.probes_failed, METRIC_COUNTER, "probes_failed_total",
+		"Health probes without a usable answer."},
+	    {&h->m.in_flight, METRIC_GAUGE, "requests_in_flight",
+		"Requests taken and not yet ended."},
+	    {&h->m.config_version, METRIC_GAUGE, "config_version",
+		"Configuration in force."},
+	    {&h->m.fresh_ms, METRIC_GAUGE, "keys_fresh_ms",
+		"Milliseconds for which keys may still be accepted."},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++)
+		*rows[i].id = metrics_add(
+		    &h->metrics, rows[i].kind, rows[i].name, rows[i].help);
+}
+
+retry_budget_t *
+host_retry_budget(host_t *h, const char *service)
+{
+	retry_budget_t *b = g_hash_table_lookup(h->budgets, service);
+
+	if (b == NULL) {
+		b = g_new0(retry_budget_t, 1);
+		retry_budget_init(b);
+		g_hash_table_insert(h->budgets, g_strdup(service), b);
+	}
+	return b;
+}
+
+static void
+place_routes(host_t *h)
+{
+	domain_id_t domain =
+	    catalog_find_domain(&h->catalog, h->settings.domain);
+
+	route_choice_place(&h->routes, domain, 0, 1, 0, 1);
+}
+
+gboolean
+host_take_text(host_t *h, uint64_t version, const char *text)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	gboolean ok;
+	catalog_t c;
+
+	catalog_init(&c);
+	ok = version > h->catalog.version &&
+	    text_parse(&c, "config", text, errors) == 0;
+	if (ok) {
+		c.version = version;
+		catalog_finish(&h->catalog);
+		h->catalog = c;
+		g_free(h->catalog_text);
+		h->catalog_text = g_strdup(text);
+		endpoint_stats_bind(&h->stats, &h->catalog, clock_now());
+		place_routes(h);
+	} else {
+		catalog_finish(&c);
+	}
+	log_event(ok ? LOG_INFO : LOG_ERROR,
+	    ok ? "config.in_force" : "config.refused", "version",
+	    log_num((long long)version), "error",
+	    errors->len > 0 ? g_ptr_array_index(errors, 0) : NULL, NULL);
+	g_ptr_array_free(errors, TRUE);
+	return ok;
+}
+
+static void
+serve_callers(void *arg, http_exchange_t *x)
+{
+	const struct evhttp_uri *uri =
+	    evhttp_request_get_evhttp_uri(http_exchange_request(x));
+	const char *path = evhttp_uri_get_path(uri);
+
+	if (path != NULL && g_str_has_prefix(path, LOOKUPS_PREFIX))
+		lookups_serve(arg, x);
+	else
+		carry_begin(arg, x);
+}
+
+static char *
+refuse_body(const char *reason)
+{
+	return refusal_body(reason, RUN_NOT);
+}
+
+static void
+on_changed(void *arg, const GArray *rows, msec_t sent_at)
+{
+	control_changed(arg, rows, sent_at);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	host_t *h = arg;
+	msec_t now = clock_now();
+
+	(void)fd;
+	(void)what;
+	control_tick(h, now);
+	if (h->phase != HOST_DRAINING)
+		return;
+	if (now >= h->linger_until)
+		http_server_drain(h->callers);
+	if (now >= h->drain_until ||
+	    (now >= h->linger_until && h->carries->len == 0 &&
+		http_server_connections(h->callers) == 0))
+		event_base_loopbreak(h->base);
+}
+
+/* The first signal begins a graceful stop, a second one ends it. */
+static void
+on_stop(evutil_socket_t sig, short what, void *arg)
+{
+	host_t *h = arg;
+
+	(void)what;
+	if (h->phase == HOST_DRAINING) {
+		event_base_loopbreak(h->base);
+		return;
+	}
+	log_event(LOG_INFO, "host.stopping", "signal", log_num(sig),
+	    "in_flight", log_num(h->carries->len), NULL);
+	h->phase = HOST_DRAINING;
+	h->drain_until = clock_now() + h->settings.drain_ms;
+	h->linger_until =
+	    clock_now() + (msec_t)h->catalog.caps.lookup_ttl_sec * MSEC_PER_SEC;
+	if (h->incarnation != 0)
+		join_leave(h, FALSE, NULL);
+}
+
+static void
+on_dump(evutil_socket_t sig, short what, void *arg)
+{
+	char *text = dump_text(arg);
+
+	(void)sig;
+	(void)what;
+	fprintf(stderr, "%s\n", text);
+	free(text);
+}
+
+static struct event *
+add_signal(host_t *h, int sig, event_callback_fn fn)
+{
+	struct event *ev = evsignal_new(h->base, sig, fn, h);
+
+	event_add(ev, NULL);
+	return ev;
+}
+
+static gboolean
+open_ports(host_t *h, GError **err)
+{
+	const settings_t *s = &h->settings;
+	http_server_conf_t conf = {
+	    .address = s->callers,
+	    .max_head_bytes = HEAD_MAX_BYTES,
+	    .max_body_bytes = (size_t)s->max_body_bytes,
+	    .body_memory_bytes = (size_t)s->body_memory_bytes,
+	    .max_connections = (unsigned int)s->max_connections,
+	    .receive_ms = RECEIVE_MS,
+	};
+
+	h->callers =
+	    http_server_new(h->base, &conf, serve_callers, refuse_body, h, err);
+	if (h->callers == NULL)
+		return FALSE;
+	conf.address = s->operators;
+	h->operators =
+	    http_server_new(h->base, &conf, dump_serve, refuse_body, h, err);
+	return h->operators != NULL;
+}
+
+static void
+init_state(host_t *h)
+{
+	metrics_init(&h->metrics);
+	register_metrics(h);
+	h->base = event_base_new();
+	h->http = http_client_new(h->base, IDLE_CONNECTIONS);
+	store_init(
+	    &h->store, STORE_KIND_JSON, h->base, h->http, h->settings.store);
+	mirror_init(&h->mirror, &h->store, on_changed, h);
+	catalog_init(&h->catalog);
+	keys_init(&h->keys);
+	freshness_init(&h->fresh);
+	endpoint_stats_init(&h->stats);
+	randombytes_buf(&h->token, sizeof(h->token));
+	h->token >>= 1; /* fits the store's signed numbers */
+	route_choice_init(&h->routes, ROUTE_HELD_SLOTS, h->token | 1);
+	h->carries = g_ptr_array_new();
+	h->budgets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+gboolean
+host_init(host_t *h, settings_t *settings, GError **err)
+{
+	const struct timeval tick = {0, TICK_MS * 1000};
+
+	memset(h, 0, sizeof(*h));
+	h->settings = *settings;
+	memset(settings, 0, sizeof(*settings));
+	init_state(h);
+	h->ticker = event_new(h->base, -1, EV_PERSIST, on_tick, h);
+	event_add(h->ticker, &tick);
+	h->term = add_signal(h, SIGTERM, on_stop);
+	h->interrupt = add_signal(h, SIGINT, on_stop);
+	h->dump_signal = add_signal(h, SIGUSR1, on_dump);
+	signal(SIGPIPE, SIG_IGN);
+	return open_ports(h, err);
+}
+
+void
+host_finish(host_t *h)
+{
+	while (h->carries->len > 0)
+		carry_free(g_ptr_array_index(h->carries, 0));
+	if (h->callers != NULL)
+		http_server_free(h->callers);
+	if (h->operators != NULL)
+		http_server_free(h->operators);
+	event_free(h->ticker);
+	event_free(h->term);
+	event_free(h->interrupt);
+	event_free(h->dump_signal);
+	http_client_free(h->http);
+	store_finish(&h->store);
+	mirror_finish(&h->mirror);
+	route_choice_finish(&h->routes);
+	endpoint_stats_finish(&h->stats);
+	keys_finish(&h->keys);
+	catalog_finish(&h->catalog);
+	g_free(h->catalog_text);
+	g_ptr_array_free(h->carries, TRUE);
+	g_hash_table_destroy(h->budgets);
+	metrics_finish(&h->metrics);
+	event_base_free(h->base);
+	settings_finish(&h->settings);
+}
+
+static void
+on_gone(host_t *h)
+{
+	event_base_loopbreak(h->base);
+}
+
+int
+host_run(host_t *h)
+{
+	log_event(LOG_INFO, "host.started", "host", h->settings.id, "callers",
+	    h->settings.callers, "version", GREENGAGELOOM_VERSION, NULL);
+	event_base_dispatch(h->base);
+	if (h->incarnation != 0) {
+		join_leave(h, TRUE, on_gone);
+		event_base_dispatch(h->base);
+	}
+	log_event(
+	    LOG_INFO, "host.stopped", "cut", log_num(h->carries->len), NULL);
+	return h->carries->len == 0 ? 0 : 1;
+}
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -8,6 +8,7 @@
 #include "coordination/retry_budget.h"
 #include "host/mirror.h"
 #include "host/settings.h"
+#include "protocol/rows.h"
 #include "state/catalog.h"
 #include "state/endpoint_stats.h"
 #include "state/keys.h"
@@ -40,7 +41,12 @@
 	settings_t settings;
 	struct event_base *base;
 	host_phase_t phase;
-	uint64_t incarnation;
+	uint64_t token;	      /* random; names this process in its row */
+	uint64_t incarnation; /* 0: not in the roster */
+	uint64_t row_version; /* of our row in the roster */
+	gboolean joining, join_unsure;
+	uint64_t join_incarnation;
+	msec_t join_after; /* a scan sent later shows what became of a join */
 	metrics_t metrics;
 	host_metrics_t m;
 	http_client_t *http;
@@ -51,6 +57,9 @@
 	/* Configuration in force; version 0: none yet. */
 	catalog_t catalog;
 	char *catalog_text;
+	config_row_t wanted;
+	gboolean fetching;
+	msec_t scan_at, probe_at;
 	keys_t keys;
 	freshness_t fresh;
 	endpoint_stats_t stats;
@@ -59,6 +68,7 @@
 	GPtrArray *carries;  /* carry_t under way */
 	uint64_t next_request;
 	struct event *ticker, *term, *interrupt, *dump_signal;
+	msec_t linger_until; /* callers may still come by cached look-ups */
 	msec_t drain_until;
 } host_t;
 
@@ -80,12 +90,12 @@
 int host_run(host_t *h);
 
 /**
- * host_take_catalog() - Put a configuration in force.
+ * host_take_text() - Put a configuration in force, whole or not at all.
  * @h: the host
- * @c: moved into @h
- * @text: from which it was read; copied
+ * @version: of the configuration; an older one than is in force is refused
+ * @text: the operators' text
  */
-void host_take_catalog(host_t *h, catalog_t *c, const char *text);
+gboolean host_take_text(host_t *h, uint64_t version, const char *text);
 
 /**
  * host_retry_budget() - The retry budget of a service.
--- /dev/null
+++ b/src/host/lookups.c
@@ -0,0 +1,157 @@
+#include <sys/queue.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "coordination/lookup.h"
+#include "coordination/roster.h"
+#include "host/lookups.h"
+#include "host/refusal.h"
+#include "state/digest.h"
+
+typedef struct {
+	host_t *host;
+	GArray *found; /* lookup_host_t, names and addresses owned */
+} collect_t;
+
+static void
+collect_host(void *arg, const char *name, const mirror_row_t *row)
+{
+	collect_t *c = arg;
+	host_row_t value = {0};
+	lookup_host_t found = {0};
+
+	if (!rows_decode(&row_host, row->value, &value, NULL))
+		return;
+	if (value.state == HOST_LIVE) {
+		found.name = g_strdup(name);
+		found.address = g_strdup(value.callers);
+		found.region =
+		    catalog_find_region(&c->host->catalog, value.region);
+		g_array_append_val(c->found, found);
+	}
+	rows_clear(&row_host, &value);
+}
+
+static void
+found_clear(void *p)
+{
+	lookup_host_t *found = p;
+
+	g_free((char *)(uintptr_t)found->name);
+	g_free((char *)(uintptr_t)found->address);
+}
+
+/* The workspace of the key, if the caller presents one that is known. */
+static const char *
+affinity_of(host_t *h, http_exchange_t *x, const char *service, double *part)
+{
+	const char *value =
+	    evhttp_find_header(http_exchange_headers(x), "Authorization");
+	const key_entry_t *entry;
+	workspace_id_t id;
+	double sum = 0;
+	digest_t key;
+	guint i;
+
+	*part = 1;
+	if (value == NULL ||
+	    g_ascii_strncasecmp(value, "Bearer ", strlen("Bearer ")) != 0)
+		return service;
+	value += strlen("Bearer ");
+	digest_of(value, strlen(value), &key);
+	entry = keys_find(&h->keys, &key);
+	if (entry == NULL || entry->workspace == 0 || entry->withdrawn)
+		return service;
+	id = catalog_find_workspace(
+	    &h->catalog, g_quark_to_string(entry->workspace));
+	if (id == ID_NONE)
+		return service;
+	for (i = 0; i < h->catalog.workspaces->len; i++)
+		sum += catalog_workspace(&h->catalog, (workspace_id_t)i)->rate;
+	*part = catalog_workspace(&h->catalog, id)->rate / sum;
+	return g_quark_to_string(entry->workspace);
+}
+
+static void
+send_hosts(http_exchange_t *x, const char *service, uint32_t ttl_sec,
+    const GArray *found)
+{
+	json_t *list = json_array();
+	json_t *root = json_pack("{s:s, s:i, s:o}", "service", service,
+	    "ttl_sec", (int)ttl_sec, "hosts", list);
+	struct evbuffer *body = evbuffer_new();
+	const lookup_host_t *host;
+	struct evkeyvalq headers;
+	char cache[32], *text;
+	guint i;
+
+	for (i = 0; i < found->len; i++) {
+		host = &g_array_index(found, lookup_host_t, i);
+		json_array_append_new(list,
+		    json_pack("{s:s, s:s, s:i}", "host", host->name, "address",
+			host->address, "weight", (int)host->weight));
+	}
+	TAILQ_INIT(&headers);
+	g_snprintf(cache, sizeof(cache), "max-age=%u", ttl_sec);
+	evhttp_add_header(&headers, "Cache-Control", cache);
+	evhttp_add_header(&headers, "Content-Type", "application/json");
+	text = json_dumps(root, JSON_COMPACT);
+	evbuffer_add_printf(body, "%s\n", text);
+	http_reply(x, HTTP_OK, &headers, body);
+	evhttp_clear_headers(&headers);
+	evbuffer_free(body);
+	json_decref(root);
+	free(text);
+}
+
+static region_id_t
+region_asked(host_t *h, http_exchange_t *x)
+{
+	const struct evhttp_uri *uri =
+	    evhttp_request_get_evhttp_uri(http_exchange_request(x));
+	const char *query = evhttp_uri_get_query(uri);
+	const char *name = NULL;
+	struct evkeyvalq args;
+	region_id_t id;
+
+	TAILQ_INIT(&args);
+	if (query != NULL && evhttp_parse_query_str(query, &args) == 0)
+		name = evhttp_find_header(&args, "region");
+	id = name != NULL ? catalog_find_region(&h->catalog, name) : ID_NONE;
+	evhttp_clear_headers(&args);
+	if (id != ID_NONE)
+		return id;
+	return catalog_find_region(&h->catalog, h->settings.region);
+}
+
+void
+lookups_serve(host_t *h, http_exchange_t *x)
+{
+	const struct evhttp_uri *uri =
+	    evhttp_request_get_evhttp_uri(http_exchange_request(x));
+	const char *service = evhttp_uri_get_path(uri) + strlen(LOOKUPS_PREFIX);
+	collect_t collect = {h, NULL};
+	lookup_query_t q = {.catalog = &h->catalog};
+
+	metrics_count(&h->metrics, h->m.lookups, 1);
+	if (h->phase == HOST_STARTING) {
+		refusal_send(x, REFUSAL_NOT_READY, RUN_NOT, MSEC_PER_SEC);
+		return;
+	}
+	if (catalog_find_service(&h->catalog, service) == ID_NONE) {
+		refusal_send(x, REFUSAL_UNKNOWN_SERVICE, RUN_NOT, 0);
+		return;
+	}
+	collect.found = g_array_new(FALSE, TRUE, sizeof(lookup_host_t));
+	g_array_set_clear_func(collect.found, found_clear);
+	mirror_each(&h->mirror, ROWS_HOST, collect_host, &collect);
+	q.from = region_asked(h, x);
+	q.affinity = affinity_of(h, x, service, &q.part);
+	lookup_order(&q, (lookup_host_t *)(void *)collect.found->data,
+	    collect.found->len);
+	send_hosts(x, service, h->catalog.caps.lookup_ttl_sec, collect.found);
+	g_array_free(collect.found, TRUE);
+}
--- a/src/host/settings.c
+++ b/src/host/settings.c
@@ -23,7 +23,7 @@
 static void
 read_host(settings_t *s, const ini_t *ini)
 {
-	gint64 drain_sec = 30;
+	gint64 drain_sec = 60;
 	const ini_field_t fields[] = {
 	    {"id", INI_STRING, TRUE, 1, NAME_CHARS, &s->id},
 	    {"region", INI_STRING, TRUE, 1, NAME_CHARS, &s->region},
--- a/src/protocol/rows.c
+++ b/src/protocol/rows.c
@@ -3,6 +3,7 @@
 static const row_field_t host_fields[] = {
     ROW_FIELD(host_row_t, incarnation, ROW_NUMBER),
     ROW_FIELD(host_row_t, state, ROW_NUMBER),
+    ROW_FIELD(host_row_t, token, ROW_NUMBER),
     ROW_FIELD(host_row_t, rpc, ROW_TEXT),
     ROW_FIELD(host_row_t, callers, ROW_TEXT),
     ROW_FIELD(host_row_t, region, ROW_TEXT),
--- a/src/protocol/rows.h
+++ b/src/protocol/rows.h
@@ -27,6 +27,7 @@
 typedef struct {
 	uint64_t incarnation;
 	uint64_t state; /* host_state_t */
+	uint64_t token; /* of the write that made it */
 	char *rpc;
 	char *callers;
 	char *region;
--- a/src/state/key_text.c
+++ b/src/state/key_text.c
@@ -12,7 +12,7 @@
 {
 	size_t prefix = strlen(KEY_TEXT_PREFIX);
 
-	memcpy(out, KEY_TEXT_PREFIX, prefix);
+	g_strlcpy(out, KEY_TEXT_PREFIX, prefix + 1);
 	sodium_bin2base64(out + prefix, KEY_RANDOM_CHARS + 1, random,
 	    KEY_RANDOM_BYTES, sodium_base64_VARIANT_URLSAFE_NO_PADDING);
 }
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -37,7 +37,7 @@
 	http_handler_t handler;
 	struct event *timer;
 	size_t max_body;
-	gboolean starting; /* within http_call() */
+	gboolean starting;  /* within http_call() */
 	gboolean in_head;   /* within on_head: evhttp still uses the request */
 	gboolean cancelled; /* there; ends without a callback */
 	gboolean timed_out;
@@ -57,6 +57,8 @@
 conn_free(conn_t *conn)
 {
 	conn->target->open--;
+	/* evhttp would tell of the close that we ourselves ask for. */
+	evhttp_connection_set_closecb(conn->evcon, NULL, NULL);
 	evhttp_connection_free(conn->evcon);
 	g_free(conn);
 }
@@ -125,8 +127,10 @@
 void
 http_client_free(http_client_t *client)
 {
-	while (client->busy->len > 0) {
-		conn_t *conn = g_ptr_array_index(client->busy, 0);
+	guint i;
+
+	for (i = client->busy->len; i > 0; i--) {
+		conn_t *conn = g_ptr_array_index(client->busy, i - 1);
 
 		http_call_cancel(conn->call);
 	}
