Tries of a request: at most once, retry budget, true verdicts

A try counts as not run only where its connection was refused or where a 503 says so; 200 with the same claim is not believed. Answers are matched by request and try, so a late or crossed one is dropped. A refusal says not-run only if no try can have run. Weighed: retrying every 5xx of an idempotent route; kept to 502, 503 and 504, since a 500 comes again.

--- /dev/null
+++ b/src/coordination/attempt.h
@@ -0,0 +1,131 @@
+#ifndef COORDINATION_ATTEMPT_H
+#define COORDINATION_ATTEMPT_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "coordination/retry_budget.h"
+
+/*
+ * The tries of one request. A request that is not idempotent is sent again
+ * only after proof that it did not run; any other only within the retry
+ * budget. A refusal says "not run" only if no try can have run.
+ */
+
+#define ATTEMPT_TRIES_MAX 3
+
+/* Whether a refused request ran. */
+typedef enum {
+	RAN_NO,
+	RAN_UNKNOWN,
+	RAN_YES,
+} ran_t;
+
+typedef enum {
+	ATTEMPT_PLACING, /* an endpoint is being chosen or waited for */
+	ATTEMPT_SENT,	 /* a try is in flight */
+	ATTEMPT_DONE,
+} attempt_phase_t;
+
+typedef enum {
+	ATTEMPT_PLACED,	   /* an endpoint was chosen */
+	ATTEMPT_NO_ROOM,   /* every endpoint is full */
+	ATTEMPT_NO_SERVER, /* there is no endpoint to try */
+	ATTEMPT_REFUSED,   /* the connection was not made */
+	ATTEMPT_BROKEN,	   /* the connection ended without a whole answer */
+	ATTEMPT_ANSWERED,  /* a whole answer's head and body came */
+	ATTEMPT_TIMED_OUT, /* the deadline has passed */
+	ATTEMPT_CALLER_GONE,
+} attempt_event_kind_t;
+
+typedef struct {
+	attempt_event_kind_t kind;
+	uint64_t request_id; /* of the request that the event belongs to */
+	uint8_t number;	     /* of the try; only for events of a try */
+	union {
+		struct {
+			int status;	  /* HTTP */
+			gboolean not_run; /* the answer says so */
+		} answer;
+	} u;
+} attempt_event_t;
+
+typedef enum {
+	ATTEMPT_DROP,	/* event of another try or request: do nothing */
+	ATTEMPT_PLACE,	/* choose an endpoint that was not tried */
+	ATTEMPT_WAIT,	/* queue for room */
+	ATTEMPT_SEND,	/* send try @number, with @timeout_ms left */
+	ATTEMPT_REPLY,	/* pass the answer on to the caller */
+	ATTEMPT_REFUSE, /* tell the caller @reason and @ran */
+	ATTEMPT_FORGET, /* nobody waits for an answer */
+} attempt_action_kind_t;
+
+typedef enum {
+	REFUSED_NO_ROOM,
+	REFUSED_NO_SERVER,
+	REFUSED_UNREACHABLE,
+	REFUSED_BROKEN,
+	REFUSED_DEADLINE,
+} refuse_reason_t;
+
+typedef struct {
+	attempt_action_kind_t kind;
+	gboolean cancel; /* besides, cancel the try in flight */
+	uint8_t number;
+	msec_t timeout_ms; /* of send and wait */
+	refuse_reason_t reason;
+	ran_t ran;
+} attempt_action_t;
+
+typedef struct {
+	uint64_t request_id;
+	gboolean idempotent;
+	msec_t deadline;
+	attempt_phase_t phase;
+	uint8_t number;	       /* of the try in flight or the last */
+	gboolean may_have_run; /* one of the tries that ended */
+	retry_budget_t *budget;
+} attempt_t;
+
+/**
+ * attempt_init() - Begin a request.
+ * @a: caller's memory
+ * @request_id: unique to this request
+ * @idempotent: of its route
+ * @deadline: the caller's; the service's timeout may only shorten it
+ * @timeout_ms: the service's timeout
+ * @budget: the service's retry budget, outlives @a
+ * @now: time
+ *
+ * Return: the first action: place, or refuse where the deadline has passed.
+ */
+attempt_action_t attempt_init(attempt_t *a, uint64_t request_id,
+    gboolean idempotent, msec_t deadline, msec_t timeout_ms,
+    retry_budget_t *budget, msec_t now);
+
+/**
+ * attempt_step() - Take one event.
+ * @a: the request
+ * @e: what happened
+ * @now: time
+ *
+ * Return: what to do. After reply, refuse and forget nothing follows but drop.
+ */
+attempt_action_t attempt_step(
+    attempt_t *a, const attempt_event_t *e, msec_t now);
+
+/**
+ * ran_name() - The word for callers.
+ * @ran: the verdict
+ */
+const char *ran_name(ran_t ran);
+
+/**
+ * refuse_reason_name() - The machine-readable reason for callers.
+ * @reason: the reason
+ */
+const char *refuse_reason_name(refuse_reason_t reason);
+
+#endif
--- a/tests/process/test_routing_oracles.sh
+++ b/tests/process/test_routing_oracles.sh
@@ -24,6 +24,12 @@
 fuzz_route share
 fuzz_route leaving
 fuzz_route ejection
+fuzz_attempt idempotent
+fuzz_attempt deadline
+fuzz_attempt budget
+fuzz_attempt shed
+fuzz_attempt crossed
+fuzz_attempt late
 END
 echo "$missed broken rules not noticed"
 [ "$missed" -eq 0 ]
