Messages, header and authentication of RPC between hosts

XDR by rpcgen, generated code committed. Calls are bound to the fleet secret by a keyed hash. Weighed for replay: the sender's time of day with a table of nonces, and a session that the server draws for each connection. The table is lost with a restart and needs clocks that agree; a clock off by more than the bound would cut a host from all vouching. The session needs one round trip for each connection and neither table nor clock, and a call taken before a restart is refused too, so it was chosen. The time bound counts from the session's receipt by monotonic clocks.

--- a/src/protocol/placeholder.c
+++ /dev/null
@@ -1,1 +0,0 @@
-typedef int protocol_placeholder_t;
--- /dev/null
+++ b/src/protocol/rpc_msg.h
@@ -0,0 +1,92 @@
+#ifndef PROTOCOL_RPC_MSG_H
+#define PROTOCOL_RPC_MSG_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "protocol/gen/host_rpc.h"
+
+/*
+ * Calls and replies of ONC RPC version 2 (RFC 5531) with the fleet's
+ * authentication flavour. A call's credential is an rpc_cred_t in XDR and its
+ * verifier a keyed hash; an accepted reply's verifier holds the server's
+ * session and a keyed hash. A denied reply has no verifier.
+ */
+
+#define RPC_CRED_MAX 400
+#define RPC_MAC_SIZE 32
+#define RPC_RECORD_MAX (1024 * 1024) /* bytes of a call or reply */
+
+typedef struct {
+	uint32_t xid;
+	uint32_t program;
+	uint32_t version;
+	uint32_t proc;
+	uint32_t cred_len;
+	uint8_t cred[RPC_CRED_MAX];
+	uint8_t mac[RPC_MAC_SIZE];
+	const uint8_t *body; /* owned by whoever made or read the call */
+	size_t body_len;
+} rpc_call_t;
+
+typedef enum {
+	RPC_STATUS_OK,
+	/* accepted, authenticated, not run */
+	RPC_STATUS_PROGRAM,
+	RPC_STATUS_VERSION,
+	RPC_STATUS_PROCEDURE,
+	RPC_STATUS_ARGUMENTS,
+	RPC_STATUS_BUSY,
+	/* denied: the answer itself is not authenticated */
+	RPC_STATUS_RPC_VERSION,
+	RPC_STATUS_CREDENTIAL, /* not ours, or of another session */
+	RPC_STATUS_VERIFIER,   /* hash wrong */
+	RPC_STATUS_REPLAYED,   /* seen before or too old */
+} rpc_status_t;
+
+typedef struct {
+	uint32_t xid;
+	rpc_status_t status;
+	uint32_t low, high; /* versions served, with RPC_STATUS_VERSION */
+	rpc_nonce_t session;
+	uint8_t mac[RPC_MAC_SIZE];
+	const uint8_t *body;
+	size_t body_len;
+} rpc_reply_t;
+
+typedef enum {
+	RPC_DECODE_OK,
+	RPC_DECODE_RPC_VERSION, /* xid is set; to be answered so */
+	RPC_DECODE_BAD,		/* not a message of this kind */
+} rpc_decode_t;
+
+const char *rpc_status_name(rpc_status_t status);
+
+/**
+ * rpc_call_encode() - Append a call with its header.
+ * @out: where to
+ * @call: whole, with its verifier
+ */
+void rpc_call_encode(GByteArray *out, const rpc_call_t *call);
+
+/**
+ * rpc_call_decode() - Read a call's header; the body stays in XDR.
+ * @call: filled in; its body points into @data
+ * @data: one record
+ * @len: its length
+ */
+rpc_decode_t rpc_call_decode(rpc_call_t *call, const uint8_t *data, size_t len);
+
+void rpc_reply_encode(GByteArray *out, const rpc_reply_t *reply);
+
+/**
+ * rpc_reply_decode() - Read a reply's header; the body stays in XDR.
+ * @reply: filled in; its body points into @data
+ * @data: one record
+ * @len: its length
+ */
+gboolean rpc_reply_decode(rpc_reply_t *reply, const uint8_t *data, size_t len);
+
+#endif
--- a/src/state/catalog.h
+++ b/src/state/catalog.h
@@ -71,16 +71,16 @@
 } workspace_t;
 
 typedef struct {
-	uint16_t hosts; /* most entry hosts at once: fixed parts of a limit */
-	double shift_cap;      /* most of a service's traffic moved, 0..1 */
-	double rollout_cap;    /* most that an unproven version gets, 0..1 */
-	uint32_t rollout_sec;  /* default time to finish a rollout */
+	uint16_t hosts;	  /* most entry hosts at once: fixed parts of a limit */
+	double shift_cap; /* most of a service's traffic moved, 0..1 */
+	double rollout_cap;	 /* most that an unproven version gets, 0..1 */
+	uint32_t rollout_sec;	 /* default time to finish a rollout */
 	uint32_t lookup_ttl_sec; /* how long a look-up may be cached */
 	double spill_cap; /* most of a region's slots given to other regions */
 } caps_t;
 
 typedef struct {
-	uint64_t version; /* of the configuration; 0: none */
+	uint64_t version;   /* of the configuration; 0: none */
 	GArray *regions;    /* region_t */
 	GArray *domains;    /* domain_t */
 	GArray *links;	    /* link_t */
@@ -129,7 +129,7 @@
  *
  * Return: milliseconds one way; 0 within a region or where none is named.
  */
-uint32_t catalog_one_way_ms(const catalog_t *c, region_id_t from,
-    region_id_t to);
+uint32_t catalog_one_way_ms(
+    const catalog_t *c, region_id_t from, region_id_t to);
 
 #endif
--- a/src/transport/placeholder.c
+++ /dev/null
@@ -1,1 +0,0 @@
-typedef int transport_placeholder_t;
--- /dev/null
+++ b/src/transport/rpc_refusal.h
@@ -0,0 +1,47 @@
+#ifndef TRANSPORT_RPC_REFUSAL_H
+#define TRANSPORT_RPC_REFUSAL_H
+
+#include "base/clock.h"
+#include "base/metrics.h"
+
+/* Counts what the RPC port refuses, and logs each reason at a bounded rate. */
+
+#define RPC_REFUSAL_LOG_MS 10000 /* one line of a reason in this time */
+
+typedef enum {
+	RPC_REFUSAL_TOO_LONG,
+	RPC_REFUSAL_UNDECODABLE,
+	RPC_REFUSAL_RPC_VERSION,
+	RPC_REFUSAL_CREDENTIAL,
+	RPC_REFUSAL_VERIFIER,
+	RPC_REFUSAL_REPLAYED,
+	RPC_REFUSAL_PROGRAM,
+	RPC_REFUSAL_VERSION,
+	RPC_REFUSAL_PROCEDURE,
+	RPC_REFUSAL_ARGUMENTS,
+	RPC_REFUSAL_BUSY,
+	RPC_REFUSAL_SLOW,
+	RPC_REFUSAL_CONNECTIONS,
+	RPC_REFUSAL_COUNT,
+} rpc_refusal_t;
+
+typedef struct {
+	metrics_t *metrics;
+	metric_id_t ids[RPC_REFUSAL_COUNT];
+	msec_t logged_at[RPC_REFUSAL_COUNT];
+	int64_t unlogged[RPC_REFUSAL_COUNT];
+} rpc_refusals_t;
+
+void rpc_refusals_init(rpc_refusals_t *r, metrics_t *metrics);
+
+/**
+ * rpc_refusals_count() - Note one refusal.
+ * @r: the counters
+ * @reason: why
+ * @peer: address of the other end
+ * @now: milliseconds
+ */
+void rpc_refusals_count(
+    rpc_refusals_t *r, rpc_refusal_t reason, const char *peer, msec_t now);
+
+#endif
--- /dev/null
+++ b/src/transport/rpc_server.h
@@ -0,0 +1,99 @@
+#ifndef TRANSPORT_RPC_SERVER_H
+#define TRANSPORT_RPC_SERVER_H
+
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include "protocol/rpc_auth.h"
+#include "protocol/rpc_body.h"
+#include "transport/rpc_refusal.h"
+
+/*
+ * The RPC port of a host. The handler sees only calls that are authenticated,
+ * in time, not seen before, and whose arguments could be read. It answers
+ * each by its handle, now or later; after the connection has gone, the answer
+ * is dropped.
+ */
+
+#define RPC_CONNECTIONS_MAX 1024
+#define RPC_PENDING_MAX 256 /* unanswered calls of a connection */
+#define RPC_HELLO_MAX 1024  /* bytes of a record before a session is open */
+#define RPC_HELLO_MS 5000   /* time to open a session */
+#define RPC_RECORD_MS 10000 /* time to send one record */
+#define RPC_IDLE_MS 600000  /* silence after which a connection is closed */
+#define RPC_OUTPUT_MAX (4 * RPC_RECORD_MAX) /* unread answers, bytes */
+#define RPC_INPUT_MAX (64 * RPC_RECORD_MAX) /* unfinished records, bytes */
+
+typedef uint64_t rpc_call_id_t;
+
+/**
+ * rpc_handler_t - Take one call.
+ * @arg: as configured
+ * @id: handle by which it is answered, exactly once
+ * @caller: name that the caller gave itself, authenticated
+ * @args: valid during this call of the handler only
+ */
+typedef void (*rpc_handler_t)(
+    void *arg, rpc_call_id_t id, const char *caller, const rpc_args_t *args);
+
+typedef struct {
+	struct event_base *base;
+	const rpc_key_t *key;
+	rpc_identity_t self;
+	metrics_t *metrics;
+	rpc_handler_t handler;
+	void *arg;
+} rpc_server_config_t;
+
+typedef struct {
+	rpc_server_config_t config;
+	struct evconnlistener *listener;
+	struct event *sweep;
+	GHashTable *conns;   /* id to connection */
+	GHashTable *pending; /* rpc_call_id_t to what its answer needs */
+	uint64_t next_id;
+	size_t unfinished; /* bytes of unfinished records, all connections */
+	rpc_refusals_t refusals;
+} rpc_server_t;
+
+/**
+ * rpc_server_init() - Listen.
+ * @s: memory of the caller
+ * @config: copied; what it points to must outlive the server
+ * @listen: "IP:PORT"; port 0 takes a free one
+ * @err: ERROR_INVALID for the address, ERROR_UNAVAILABLE for the socket
+ */
+gboolean rpc_server_init(rpc_server_t *s, const rpc_server_config_t *config,
+    const char *listen, GError **err);
+
+/**
+ * rpc_server_finish() - Close all; calls not answered stay so.
+ * @s: the server
+ */
+void rpc_server_finish(rpc_server_t *s);
+
+uint16_t rpc_server_port(const rpc_server_t *s);
+
+/**
+ * rpc_server_stop() - Accept no more connections; those open go on.
+ * @s: the server
+ */
+void rpc_server_stop(rpc_server_t *s);
+
+/**
+ * rpc_server_answer() - Answer a call.
+ * @s: the server
+ * @id: its handle; one that is no longer known is ignored
+ * @result: of the call's procedure
+ */
+void rpc_server_answer(
+    rpc_server_t *s, rpc_call_id_t id, const rpc_result_t *result);
+
+/**
+ * rpc_server_refuse() - Say that a call was not run and had no effect.
+ * @s: the server
+ * @id: its handle
+ */
+void rpc_server_refuse(rpc_server_t *s, rpc_call_id_t id);
+
+#endif
--- /dev/null
+++ b/tests/test_rpc.c
@@ -0,0 +1,381 @@
+#include <string.h>
+
+#include "base/error.h"
+#include "protocol/record_mark.h"
+#include "protocol/rpc_auth.h"
+#include "protocol/rpc_body.h"
+#include "rpc_samples.h"
+#include "suite.h"
+
+static const rpc_identity_t self = {"host-a", "127.0.0.1:7"};
+static const rpc_nonce_t fresh = "a fresh session";
+static rpc_key_t key;
+
+static void
+assert_same(const GByteArray *a, const GByteArray *b)
+{
+	ck_assert_uint_eq(a->len, b->len);
+	if (a->len > 0)
+		ck_assert_mem_eq(a->data, b->data, a->len);
+}
+
+static void
+every_message_survives_encoding(void)
+{
+	GByteArray *wire = g_byte_array_new();
+	GByteArray *again = g_byte_array_new();
+	rpc_result_t result;
+	rpc_args_t args;
+	size_t i;
+
+	for (i = 0; i < sample_args_count(); i++) {
+		sample_args(i, &args);
+		g_byte_array_set_size(wire, 0);
+		g_byte_array_set_size(again, 0);
+		ck_assert(rpc_args_encode(wire, &args, NULL));
+		ck_assert(
+		    rpc_args_decode(&args, args.proc, wire->data, wire->len));
+		ck_assert(rpc_args_encode(again, &args, NULL));
+		rpc_args_clear(&args);
+		assert_same(wire, again);
+		/* Shorter and longer ones are refused. */
+		g_byte_array_append(wire, (const guint8 *)"\0\0\0\0", 4);
+		ck_assert(
+		    !rpc_args_decode(&args, args.proc, wire->data, wire->len));
+		if (wire->len > 4)
+			ck_assert(!rpc_args_decode(
+			    &args, args.proc, wire->data, wire->len - 8));
+	}
+	for (i = 0; i < sample_result_count(); i++) {
+		sample_result(i, &result);
+		g_byte_array_set_size(wire, 0);
+		g_byte_array_set_size(again, 0);
+		ck_assert(rpc_result_encode(wire, &result, NULL));
+		ck_assert(rpc_result_decode(
+		    &result, result.proc, wire->data, wire->len));
+		ck_assert(rpc_result_encode(again, &result, NULL));
+		rpc_result_clear(&result);
+		assert_same(wire, again);
+	}
+	g_byte_array_free(wire, TRUE);
+	g_byte_array_free(again, TRUE);
+}
+
+static void
+bodies_out_of_bounds_are_refused(void)
+{
+	GByteArray *wire = g_byte_array_new();
+	char name[RPC_NAME_MAX + 2];
+	GError *err = NULL;
+	rpc_args_t args;
+
+	memset(name, 'n', sizeof(name) - 1);
+	name[sizeof(name) - 1] = '\0';
+	sample_args(RPC_PROC_BORROW, &args);
+	args.u.borrow.workspace = name;
+	ck_assert(!rpc_args_encode(wire, &args, &err));
+	ck_assert_int_eq(err->code, ERROR_INVALID);
+	ck_assert_uint_eq(wire->len, 0);
+	g_clear_error(&err);
+	sample_args(RPC_PROC_EXCHANGE, &args);
+	args.u.exchange.heartbeat.host.state = (rpc_host_state_t)3;
+	ck_assert(rpc_args_encode(wire, &args, NULL));
+	ck_assert(
+	    !rpc_args_decode(&args, RPC_PROC_EXCHANGE, wire->data, wire->len));
+	g_byte_array_free(wire, TRUE);
+}
+
+static void
+records_are_put_together(void)
+{
+	static const struct {
+		const char *bytes;
+		size_t len;
+		record_status_t status;
+		const char *record;
+		size_t used;
+	} rows[] = {
+	    {"\x80\0\0\3abc", 7, RECORD_DONE, "abc", 7},
+	    {"\x80\0\0\3abcx", 8, RECORD_DONE, "abc", 7},
+	    {"\0\0\0\2ab\x80\0\0\1c", 11, RECORD_DONE, "abc", 11},
+	    {"\0\0\0\0\x80\0\0\1c", 9, RECORD_DONE, "c", 9},
+	    {"\x80\0\0\0", 4, RECORD_DONE, "", 4},
+	    {"\x80\0\0\3ab", 6, RECORD_MORE, "ab", 6},
+	    {"\x80\0", 2, RECORD_MORE, "", 2},
+	    {"\x80\0\0\x09", 4, RECORD_TOO_LONG, "", 4},
+	    {"\xff\xff\xff\xff", 4, RECORD_TOO_LONG, "", 4},
+	    {"\0\0\0\6abcdef\x80\0\0\3", 14, RECORD_TOO_LONG, "abcdef", 14},
+	};
+	record_reader_t whole, single;
+	record_status_t status = RECORD_MORE;
+	size_t i, at, used;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		const uint8_t *bytes = (const uint8_t *)rows[i].bytes;
+
+		record_reader_init(&whole, 8);
+		record_reader_init(&single, 8);
+		ck_assert_int_eq(
+		    record_reader_feed(&whole, bytes, rows[i].len, &used),
+		    rows[i].status);
+		ck_assert_uint_eq(used, rows[i].used);
+		ck_assert_uint_eq(whole.record->len, strlen(rows[i].record));
+		for (at = 0; at < rows[i].used; at++)
+			status =
+			    record_reader_feed(&single, bytes + at, 1, &used);
+		ck_assert_int_eq(status, rows[i].status);
+		assert_same(single.record, whole.record);
+		if (whole.record->len > 0)
+			ck_assert_mem_eq(whole.record->data, rows[i].record,
+			    whole.record->len);
+		record_reader_finish(&whole);
+		record_reader_finish(&single);
+	}
+}
+
+static void
+sign(rpc_call_t *call, const rpc_nonce_t session, const char *callee,
+    uint64_t elapsed, const rpc_key_t *with)
+{
+	rpc_cred_t cred = {"", "a nonce", "host-b", (char *)callee, elapsed};
+
+	memcpy(cred.session, session, RPC_NONCE_SIZE);
+	ck_assert(rpc_call_sign(call, &cred, with, NULL));
+}
+
+static const rpc_nonce_t none;
+
+typedef enum {
+	AS_IT_IS,
+	OTHER_SECRET,
+	OTHER_CALLEE,
+	BY_ADDRESS,
+	OTHER_SESSION,
+	NO_SESSION,
+	SENT_AGAIN,
+	OLDER_XID,
+	HELD_BACK,
+	HELD_AT_BOUND,
+	FROM_LATER,
+	BODY_CHANGED,
+	BODY_CUT,
+	PROC_CHANGED,
+	XID_CHANGED,
+	CRED_CHANGED,
+	MAC_CHANGED,
+	NO_CRED,
+	PROGRAM_UNKNOWN,
+	VERSION_UNKNOWN,
+	PROC_UNKNOWN,
+} change_t;
+
+static void
+before_signing(change_t change, rpc_call_t *call)
+{
+	if (change == PROGRAM_UNKNOWN)
+		call->program++;
+	if (change == VERSION_UNKNOWN)
+		call->version++;
+	if (change == PROC_UNKNOWN)
+		call->proc = 8;
+	if (change == OLDER_XID)
+		call->xid = 4;
+}
+
+static void
+after_signing(change_t change, rpc_call_t *call)
+{
+	if (change == BODY_CHANGED)
+		call->body = (const uint8_t *)"ABCD";
+	if (change == BODY_CUT)
+		call->body_len--;
+	if (change == PROC_CHANGED)
+		call->proc = RPC_PROC_OPERATE;
+	if (change == XID_CHANGED)
+		call->xid++;
+	if (change == CRED_CHANGED)
+		call->cred[RPC_NONCE_SIZE] ^= 1;
+	if (change == MAC_CHANGED)
+		call->mac[31] ^= 1;
+	if (change == NO_CRED)
+		call->cred_len = 0;
+}
+
+/* A session opened at 1000 with xid 5; the call comes at 2000, sent then. */
+static rpc_status_t
+check_changed(change_t change)
+{
+	const uint8_t *session = (const uint8_t *)fresh;
+	rpc_session_t s = {0};
+	rpc_call_t call = {0};
+	rpc_key_t other;
+	rpc_caller_t caller;
+	msec_t now = 2000;
+
+	call.program = HOST_PROGRAM;
+	call.version = HOST_VERSION;
+	call.xid = 5;
+	sign(&call, none, self.id, 0, &key);
+	ck_assert_int_eq(
+	    rpc_session_check(&s, &key, &self, &call, fresh, 1000, &caller),
+	    RPC_STATUS_OK);
+	ck_assert_str_eq(caller.name, "host-b");
+	call.xid = 6;
+	call.proc = RPC_PROC_BORROW;
+	call.body = (const uint8_t *)"abcd";
+	call.body_len = 4;
+	before_signing(change, &call);
+	rpc_key_init(&other, "another fleet's secret", 22, NULL);
+	if (change == OTHER_SESSION)
+		session = (const uint8_t *)"an older session";
+	if (change == NO_SESSION)
+		session = (const uint8_t *)none;
+	sign(&call, (const char *)session,
+	    change == OTHER_CALLEE     ? "host-c"
+		: change == BY_ADDRESS ? self.address
+				       : self.id,
+	    change == FROM_LATER ? 1000 + RPC_DRIFT_MS + 1 : 1000,
+	    change == OTHER_SECRET ? &other : &key);
+	after_signing(change, &call);
+	if (change == SENT_AGAIN)
+		rpc_session_check(&s, &key, &self, &call, fresh, now, &caller);
+	if (change == HELD_BACK)
+		now += RPC_CALL_AGE_MS + 1;
+	if (change == HELD_AT_BOUND)
+		now += RPC_CALL_AGE_MS;
+	return rpc_session_check(&s, &key, &self, &call, fresh, now, &caller);
+}
+
+static void
+calls_are_refused_for_the_right_reason(void)
+{
+	static const rpc_status_t expected[] = {
+	    [AS_IT_IS] = RPC_STATUS_OK,
+	    [OTHER_SECRET] = RPC_STATUS_VERIFIER,
+	    [OTHER_CALLEE] = RPC_STATUS_CREDENTIAL,
+	    [BY_ADDRESS] = RPC_STATUS_OK,
+	    [OTHER_SESSION] = RPC_STATUS_CREDENTIAL,
+	    [NO_SESSION] = RPC_STATUS_CREDENTIAL,
+	    [SENT_AGAIN] = RPC_STATUS_REPLAYED,
+	    [OLDER_XID] = RPC_STATUS_REPLAYED,
+	    [HELD_BACK] = RPC_STATUS_REPLAYED,
+	    [HELD_AT_BOUND] = RPC_STATUS_OK,
+	    [FROM_LATER] = RPC_STATUS_REPLAYED,
+	    [BODY_CHANGED] = RPC_STATUS_VERIFIER,
+	    [BODY_CUT] = RPC_STATUS_VERIFIER,
+	    [PROC_CHANGED] = RPC_STATUS_VERIFIER,
+	    [XID_CHANGED] = RPC_STATUS_VERIFIER,
+	    [CRED_CHANGED] = RPC_STATUS_VERIFIER,
+	    [MAC_CHANGED] = RPC_STATUS_VERIFIER,
+	    [NO_CRED] = RPC_STATUS_CREDENTIAL,
+	    [PROGRAM_UNKNOWN] = RPC_STATUS_PROGRAM,
+	    [VERSION_UNKNOWN] = RPC_STATUS_VERSION,
+	    [PROC_UNKNOWN] = RPC_STATUS_PROCEDURE,
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(expected) / sizeof(expected[0]); i++)
+		ck_assert_msg(check_changed((change_t)i) == expected[i],
+		    "change %zu: %s", i,
+		    rpc_status_name(check_changed((change_t)i)));
+}
+
+static void
+call_headers_survive_encoding(void)
+{
+	GByteArray *wire = g_byte_array_new();
+	rpc_call_t call = {0}, back;
+	rpc_reply_t reply;
+
+	call.xid = 9;
+	call.program = HOST_PROGRAM;
+	call.version = HOST_VERSION;
+	call.proc = RPC_PROC_WITHDRAW;
+	call.body = (const uint8_t *)"body";
+	call.body_len = 4;
+	sign(&call, fresh, "host-a", 77, &key);
+	rpc_call_encode(wire, &call);
+	ck_assert_int_eq(
+	    rpc_call_decode(&back, wire->data, wire->len), RPC_DECODE_OK);
+	ck_assert_uint_eq(back.xid, 9);
+	ck_assert_uint_eq(back.proc, RPC_PROC_WITHDRAW);
+	ck_assert_uint_eq(back.body_len, 4);
+	ck_assert_mem_eq(back.mac, call.mac, RPC_MAC_SIZE);
+	ck_assert_uint_eq(back.cred_len, call.cred_len);
+	ck_assert(!rpc_reply_decode(&reply, wire->data, wire->len));
+	wire->data[11] = 3;
+	ck_assert_int_eq(rpc_call_decode(&back, wire->data, wire->len),
+	    RPC_DECODE_RPC_VERSION);
+	ck_assert_uint_eq(back.xid, 9);
+	g_byte_array_free(wire, TRUE);
+}
+
+static void
+reply_survives(rpc_status_t status, GByteArray *wire)
+{
+	static const uint8_t mac[RPC_MAC_SIZE] = "of the call";
+	static const uint8_t other[RPC_MAC_SIZE] = "of another call";
+	rpc_reply_t reply = {0}, got;
+
+	reply.xid = 11;
+	reply.status = status;
+	reply.low = status == RPC_STATUS_VERSION ? 1 : 0;
+	reply.body = (const uint8_t *)"abcd";
+	reply.body_len = status == RPC_STATUS_OK ? 4 : 0;
+	rpc_reply_sign(&reply, mac, &key);
+	rpc_reply_encode(wire, &reply);
+	ck_assert(rpc_reply_decode(&got, wire->data, wire->len));
+	ck_assert_uint_eq(got.xid, 11);
+	ck_assert_int_eq(got.status, status);
+	ck_assert_uint_eq(got.body_len, reply.body_len);
+	if (status >= RPC_STATUS_RPC_VERSION)
+		return;
+	ck_assert(rpc_reply_check(&got, mac, &key));
+	ck_assert(!rpc_reply_check(&got, other, &key));
+	got.session[0] ^= 1;
+	ck_assert(!rpc_reply_check(&got, mac, &key));
+}
+
+static void
+replies_survive_encoding(void)
+{
+	GByteArray *wire = g_byte_array_new();
+	int status;
+
+	for (status = RPC_STATUS_OK; status <= RPC_STATUS_REPLAYED; status++) {
+		g_byte_array_set_size(wire, 0);
+		reply_survives((rpc_status_t)status, wire);
+	}
+	g_byte_array_free(wire, TRUE);
+}
+
+static void
+short_secrets_are_refused(void)
+{
+	GError *err = NULL;
+	rpc_key_t k;
+
+	ck_assert(!rpc_key_init(&k, "fifteen bytes..", 15, &err));
+	ck_assert_int_eq(err->code, ERROR_INVALID);
+	g_error_free(err);
+}
+
+int
+main(void)
+{
+	static const suite_case_t cases[] = {
+	    {"every message survives encoding",
+		every_message_survives_encoding},
+	    {"bodies out of bounds are refused",
+		bodies_out_of_bounds_are_refused},
+	    {"records are put together", records_are_put_together},
+	    {"calls are refused for the right reason",
+		calls_are_refused_for_the_right_reason},
+	    {"call headers survive encoding", call_headers_survive_encoding},
+	    {"replies survive encoding", replies_survive_encoding},
+	    {"short secrets are refused", short_secrets_are_refused},
+	};
+
+	rpc_key_init(&key, "the fleet's secret", 18, NULL);
+	return suite_run("rpc", cases, sizeof(cases) / sizeof(cases[0]));
+}
