--- a/src/transport/rpc_server.c
+++ b/src/transport/rpc_server.c
@@ -273,7 +273,7 @@
 static gboolean
 conn_is_slow(const conn_t *c, msec_t now)
 {
-	if (!c->session.open && now - c->opened_at > RPC_HELLO_MS)
+	if (!c->session.open && now - c->opened_at > c->server->config.hello_ms)
 		return TRUE;
 	if (!record_reader_idle(&c->reader) &&
 	    now - c->record_at > RPC_RECORD_MS)
@@ -312,6 +312,8 @@
 	if (!rpc_addr_parse(&addr, listen, err))
 		return FALSE;
 	s->config = *config;
+	if (s->config.hello_ms == 0)
+		s->config.hello_ms = RPC_HELLO_MS;
 	s->listener = evconnlistener_new_bind(config->base, accepted, s,
 	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
 	    -1, (struct sockaddr *)&addr.addr, addr.len);
--- a/src/transport/rpc_server.h
+++ b/src/transport/rpc_server.h
@@ -43,6 +43,7 @@
 	metrics_t *metrics;
 	rpc_handler_t handler;
 	void *arg;
+	msec_t hello_ms; /* time to open a session; 0: RPC_HELLO_MS */
 } rpc_server_config_t;
 
 typedef struct {
--- a/src/transport/rpc_stream.c
+++ b/src/transport/rpc_stream.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -8,19 +9,60 @@
 #include "base/error.h"
 #include "transport/rpc_stream.h"
 
+static gboolean
+port_parse(const char *text, in_port_t *port)
+{
+	guint64 n;
+
+	if (!g_ascii_string_to_unsigned(text, 10, 0, UINT16_MAX, &n, NULL))
+		return FALSE;
+	*port = htons((uint16_t)n);
+	return TRUE;
+}
+
+static gboolean
+host_parse(rpc_addr_t *addr, const char *host, in_port_t port)
+{
+	struct sockaddr_in *v4 = (struct sockaddr_in *)&addr->addr;
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)&addr->addr;
+
+	memset(addr, 0, sizeof(*addr));
+	if (inet_pton(AF_INET, host, &v4->sin_addr) == 1) {
+		v4->sin_family = AF_INET;
+		v4->sin_port = port;
+		addr->len = sizeof(*v4);
+		return TRUE;
+	}
+	if (inet_pton(AF_INET6, host, &v6->sin6_addr) != 1)
+		return FALSE;
+	v6->sin6_family = AF_INET6;
+	v6->sin6_port = port;
+	addr->len = sizeof(*v6);
+	return TRUE;
+}
+
 gboolean
 rpc_addr_parse(rpc_addr_t *addr, const char *text, GError **err)
 {
-	struct sockaddr *sa = (struct sockaddr *)&addr->addr;
 	const char *colon = strrchr(text, ':');
+	size_t len = colon != NULL ? (size_t)(colon - text) : 0;
+	gboolean ok = FALSE;
+	in_port_t port;
+	char *host;
 
-	addr->len = sizeof(addr->addr);
-	if (colon != NULL && colon[1] != '\0' &&
-	    evutil_parse_sockaddr_port(text, sa, &addr->len) == 0)
-		return TRUE;
-	error_set(err, ERROR_INVALID, "rpc.address", text,
-	    "expected IP:PORT, by numbers");
-	return FALSE;
+	if (len > 1 && port_parse(colon + 1, &port)) {
+		if (text[0] == '[' && text[len - 1] == ']')
+			host = g_strndup(text + 1, len - 2);
+		else
+			host = g_strndup(text, len);
+		ok = (strchr(host, ':') != NULL) == (text[0] == '[') &&
+		    host_parse(addr, host, port);
+		g_free(host);
+	}
+	if (!ok)
+		error_set(err, ERROR_INVALID, "rpc.address", text,
+		    "expected IP:PORT, by numbers");
+	return ok;
 }
 
 void
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "fuzz/rpc_oracle.h"
 #include "protocol/record_mark.h"
 #include "protocol/rpc_auth.h"
 #include "protocol/rpc_body.h"
@@ -360,6 +361,35 @@
 	g_error_free(err);
 }
 
+/* Each row breaks one rule on the way of a call sent at 100 by connection 1. */
+static void
+the_oracle_notices_broken_rules(void)
+{
+	static const struct {
+		int conn;
+		msec_t at;
+		const char *bytes;
+		oracle_verdict_t expected;
+	} rows[] = {
+	    {1, 100 + RPC_CALL_AGE_MS, "call", ORACLE_FINE},
+	    {1, 200, "call", ORACLE_TWICE},
+	    {2, 200, "other", ORACLE_ELSEWHERE},
+	    {1, 100 + ORACLE_AGE_MS + 1, "other", ORACLE_LATE},
+	    {1, 200, "forged", ORACLE_NEVER_SENT},
+	};
+	oracle_t o;
+	size_t i;
+
+	oracle_init(&o);
+	oracle_sent(&o, 1, 100, "call", 4);
+	oracle_sent(&o, 1, 100, "other", 5);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		ck_assert_int_eq(oracle_run(&o, rows[i].conn, rows[i].at,
+				     rows[i].bytes, strlen(rows[i].bytes)),
+		    rows[i].expected);
+	oracle_finish(&o);
+}
+
 int
 main(void)
 {
@@ -373,6 +403,8 @@
 		calls_are_refused_for_the_right_reason},
 	    {"call headers survive encoding", call_headers_survive_encoding},
 	    {"replies survive encoding", replies_survive_encoding},
+	    {"the oracle notices broken rules",
+		the_oracle_notices_broken_rules},
 	    {"short secrets are refused", short_secrets_are_refused},
 	};
 
