--- /dev/null
+++ b/src/cmd/cli_fleet.c
@@ -0,0 +1,169 @@
+#include <signal.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "cmd/cli_fleet.h"
+
+#define CLI_NAME "operator"
+
+typedef struct {
+	cli_answer_t *answer;
+	gboolean answered;
+	gboolean settled;
+} attempt_t;
+
+gboolean
+cli_fleet_init(cli_fleet_t *f, const cli_settings_t *s, GError **err)
+{
+	rpc_client_config_t config = {0};
+
+	memset(f, 0, sizeof(*f));
+	if (!rpc_key_load(&f->key, s->secret_file, err))
+		return FALSE;
+	f->hosts = s->hosts;
+	f->base = event_base_new();
+	metrics_init(&f->metrics);
+	config.base = f->base;
+	config.key = &f->key;
+	config.id = CLI_NAME;
+	config.metrics = &f->metrics;
+	config.version = HOST_VERSION;
+	rpc_client_init(&f->client, &config);
+	return TRUE;
+}
+
+void
+cli_fleet_finish(cli_fleet_t *f)
+{
+	rpc_client_finish(&f->client);
+	metrics_finish(&f->metrics);
+	event_base_free(f->base);
+	rpc_key_finish(&f->key);
+}
+
+void
+cli_answer_clear(cli_answer_t *a)
+{
+	g_free(a->text);
+	memset(a, 0, sizeof(*a));
+}
+
+static void
+set_text(cli_answer_t *a, const char *text)
+{
+	g_free(a->text);
+	a->text = g_strdup(text);
+}
+
+static void
+take_result(attempt_t *t, const operate_result_t *r)
+{
+	cli_answer_t *a = t->answer;
+
+	t->settled = cli_tally_answer(&a->tally, r->outcome);
+	set_text(a, r->text);
+	if (!t->settled)
+		return;
+	a->version = r->result_version;
+	a->hosts_confirmed = r->hosts_confirmed;
+	a->hosts_total = r->hosts_total;
+}
+
+static void
+on_answer(void *arg, const rpc_result_t *result, const GError *err)
+{
+	attempt_t *t = arg;
+
+	t->answered = TRUE;
+	if (result != NULL) {
+		take_result(t, &result->u.operate);
+		return;
+	}
+	cli_tally_failure(&t->answer->tally, (error_code_t)err->code);
+	/* What a host said is worth more than why another is silent. */
+	if (t->answer->text == NULL)
+		set_text(t->answer, err->message);
+}
+
+static gboolean
+ask_host(cli_fleet_t *f, const char *host, const operate_args_t *args,
+    cli_answer_t *a)
+{
+	attempt_t t = {a, FALSE, FALSE};
+	rpc_args_t call = {.proc = RPC_PROC_OPERATE};
+	GError *err = NULL;
+	rpc_peer_id_t peer;
+
+	call.u.operate = *args;
+	if (!rpc_client_peer(&f->client, host, &peer, &err) ||
+	    !rpc_client_call(
+		&f->client, peer, &call, CLI_CALL_MS, on_answer, &t, &err)) {
+		on_answer(&t, NULL, err);
+		g_error_free(err);
+	}
+	while (!t.answered)
+		event_base_loop(f->base, EVLOOP_ONCE);
+	if (t.settled)
+		a->host = host;
+	return t.settled;
+}
+
+void
+cli_fleet_operate(cli_fleet_t *f, const operate_args_t *args, cli_answer_t *a)
+{
+	guint n = g_strv_length(f->hosts);
+	guint i, at;
+
+	for (i = 0; i < n; i++) {
+		at = (f->first + i) % n;
+		if (ask_host(f, f->hosts[at], args, a)) {
+			f->first = at;
+			return;
+		}
+	}
+}
+
+static void
+end_pause(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	*(gboolean *)arg = (what & EV_SIGNAL) == 0;
+}
+
+gboolean
+cli_fleet_pause(cli_fleet_t *f, msec_t ms)
+{
+	struct timeval tv = {ms / MSEC_PER_SEC, (ms % MSEC_PER_SEC) * 1000};
+	gboolean ended = -1;
+	struct event *events[] = {
+	    evsignal_new(f->base, SIGINT, end_pause, &ended),
+	    evsignal_new(f->base, SIGTERM, end_pause, &ended),
+	    evtimer_new(f->base, end_pause, &ended),
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(events); i++)
+		event_add(events[i], i == 2 ? &tv : NULL);
+	while (ended == -1)
+		event_base_loop(f->base, EVLOOP_ONCE);
+	for (i = 0; i < G_N_ELEMENTS(events); i++)
+		event_free(events[i]);
+	return ended;
+}
+
+void
+cli_fleet_wait(
+    cli_fleet_t *f, const rpc_token_t token, uint32_t wait_sec, cli_answer_t *a)
+{
+	msec_t until = clock_now() + (msec_t)wait_sec * MSEC_PER_SEC;
+	operate_args_t args = {.op = OPERATE_PROGRESS};
+
+	memcpy(args.operate_args_t_u.progress.token, token, RPC_TOKEN_SIZE);
+	while (a->tally.state != CLI_STATE_UNREACHABLE &&
+	    !cli_tally_settled(&a->tally) && clock_now() < until) {
+		if (!cli_fleet_pause(f, CLI_PROGRESS_MS))
+			return;
+		cli_fleet_operate(f, &args, a);
+	}
+}
--- /dev/null
+++ b/src/cmd/cli_options.c
@@ -0,0 +1,365 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include <popt.h>
+
+#include "base/error.h"
+#include "cmd/cli_options.h"
+
+/* Options, as bits of what was given and what a command takes. */
+enum {
+	OPT_HELP = 1 << 0,
+	OPT_VERSION = 1 << 1,
+	OPT_JSON = 1 << 2,
+	OPT_CONFIG = 1 << 3,
+	OPT_HOST = 1 << 4,
+	OPT_SECRET = 1 << 5,
+	OPT_WAIT = 1 << 6,
+	OPT_BASE = 1 << 7,
+	OPT_FROM = 1 << 8,
+	OPT_TO = 1 << 9,
+	OPT_SHARE = 1 << 10,
+	OPT_WITHIN = 1 << 11,
+	OPT_COUNT = 1 << 12,
+};
+
+#define OPT_ANY (OPT_HELP | OPT_JSON)
+#define OPT_FLEET (OPT_ANY | OPT_CONFIG | OPT_HOST | OPT_SECRET)
+#define OPT_MOVE (OPT_FLEET | OPT_WAIT | OPT_WITHIN)
+
+static const struct poptOption options[] = {
+    {"help", 'h', POPT_ARG_NONE, NULL, OPT_HELP, "show this help", NULL},
+    {"version", 'V', POPT_ARG_NONE, NULL, OPT_VERSION, "show the version",
+	NULL},
+    {"json", 'j', POPT_ARG_NONE, NULL, OPT_JSON, "answer in JSON", NULL},
+    {"config", 'c', POPT_ARG_STRING, NULL, OPT_CONFIG,
+	"settings, " CLI_CONFIG_DEFAULT " unless given", "FILE"},
+    {"host", 'H', POPT_ARG_STRING, NULL, OPT_HOST,
+	"ask this host only, in place of the settings' hosts", "IP:PORT"},
+    {"secret-file", 's', POPT_ARG_STRING, NULL, OPT_SECRET,
+	"file with the fleet secret", "FILE"},
+    {"wait", 'w', POPT_ARG_STRING, NULL, OPT_WAIT,
+	"longest wait for the outcome, 0 for none", "SEC"},
+    {"base", 'b', POPT_ARG_STRING, NULL, OPT_BASE,
+	"version that the text was made from; the present one unless given",
+	"N"},
+    {"from", 0, POPT_ARG_STRING, NULL, OPT_FROM, "region to move from", "R"},
+    {"to", 0, POPT_ARG_STRING, NULL, OPT_TO, "region or version to move to",
+	"R|VERSION"},
+    {"share", 0, POPT_ARG_STRING, NULL, OPT_SHARE,
+	"share of the traffic, for instance 12.5%", "P"},
+    {"within", 0, POPT_ARG_STRING, NULL, OPT_WITHIN,
+	"time to finish in, else the move is taken back", "SEC"},
+    {"count", 'n', POPT_ARG_STRING, NULL, OPT_COUNT, "end after so many looks",
+	"N"},
+    POPT_TABLEEND};
+
+static const struct {
+	cli_verb_t verb;
+	const char *word, *second; /* of the command line */
+	const char *operand;	   /* NULL: takes none */
+	const char *synopsis;	   /* of its required options */
+	const char *help;
+	int required, allowed;
+} verbs[] = {
+    {CLI_CHECK, "check", NULL, "FILE", "", "check a text, change nothing", 0,
+	OPT_ANY},
+    {CLI_APPLY, "apply", NULL, "FILE", "", "put a text in force", 0,
+	OPT_FLEET | OPT_WAIT | OPT_BASE},
+    {CLI_STATUS, "status", NULL, NULL, "", "show the fleet's state", 0,
+	OPT_FLEET},
+    {CLI_WATCH, "watch", NULL, NULL, "", "show each change of the state", 0,
+	OPT_FLEET | OPT_COUNT},
+    {CLI_KEY_ISSUE, "key", "issue", "WORKSPACE", "",
+	"make a key for a workspace and print it once", 0,
+	OPT_FLEET | OPT_WAIT},
+    {CLI_KEY_WITHDRAW, "key", "withdraw", "KEY|DIGEST|-", "",
+	"withdraw a key; - reads it from standard input", 0,
+	OPT_FLEET | OPT_WAIT},
+    {CLI_SHIFT, "shift", NULL, "SERVICE", " --from R --to R --share P",
+	"move a share of a service's traffic to another region",
+	OPT_FROM | OPT_TO | OPT_SHARE,
+	OPT_MOVE | OPT_FROM | OPT_TO | OPT_SHARE},
+    {CLI_DRAIN, "drain", NULL, "TARGET", "",
+	"take a region, failure domain, endpoint or host out of service", 0,
+	OPT_MOVE},
+    {CLI_ROLLOUT, "rollout", NULL, "SERVICE", " --to VERSION --within SEC",
+	"bring in a new version beside the old one", OPT_TO | OPT_WITHIN,
+	OPT_MOVE | OPT_TO},
+    {CLI_CANCEL, "cancel", NULL, "MOVE", "", "take a move back", 0,
+	OPT_FLEET | OPT_WAIT},
+    {CLI_DUMP, "dump", NULL, "HOST", "",
+	"show all of one host's state; HOST is its IP:PORT", 0,
+	OPT_ANY | OPT_CONFIG | OPT_SECRET},
+};
+
+static gboolean
+bad(GError **err, const char *word, const char *what)
+{
+	error_set(err, ERROR_INVALID, "command line", word, "%s", what);
+	return FALSE;
+}
+
+static gboolean
+parse_number(
+    const char *text, uint64_t min, uint64_t max, uint64_t *n, GError **err)
+{
+	char what[96];
+
+	if (g_ascii_string_to_unsigned(text, 10, min, max, n, NULL))
+		return TRUE;
+	g_snprintf(what, sizeof(what),
+	    "expected a whole number from %" PRIu64 " to %" PRIu64, min, max);
+	return bad(err, text, what);
+}
+
+static gboolean
+parse_uint32(
+    const char *text, uint32_t min, uint32_t max, uint32_t *n, GError **err)
+{
+	uint64_t wide = 0;
+
+	if (!parse_number(text, min, max, &wide, err))
+		return FALSE;
+	*n = (uint32_t)wide;
+	return TRUE;
+}
+
+/* Reads a percentage with at most one decimal, with or without "%". */
+static gboolean
+parse_share(const char *text, uint32_t *permille, GError **err)
+{
+	const char *p = text;
+	uint32_t n = 0;
+
+	while (g_ascii_isdigit(*p) && n <= 100)
+		n = n * 10 + (uint32_t)(*p++ - '0');
+	n *= 10;
+	if (p > text && *p == '.' && g_ascii_isdigit(p[1])) {
+		n += (uint32_t)(p[1] - '0');
+		p += 2;
+	}
+	if (*p == '%')
+		p++;
+	if (*p != '\0' || n == 0 || n > 1000)
+		return bad(err, text,
+		    "expected a percentage from 0.1% to 100%, "
+		    "with at most one decimal");
+	*permille = n;
+	return TRUE;
+}
+
+static gboolean
+set_string(char **field, const char *value, GError **err)
+{
+	if (*value == '\0')
+		return bad(err, "\"\"", "expected a value");
+	g_free(*field);
+	*field = g_strdup(value);
+	return TRUE;
+}
+
+static gboolean
+set_option(cli_options_t *o, int option, const char *value, GError **err)
+{
+	switch (option) {
+	case OPT_JSON:
+		o->json = TRUE;
+		return TRUE;
+	case OPT_CONFIG:
+		return set_string(&o->config, value, err);
+	case OPT_HOST:
+		return set_string(&o->host, value, err);
+	case OPT_SECRET:
+		return set_string(&o->secret_file, value, err);
+	case OPT_WAIT:
+		return parse_uint32(value, 0, 86400, &o->wait_sec, err);
+	case OPT_BASE:
+		o->has_base = TRUE;
+		return parse_number(value, 0, INT64_MAX, &o->base, err);
+	case OPT_FROM:
+		return set_string(&o->from, value, err);
+	case OPT_TO:
+		return set_string(&o->to, value, err);
+	case OPT_SHARE:
+		return parse_share(value, &o->share_permille, err);
+	case OPT_WITHIN:
+		return parse_uint32(
+		    value, 1, CLI_WITHIN_MAX_SEC, &o->within_sec, err);
+	case OPT_COUNT:
+		return parse_uint32(value, 1, INT32_MAX, &o->count, err);
+	default:
+		return TRUE;
+	}
+}
+
+/* Return: its row in verbs[], or -1. */
+static int
+find_verb(const char *word, const char *second)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(verbs); i++) {
+		if (g_strcmp0(verbs[i].word, word) == 0 &&
+		    (verbs[i].second == NULL ||
+			g_strcmp0(verbs[i].second, second) == 0))
+			return (int)i;
+	}
+	return -1;
+}
+
+/* Names the first of the options in bits. */
+static gboolean
+bad_option(GError **err, int bits, const char *what)
+{
+	const struct poptOption *p = options;
+	char name[32];
+
+	while ((p->val & bits) == 0)
+		p++;
+	g_snprintf(name, sizeof(name), "--%s", p->longName);
+	return bad(err, name, what);
+}
+
+static gboolean
+check_given(int row, int given, GError **err)
+{
+	int foreign = given & ~verbs[row].allowed;
+	int missing = verbs[row].required & ~given;
+
+	if (foreign != 0)
+		return bad_option(
+		    err, foreign, "this option does not apply to the command");
+	if (missing != 0)
+		return bad_option(err, missing, "this option is required");
+	return TRUE;
+}
+
+/* Takes the words that are not options: the command and its operand. */
+static gboolean
+take_words(cli_options_t *o, const char **words, int given, GError **err)
+{
+	const char *first = words != NULL ? words[0] : NULL;
+	const char *second = first != NULL ? words[1] : NULL;
+	int row = find_verb(first, second);
+	const char *operand, *rest;
+
+	if ((given & OPT_HELP) != 0) {
+		o->verb = CLI_HELP;
+		o->topic = row >= 0 ? verbs[row].verb : CLI_HELP;
+		return TRUE;
+	}
+	if ((given & OPT_VERSION) != 0) {
+		o->verb = CLI_VERSION;
+		return TRUE;
+	}
+	if (words == NULL || row < 0)
+		return bad(err, first != NULL ? first : "-",
+		    "expected a command; see --help");
+	o->verb = verbs[row].verb;
+	words += verbs[row].second != NULL ? 2 : 1;
+	operand = verbs[row].operand != NULL ? words[0] : NULL;
+	if (verbs[row].operand != NULL && operand == NULL)
+		return bad(err, first, "an operand is missing; see --help");
+	rest = operand != NULL ? words[1] : words[0];
+	if (rest != NULL)
+		return bad(err, rest, "unexpected word");
+	if (operand != NULL && !set_string(&o->operand, operand, err))
+		return FALSE;
+	return check_given(row, given, err);
+}
+
+static gboolean
+waits_by_default(cli_verb_t verb)
+{
+	return verb == CLI_APPLY || verb == CLI_KEY_ISSUE ||
+	    verb == CLI_KEY_WITHDRAW;
+}
+
+gboolean
+cli_options_parse(cli_options_t *o, int argc, const char **argv, GError **err)
+{
+	poptContext ctx;
+	gboolean ok = TRUE;
+	int option, given = 0;
+	char *value;
+
+	memset(o, 0, sizeof(*o));
+	ctx = poptGetContext("greengageloom", argc, argv, options, 0);
+	while (ok && (option = poptGetNextOpt(ctx)) > 0) {
+		value = poptGetOptArg(ctx);
+		if ((given & option) != 0)
+			ok = bad_option(err, option, "given more than once");
+		else
+			ok = set_option(o, option, value, err);
+		given |= option;
+		free(value);
+	}
+	if (ok && option < -1)
+		ok = bad(err, poptBadOption(ctx, 0), poptStrerror(option));
+	ok = ok && take_words(o, poptGetArgs(ctx), given, err);
+	poptFreeContext(ctx);
+	if ((given & OPT_WAIT) == 0 && waits_by_default(o->verb))
+		o->wait_sec = CLI_WAIT_SEC;
+	return ok;
+}
+
+void
+cli_options_finish(cli_options_t *o)
+{
+	g_free(o->config);
+	g_free(o->host);
+	g_free(o->secret_file);
+	g_free(o->operand);
+	g_free(o->from);
+	g_free(o->to);
+	memset(o, 0, sizeof(*o));
+}
+
+static void
+append_options(GString *out, int allowed)
+{
+	const struct poptOption *p;
+	char *left;
+
+	g_string_append(out, "options:\n");
+	for (p = options; p->longName != NULL; p++) {
+		if ((p->val & allowed) == 0)
+			continue;
+		left = g_strdup_printf("--%s%s%s", p->longName,
+		    p->argDescrip != NULL ? " " : "",
+		    p->argDescrip != NULL ? p->argDescrip : "");
+		g_string_append_printf(out, "  %-22s %s\n", left, p->descrip);
+		g_free(left);
+	}
+}
+
+static void
+append_verb(GString *out, size_t row, const char *indent)
+{
+	g_string_append_printf(out, "%sgreengageloom %s%s%s%s%s%s\n", indent,
+	    verbs[row].word, verbs[row].second != NULL ? " " : "",
+	    verbs[row].second != NULL ? verbs[row].second : "",
+	    verbs[row].operand != NULL ? " " : "",
+	    verbs[row].operand != NULL ? verbs[row].operand : "",
+	    verbs[row].synopsis);
+}
+
+char *
+cli_usage(cli_verb_t topic)
+{
+	GString *out = g_string_new("usage:\n");
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(verbs); i++) {
+		if (topic != CLI_HELP && verbs[i].verb != topic)
+			continue;
+		append_verb(out, i, "  ");
+		g_string_append_printf(out, "      %s\n", verbs[i].help);
+		if (topic != CLI_HELP)
+			append_options(out, verbs[i].allowed);
+	}
+	if (topic == CLI_HELP)
+		append_options(out, ~0);
+	return g_string_free(out, FALSE);
+}
--- /dev/null
+++ b/src/cmd/cli_outcome.c
@@ -0,0 +1,94 @@
+#include "cmd/cli_outcome.h"
+
+gboolean
+cli_tally_answer(cli_tally_t *t, operate_outcome_t outcome)
+{
+	if (outcome == OUTCOME_UNKNOWN) {
+		if (t->state == CLI_STATE_UNREACHABLE)
+			t->state = CLI_STATE_UNKNOWN;
+		return FALSE;
+	}
+	/*
+	 * A refusal speaks for the host that gave it, not for one whose
+	 * answer was lost. What was accepted is neither refused later nor in
+	 * conflict.
+	 */
+	if (outcome == OUTCOME_REFUSED && t->state != CLI_STATE_UNREACHABLE)
+		return FALSE;
+	if (outcome == OUTCOME_CONFLICT && t->state == CLI_STATE_ANSWERED)
+		return FALSE;
+	t->state = CLI_STATE_ANSWERED;
+	t->outcome = outcome;
+	return TRUE;
+}
+
+void
+cli_tally_failure(cli_tally_t *t, error_code_t code)
+{
+	if (code == ERROR_UNKNOWN && t->state == CLI_STATE_UNREACHABLE)
+		t->state = CLI_STATE_UNKNOWN;
+}
+
+gboolean
+cli_tally_settled(const cli_tally_t *t)
+{
+	return t->state == CLI_STATE_ANSWERED && t->outcome != OUTCOME_ACCEPTED;
+}
+
+const char *
+cli_tally_word(const cli_tally_t *t)
+{
+	static const char *const words[] = {
+	    [OUTCOME_ACCEPTED] = "accepted",
+	    [OUTCOME_IN_FORCE] = "in force",
+	    [OUTCOME_DONE] = "done",
+	    [OUTCOME_TAKEN_BACK] = "taken back",
+	    [OUTCOME_CONFLICT] = "conflict",
+	    [OUTCOME_REFUSED] = "refused",
+	    [OUTCOME_UNKNOWN] = "unknown",
+	};
+
+	switch (t->state) {
+	case CLI_STATE_UNREACHABLE:
+		return "unreachable";
+	case CLI_STATE_UNKNOWN:
+		return "unknown";
+	case CLI_STATE_ANSWERED:
+		break;
+	}
+	return words[t->outcome];
+}
+
+static cli_exit_t
+exit_of(operate_outcome_t outcome, gboolean waited)
+{
+	switch (outcome) {
+	case OUTCOME_ACCEPTED:
+		return waited ? CLI_EXIT_UNKNOWN : CLI_EXIT_DONE;
+	case OUTCOME_IN_FORCE:
+	case OUTCOME_DONE:
+		return CLI_EXIT_DONE;
+	case OUTCOME_TAKEN_BACK:
+	case OUTCOME_REFUSED:
+		return CLI_EXIT_REFUSED;
+	case OUTCOME_CONFLICT:
+		return CLI_EXIT_CONFLICT;
+	case OUTCOME_UNKNOWN:
+		break;
+	}
+	return CLI_EXIT_UNKNOWN;
+}
+
+cli_exit_t
+cli_tally_exit(const cli_tally_t *t, gboolean waited)
+{
+	switch (t->state) {
+	case CLI_STATE_UNREACHABLE:
+		return CLI_EXIT_UNREACHABLE;
+	case CLI_STATE_UNKNOWN:
+		return CLI_EXIT_UNKNOWN;
+	case CLI_STATE_ANSWERED:
+		break;
+	}
+	return exit_of(t->outcome, waited);
+}
--- a/src/protocol/rpc_auth.c
+++ b/src/protocol/rpc_auth.c
@@ -3,9 +3,12 @@
 #include <sodium.h>
 
 #include "base/error.h"
+#include "protocol/ini.h"
 #include "protocol/rpc_auth.h"
 #include "protocol/rpc_body.h"
 
+#define SECRET_FILE_MAX 4096 /* bytes */
+
 static const rpc_nonce_t no_session;
 
 static void
@@ -78,6 +81,22 @@
 	return TRUE;
 }
 
+gboolean
+rpc_key_load(rpc_key_t *key, const char *path, GError **err)
+{
+	char *text = ini_read_file(path, SECRET_FILE_MAX, err);
+	gboolean ok;
+
+	if (text == NULL)
+		return FALSE;
+	ok = rpc_key_init(key, text, strcspn(text, "\r\n"), err);
+	if (!ok)
+		g_prefix_error(err, "%s: ", path);
+	sodium_memzero(text, strlen(text));
+	g_free(text);
+	return ok;
+}
+
 void
 rpc_key_finish(rpc_key_t *key)
 {
--- a/src/protocol/rpc_auth.h
+++ b/src/protocol/rpc_auth.h
@@ -57,6 +57,14 @@
  */
 gboolean rpc_key_init(
     rpc_key_t *key, const void *secret, size_t len, GError **err);
+
+/**
+ * rpc_key_load() - Derive the key from the secret file.
+ * @key: filled in
+ * @path: the file: one line of text
+ * @err: ERROR_INVALID where it can't be read or is too short
+ */
+gboolean rpc_key_load(rpc_key_t *key, const char *path, GError **err);
 void rpc_key_finish(rpc_key_t *key);
 
 /**
--- /dev/null
+++ b/tests/test_cli.c
@@ -0,0 +1,323 @@
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib/gstdio.h>
+
+#include "cmd/cli_commands.h"
+#include "cmd/cli_fleet.h"
+#include "suite.h"
+#include "transport/rpc_server.h"
+
+#define WORDS_MAX 16
+
+/* Splits a line at blanks and parses it. */
+static gboolean
+parse(cli_options_t *o, const char *line, GError **err)
+{
+	char **words = g_strsplit(line, " ", WORDS_MAX);
+	gboolean ok = cli_options_parse(
+	    o, (int)g_strv_length(words), (const char **)words, err);
+
+	g_strfreev(words);
+	return ok;
+}
+
+static void
+good_lines_are_read(void)
+{
+	static const struct {
+		const char *line;
+		cli_verb_t verb;
+		const char *operand;
+		uint32_t wait, permille, within;
+	} rows[] = {
+	    {"g check a.ini", CLI_CHECK, "a.ini", 0, 0, 0},
+	    {"g apply a.ini --base 41 --json", CLI_APPLY, "a.ini", 15, 0, 0},
+	    {"g --json apply --wait 0 a.ini", CLI_APPLY, "a.ini", 0, 0, 0},
+	    {"g status -H 127.0.0.1:1", CLI_STATUS, NULL, 0, 0, 0},
+	    {"g watch --count 3", CLI_WATCH, NULL, 0, 0, 0},
+	    {"g key issue w1", CLI_KEY_ISSUE, "w1", 15, 0, 0},
+	    {"g key withdraw -", CLI_KEY_WITHDRAW, "-", 15, 0, 0},
+	    {"g shift s --from a --to b --share 25%", CLI_SHIFT, "s", 0, 250,
+		0},
+	    {"g shift s --from a --to b --share 0.1", CLI_SHIFT, "s", 0, 1, 0},
+	    {"g shift s --from a --to b --share 100", CLI_SHIFT, "s", 0, 1000,
+		0},
+	    {"g shift s --from a --to b --share 12.5% --within 60", CLI_SHIFT,
+		"s", 0, 125, 60},
+	    {"g drain milano-a", CLI_DRAIN, "milano-a", 0, 0, 0},
+	    {"g rollout s --to v2 --within 600 --wait 5", CLI_ROLLOUT, "s", 5,
+		0, 600},
+	    {"g cancel m-1", CLI_CANCEL, "m-1", 0, 0, 0},
+	    {"g dump 127.0.0.1:1", CLI_DUMP, "127.0.0.1:1", 0, 0, 0},
+	    {"g --help", CLI_HELP, NULL, 0, 0, 0},
+	    {"g shift --help", CLI_HELP, NULL, 0, 0, 0},
+	    {"g --version", CLI_VERSION, NULL, 0, 0, 0},
+	};
+	GError *err = NULL;
+	cli_options_t o;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		ck_assert_msg(
+		    parse(&o, rows[i].line, &err), "%s", rows[i].line);
+		ck_assert_int_eq(o.verb, rows[i].verb);
+		ck_assert_pstr_eq(o.operand, rows[i].operand);
+		ck_assert_uint_eq(o.wait_sec, rows[i].wait);
+		ck_assert_uint_eq(o.share_permille, rows[i].permille);
+		ck_assert_uint_eq(o.within_sec, rows[i].within);
+		cli_options_finish(&o);
+	}
+}
+
+static void
+bad_lines_are_refused(void)
+{
+	static const struct {
+		const char *line, *word;
+	} rows[] = {
+	    {"g", "expected a command"},
+	    {"g frobnicate", "frobnicate"},
+	    {"g key", "key: expected a command"},
+	    {"g key revoke k", "key: expected a command"},
+	    {"g check", "operand is missing"},
+	    {"g check a b", "b: unexpected word"},
+	    {"g status x", "x: unexpected word"},
+	    {"g check a --wait 1", "--wait: this option does not apply"},
+	    {"g dump h --host 127.0.0.1:1", "--host: this option does not"},
+	    {"g apply a --base -1", "whole number"},
+	    {"g apply a --base 1 --base 2", "--base: given more than once"},
+	    {"g apply a --base 1x", "1x: expected a whole number"},
+	    {"g shift s --from a --to b", "--share: this option is required"},
+	    {"g shift s --from a --to b --share 0", "0: expected a percentage"},
+	    {"g shift s --from a --to b --share 101", "percentage"},
+	    {"g shift s --from a --to b --share 1.25", "percentage"},
+	    {"g shift s --from a --to b --share .5", "percentage"},
+	    {"g shift s --from a --to b --share 99999999999", "percentage"},
+	    {"g rollout s --to v2 --within 0", "whole number"},
+	    {"g rollout s --to v2", "--within: this option is required"},
+	    {"g status --nonsense", "--nonsense"},
+	    {"g apply a --base", "--base"},
+	};
+	GError *err = NULL;
+	cli_options_t o;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		ck_assert_msg(
+		    !parse(&o, rows[i].line, &err), "%s", rows[i].line);
+		ck_assert_msg(strstr(err->message, rows[i].word) != NULL,
+		    "%s: %s", rows[i].line, err->message);
+		g_clear_error(&err);
+		cli_options_finish(&o);
+	}
+}
+
+/* What one host does with a call. */
+typedef enum {
+	DOES_ACCEPT = OUTCOME_ACCEPTED,
+	DOES_IN_FORCE = OUTCOME_IN_FORCE,
+	DOES_DONE = OUTCOME_DONE,
+	DOES_TAKE_BACK = OUTCOME_TAKEN_BACK,
+	DOES_CONFLICT = OUTCOME_CONFLICT,
+	DOES_REFUSE = OUTCOME_REFUSED,
+	DOES_NOT_KNOW = OUTCOME_UNKNOWN,
+	DOES_LOSE_THE_ANSWER,
+	DOES_TURN_AWAY, /* the call was not run */
+	IS_DOWN,
+} does_t;
+
+typedef struct {
+	rpc_server_t server;
+	does_t does, does_progress;
+	int calls;
+	rpc_token_t token;
+	char address[32];
+} fake_host_t;
+
+static fake_host_t hosts[2];
+
+static void
+handle(void *arg, rpc_call_id_t id, const char *caller, const rpc_args_t *args)
+{
+	const operate_args_t *o = &args->u.operate;
+	rpc_result_t r = {.proc = RPC_PROC_OPERATE};
+	fake_host_t *h = arg;
+	does_t does = h->does;
+
+	(void)caller;
+	if (o->op == OPERATE_PROGRESS) {
+		does = h->does_progress;
+		memcpy(h->token, o->operate_args_t_u.progress.token,
+		    RPC_TOKEN_SIZE);
+	} else {
+		h->calls++;
+		memcpy(h->token, o->operate_args_t_u.move_cancel.token,
+		    RPC_TOKEN_SIZE);
+	}
+	r.u.operate.outcome = (operate_outcome_t)does;
+	r.u.operate.text = (char *)"";
+	if (does == DOES_LOSE_THE_ANSWER)
+		r.proc = RPC_PROC_NULL; /* closes the connection */
+	if (does == DOES_TURN_AWAY)
+		rpc_server_refuse(&h->server, id);
+	else
+		rpc_server_answer(&h->server, id, &r);
+}
+
+static void
+fake_host_start(cli_fleet_t *f, fake_host_t *h)
+{
+	rpc_server_config_t config = {
+	    f->base, &f->key, {"", h->address}, &f->metrics, handle, h, 0};
+
+	ck_assert(rpc_server_init(&h->server, &config, "127.0.0.1:0", NULL));
+	g_snprintf(h->address, sizeof(h->address), "127.0.0.1:%u",
+	    (unsigned int)rpc_server_port(&h->server));
+	h->calls = 0;
+	if (h->does == IS_DOWN)
+		rpc_server_stop(&h->server);
+}
+
+typedef struct {
+	does_t first, second; /* the operation at each host */
+	does_t progress;      /* at both hosts */
+	uint32_t wait_sec;
+	cli_exit_t code;
+	const char *word;
+	int asked; /* whether the second host was asked to operate */
+} operate_row_t;
+
+static void
+check_row(const operate_row_t *row, cli_fleet_t *f)
+{
+	static const rpc_token_t token = "the same token!";
+	operate_args_t args = {.op = OPERATE_MOVE_CANCEL};
+	cli_answer_t a = {0};
+
+	args.operate_args_t_u.move_cancel.move = (char *)"m-1";
+	memcpy(args.operate_args_t_u.move_cancel.token, token, RPC_TOKEN_SIZE);
+	cli_fleet_operate(f, &args, &a);
+	cli_fleet_wait(f, token, row->wait_sec, &a);
+	ck_assert_str_eq(cli_tally_word(&a.tally), row->word);
+	ck_assert_int_eq(
+	    cli_tally_exit(&a.tally, row->wait_sec > 0), row->code);
+	ck_assert_int_eq(hosts[1].calls, row->asked);
+	if (row->asked)
+		ck_assert_mem_eq(hosts[1].token, token, RPC_TOKEN_SIZE);
+	cli_answer_clear(&a);
+}
+
+static void
+run_row(const operate_row_t *row, const char *secret_file)
+{
+	char *addresses[] = {hosts[0].address, hosts[1].address, NULL};
+	cli_settings_t settings = {addresses, (char *)secret_file};
+	cli_fleet_t f;
+	size_t i;
+
+	ck_assert(cli_fleet_init(&f, &settings, NULL));
+	hosts[0].does = row->first;
+	hosts[1].does = row->second;
+	for (i = 0; i < 2; i++) {
+		hosts[i].does_progress = row->progress;
+		fake_host_start(&f, &hosts[i]);
+	}
+	check_row(row, &f);
+	for (i = 0; i < 2; i++)
+		rpc_server_finish(&hosts[i].server);
+	cli_fleet_finish(&f);
+}
+
+static void
+the_answer_never_says_more_than_is_known(void)
+{
+	static const operate_row_t rows[] = {
+	    {DOES_DONE, DOES_REFUSE, DOES_DONE, 0, 0, "done", 0},
+	    {DOES_ACCEPT, DOES_DONE, DOES_DONE, 0, 0, "accepted", 0},
+	    {DOES_ACCEPT, DOES_DONE, DOES_IN_FORCE, 5, 0, "in force", 0},
+	    {DOES_ACCEPT, DOES_DONE, DOES_TAKE_BACK, 5, 1, "taken back", 0},
+	    {DOES_ACCEPT, DOES_DONE, DOES_NOT_KNOW, 1, 3, "accepted", 0},
+	    {DOES_ACCEPT, DOES_DONE, DOES_REFUSE, 1, 3, "accepted", 0},
+	    {DOES_ACCEPT, DOES_DONE, DOES_CONFLICT, 1, 3, "accepted", 0},
+	    {DOES_REFUSE, DOES_DONE, DOES_DONE, 0, 1, "refused", 0},
+	    {DOES_CONFLICT, DOES_DONE, DOES_DONE, 0, 4, "conflict", 0},
+	    {IS_DOWN, DOES_IN_FORCE, DOES_DONE, 0, 0, "in force", 1},
+	    {IS_DOWN, DOES_REFUSE, DOES_DONE, 0, 1, "refused", 1},
+	    {IS_DOWN, IS_DOWN, DOES_DONE, 0, 5, "unreachable", 0},
+	    {DOES_TURN_AWAY, DOES_REFUSE, DOES_DONE, 0, 1, "refused", 1},
+	    {DOES_TURN_AWAY, IS_DOWN, DOES_DONE, 0, 5, "unreachable", 0},
+	    {DOES_LOSE_THE_ANSWER, DOES_DONE, DOES_DONE, 0, 0, "done", 1},
+	    {DOES_LOSE_THE_ANSWER, DOES_REFUSE, DOES_DONE, 0, 3, "unknown", 1},
+	    {DOES_LOSE_THE_ANSWER, DOES_CONFLICT, DOES_DONE, 0, 4, "conflict",
+		1},
+	    {DOES_LOSE_THE_ANSWER, IS_DOWN, DOES_DONE, 0, 3, "unknown", 0},
+	    {DOES_LOSE_THE_ANSWER, IS_DOWN, DOES_DONE, 5, 0, "done", 0},
+	    {DOES_NOT_KNOW, DOES_REFUSE, DOES_REFUSE, 1, 3, "unknown", 1},
+	    {DOES_NOT_KNOW, DOES_NOT_KNOW, DOES_IN_FORCE, 5, 0, "in force", 1},
+	};
+	char *path = NULL;
+	int fd = g_file_open_tmp("secretXXXXXX", &path, NULL);
+	size_t i;
+
+	ck_assert_int_eq(write(fd, "the fleet's secret\n", 19), 19);
+	close(fd);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++)
+		run_row(&rows[i], path);
+	g_unlink(path);
+	g_free(path);
+}
+
+static void
+settings_mistakes_are_told(void)
+{
+	static const struct {
+		const char *line, *text, *expected;
+	} rows[] = {
+	    {"g status", "[operator]\nhosts=127.0.0.1:1\n", "no secret"},
+	    {"g status", "[operator]\nsecret_file=x\n", "no host"},
+	    {"g status", "[operator]\nhosts=milano:1\nsecret_file=x\n",
+		"host \"milano:1\": expected IP:PORT"},
+	    {"g status", "[operators]\n", ":1: unknown group [operators]"},
+	    {"g status", "[operator]\nhost=127.0.0.1:1\n", ":2: "},
+	    {"g dump here -s x", "[operator]\n", "host \"here\""},
+	};
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	char *path = NULL;
+	cli_settings_t s;
+	cli_options_t o;
+	size_t i;
+
+	close(g_file_open_tmp("operatorXXXXXX", &path, NULL));
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_ptr_array_set_size(errors, 0);
+		g_file_set_contents(path, rows[i].text, -1, NULL);
+		ck_assert(parse(&o, rows[i].line, NULL));
+		o.config = g_strdup(path);
+		ck_assert(!cli_settings_init(&s, &o, errors));
+		ck_assert_msg(
+		    strstr(errors->pdata[0], rows[i].expected) != NULL, "%s",
+		    (char *)errors->pdata[0]);
+		cli_settings_finish(&s);
+		cli_options_finish(&o);
+	}
+	g_unlink(path);
+	g_free(path);
+	g_ptr_array_free(errors, TRUE);
+}
+
+int
+main(void)
+{
+	static const suite_case_t cases[] = {
+	    {"good lines are read", good_lines_are_read},
+	    {"bad lines are refused", bad_lines_are_refused},
+	    {"settings' mistakes are told", settings_mistakes_are_told},
+	    {"the answer never says more than is known",
+		the_answer_never_says_more_than_is_known},
+	};
+
+	signal(SIGPIPE, SIG_IGN);
+	return suite_run("cli", cases, sizeof(cases) / sizeof(cases[0]));
+}
