--- a/src/cmd/cli_commands.c
+++ b/src/cmd/cli_commands.c
@@ -108,7 +108,7 @@
 	memset(a, 0, sizeof(*a));
 	cli_fleet_operate(&r->fleet, &args, a);
 	return a->tally.state == CLI_STATE_ANSWERED &&
-	    a->tally.outcome == OUTCOME_DONE;
+	    a->tally.outcome == OPERATE_DONE;
 }
 
 /* A reading that failed changed nothing, whether or not it arrived. */
@@ -202,8 +202,8 @@
 	cli_key_text_t shown = {NULL, hex};
 	gboolean may_exist = a->tally.state == CLI_STATE_UNKNOWN ||
 	    (a->tally.state == CLI_STATE_ANSWERED &&
-		a->tally.outcome != OUTCOME_REFUSED &&
-		a->tally.outcome != OUTCOME_CONFLICT);
+		a->tally.outcome != OPERATE_REFUSED &&
+		a->tally.outcome != OPERATE_CONFLICT);
 
 	digest_to_hex(digest, hex);
 	if (r->o->json) {
--- a/src/cmd/cli_outcome.c
+++ b/src/cmd/cli_outcome.c
@@ -3,7 +3,7 @@
 gboolean
 cli_tally_answer(cli_tally_t *t, operate_outcome_t outcome)
 {
-	if (outcome == OUTCOME_UNKNOWN) {
+	if (outcome == OPERATE_UNKNOWN) {
 		if (t->state == CLI_STATE_UNREACHABLE)
 			t->state = CLI_STATE_UNKNOWN;
 		return FALSE;
@@ -13,9 +13,9 @@
 	 * answer was lost. What was accepted is neither refused later nor in
 	 * conflict.
 	 */
-	if (outcome == OUTCOME_REFUSED && t->state != CLI_STATE_UNREACHABLE)
+	if (outcome == OPERATE_REFUSED && t->state != CLI_STATE_UNREACHABLE)
 		return FALSE;
-	if (outcome == OUTCOME_CONFLICT && t->state == CLI_STATE_ANSWERED)
+	if (outcome == OPERATE_CONFLICT && t->state == CLI_STATE_ANSWERED)
 		return FALSE;
 	t->state = CLI_STATE_ANSWERED;
 	t->outcome = outcome;
@@ -32,20 +32,20 @@
 gboolean
 cli_tally_settled(const cli_tally_t *t)
 {
-	return t->state == CLI_STATE_ANSWERED && t->outcome != OUTCOME_ACCEPTED;
+	return t->state == CLI_STATE_ANSWERED && t->outcome != OPERATE_ACCEPTED;
 }
 
 const char *
 cli_tally_word(const cli_tally_t *t)
 {
 	static const char *const words[] = {
-	    [OUTCOME_ACCEPTED] = "accepted",
-	    [OUTCOME_IN_FORCE] = "in force",
-	    [OUTCOME_DONE] = "done",
-	    [OUTCOME_TAKEN_BACK] = "taken back",
-	    [OUTCOME_CONFLICT] = "conflict",
-	    [OUTCOME_REFUSED] = "refused",
-	    [OUTCOME_UNKNOWN] = "unknown",
+	    [OPERATE_ACCEPTED] = "accepted",
+	    [OPERATE_IN_FORCE] = "in force",
+	    [OPERATE_DONE] = "done",
+	    [OPERATE_TAKEN_BACK] = "taken back",
+	    [OPERATE_CONFLICT] = "conflict",
+	    [OPERATE_REFUSED] = "refused",
+	    [OPERATE_UNKNOWN] = "unknown",
 	};
 
 	switch (t->state) {
@@ -63,17 +63,17 @@
 exit_of(operate_outcome_t outcome, gboolean waited)
 {
 	switch (outcome) {
-	case OUTCOME_ACCEPTED:
+	case OPERATE_ACCEPTED:
 		return waited ? CLI_EXIT_UNKNOWN : CLI_EXIT_DONE;
-	case OUTCOME_IN_FORCE:
-	case OUTCOME_DONE:
+	case OPERATE_IN_FORCE:
+	case OPERATE_DONE:
 		return CLI_EXIT_DONE;
-	case OUTCOME_TAKEN_BACK:
-	case OUTCOME_REFUSED:
+	case OPERATE_TAKEN_BACK:
+	case OPERATE_REFUSED:
 		return CLI_EXIT_REFUSED;
-	case OUTCOME_CONFLICT:
+	case OPERATE_CONFLICT:
 		return CLI_EXIT_CONFLICT;
-	case OUTCOME_UNKNOWN:
+	case OPERATE_UNKNOWN:
 		break;
 	}
 	return CLI_EXIT_UNKNOWN;
--- /dev/null
+++ b/src/host/conf_apply.c
@@ -0,0 +1,274 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "host/confops.h"
+#include "host/fenced.h"
+
+/* What an answer about one change belongs to. */
+typedef struct {
+	conf_apply_t *a;
+	uint32_t attempt;
+	apply_rows_t rows;
+} answer_t;
+
+static void carry_out(conf_apply_t *a, GArray *actions);
+
+static GArray *
+actions_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(apply_action_t));
+}
+
+static answer_t *
+answer_new(conf_apply_t *a, uint32_t attempt)
+{
+	answer_t *answer = g_new0(answer_t, 1);
+
+	answer->a = a;
+	answer->attempt = attempt;
+	a->waiting++;
+	return answer;
+}
+
+/* Return: whether the change has been forgotten meanwhile. */
+static gboolean
+end_wait(conf_apply_t *a)
+{
+	a->waiting--;
+	if (!a->forgotten)
+		return FALSE;
+	confops_apply_free(a);
+	return TRUE;
+}
+
+static char *
+version_row_name(uint64_t version)
+{
+	return g_strdup_printf(ROWS_CONFIG_VERSION "%" G_GUINT64_FORMAT,
+	    (guint64)version);
+}
+
+static void
+on_put(void *arg, const store_result_t *result, const GError *err)
+{
+	conf_apply_t *a = arg;
+	GArray *out;
+
+	(void)result;
+	if (end_wait(a))
+		return;
+	out = actions_new();
+	apply_put_done(&a->apply, err == NULL, clock_now(), out);
+	carry_out(a, out);
+}
+
+static void
+put_text(conf_apply_t *a)
+{
+	char hex[DIGEST_HEX_CHARS + 1];
+	char *name;
+
+	digest_to_hex(&a->apply.digest, hex);
+	name = g_strconcat(OBJECTS_CONFIG, hex, NULL);
+	a->waiting++;
+	store_put_object(&a->host->store, name, a->text, strlen(a->text),
+	    on_put, a);
+	g_free(name);
+}
+
+static void
+on_written(void *arg, write_result_t result, uint64_t version)
+{
+	answer_t *answer = arg;
+	conf_apply_t *a = answer->a;
+	uint32_t attempt = answer->attempt;
+	GArray *out;
+
+	(void)version;
+	g_free(answer);
+	if (end_wait(a))
+		return;
+	out = actions_new();
+	apply_written(&a->apply, attempt, result, clock_now(), out);
+	carry_out(a, out);
+	mirror_scan(&a->host->mirror);
+}
+
+/* Store version of the head row if it is the change's base; else no match. */
+static uint64_t
+base_row_version(const conf_apply_t *a)
+{
+	const mirror_row_t *row = mirror_get(&a->host->mirror, ROWS_CONFIG);
+	config_row_t head = {0};
+
+	if (row == NULL ||
+	    !rows_decode(&row_config, row->value, &head, NULL))
+		return a->apply.base == 0 ? 0 : UINT64_MAX >> 1;
+	return head.version == a->apply.base ? row->version : UINT64_MAX >> 1;
+}
+
+static void
+write_rows(conf_apply_t *a, uint32_t attempt)
+{
+	const config_row_t value = {a->apply.version, a->apply.digest,
+	    a->apply.token};
+	char *name = version_row_name(a->apply.version);
+	char *text = rows_encode(&row_config, &value);
+	const store_check_t checks[] = {
+	    {ROWS_CONFIG, base_row_version(a)},
+	    {name, 0},
+	};
+	const store_write_t writes[] = {{ROWS_CONFIG, text}, {name, text}};
+
+	fenced_write(a->host, checks, G_N_ELEMENTS(checks), writes,
+	    G_N_ELEMENTS(writes), on_written, answer_new(a, attempt));
+	free(text);
+	g_free(name);
+}
+
+static void
+finish_read(answer_t *answer, gboolean ok)
+{
+	conf_apply_t *a = answer->a;
+	GArray *out;
+
+	if (!end_wait(a)) {
+		out = actions_new();
+		apply_read(&a->apply, answer->attempt,
+		    ok ? &answer->rows : NULL, clock_now(), out);
+		carry_out(a, out);
+	}
+	g_free(answer);
+}
+
+static void
+on_version_row(void *arg, const store_result_t *result, const GError *err)
+{
+	answer_t *answer = arg;
+	config_row_t value = {0};
+
+	if (err == NULL && result->u.row.value != NULL) {
+		answer->rows.taken = TRUE;
+		rows_decode(&row_config, result->u.row.value, &value, NULL);
+		answer->rows.token = value.token;
+	}
+	finish_read(answer, err == NULL);
+}
+
+/*
+ * The head is read first: a version that it shows as accepted has its own row
+ * by then, so the two can't contradict each other.
+ */
+static void
+on_head(void *arg, const store_result_t *result, const GError *err)
+{
+	answer_t *answer = arg;
+	config_row_t head = {0};
+	char *name;
+
+	if (err != NULL) {
+		finish_read(answer, FALSE);
+		return;
+	}
+	if (result->u.row.value != NULL)
+		rows_decode(&row_config, result->u.row.value, &head, NULL);
+	answer->rows.head = head.version;
+	name = version_row_name(answer->a->apply.version);
+	store_get(&answer->a->host->store, name, on_version_row, answer);
+	g_free(name);
+}
+
+static void
+report(const conf_apply_t *a)
+{
+	log_event(LOG_INFO, "config.apply", "version",
+	    log_num((long long)a->apply.version), "state",
+	    apply_state_name(a->apply.state), NULL);
+}
+
+static void
+carry_out(conf_apply_t *a, GArray *actions)
+{
+	const apply_action_t *action;
+	guint i;
+
+	for (i = 0; i < actions->len; i++) {
+		action = &g_array_index(actions, apply_action_t, i);
+		switch (action->kind) {
+		case APPLY_PUT:
+			put_text(a);
+			break;
+		case APPLY_WRITE:
+			write_rows(a, action->u.attempt);
+			break;
+		case APPLY_READ:
+			store_get(&a->host->store, ROWS_CONFIG, on_head,
+			    answer_new(a, action->u.attempt));
+			break;
+		case APPLY_REPORT:
+			report(a);
+			break;
+		}
+	}
+	g_array_free(actions, TRUE);
+}
+
+conf_apply_t *
+confops_apply(host_t *h, uint64_t base, const char *text, uint64_t token)
+{
+	conf_apply_t *a = g_new0(conf_apply_t, 1);
+	GArray *out = actions_new();
+	digest_t digest;
+
+	a->host = h;
+	a->text = g_strdup(text);
+	digest_of(text, strlen(text), &digest);
+	apply_begin(&a->apply, 0, base, &digest, token, clock_now(), out);
+	carry_out(a, out);
+	return a;
+}
+
+void
+confops_apply_free(conf_apply_t *a)
+{
+	a->forgotten = TRUE;
+	if (a->waiting > 0)
+		return;
+	g_free(a->text);
+	g_free(a);
+}
+
+static guint
+in_force(conf_apply_t *a, guint *hosts, msec_t now)
+{
+	host_t *h = a->host;
+	const roster_host_t *row;
+	guint i, n = 0;
+	peer_t *peer;
+
+	*hosts = 1;
+	n = h->spread.in_force.version >= a->apply.version ? 1 : 0;
+	for (i = 0; i < h->roster.hosts->len; i++) {
+		if (i == h->roster.self ||
+		    !roster_live(&h->roster, (host_id_t)i, now))
+			continue;
+		row = roster_host(&h->roster, (host_id_t)i);
+		peer = peers_get(h, row->name);
+		(*hosts)++;
+		if (peer != NULL && peer->config_version >= a->apply.version)
+			n++;
+	}
+	return n;
+}
+
+void
+confops_apply_tick(conf_apply_t *a, msec_t now)
+{
+	GArray *out = actions_new();
+	guint hosts, n;
+
+	n = in_force(a, &hosts, now);
+	apply_tick(&a->apply, n, hosts, now, out);
+	carry_out(a, out);
+}
--- /dev/null
+++ b/src/host/confops.c
@@ -0,0 +1,191 @@
+#include <string.h>
+
+#include "base/log.h"
+#include "host/confops.h"
+
+#define FETCH_TIMEOUT_MS 1500
+
+static void carry_out(host_t *h, GArray *actions);
+
+static GArray *
+actions_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(confspread_action_t));
+}
+
+static void
+learn(host_t *h, const config_ref_t *ref, msec_t now)
+{
+	GArray *out = actions_new();
+
+	if (ref->version != 0 &&
+	    !confspread_learn(&h->spread, ref, now, out))
+		log_event(LOG_ERROR, "config.contradiction", "version",
+		    log_num((long long)ref->version), NULL);
+	carry_out(h, out);
+}
+
+void
+confops_scanned(host_t *h)
+{
+	const mirror_row_t *row = mirror_get(&h->mirror, ROWS_CONFIG);
+	config_row_t head = {0};
+	config_ref_t ref;
+
+	if (row == NULL || !rows_decode(&row_config, row->value, &head, NULL))
+		return;
+	ref.version = head.version;
+	ref.digest = head.digest;
+	learn(h, &ref, clock_now());
+}
+
+void
+confops_heard(host_t *h, host_id_t id, const rpc_heartbeat_t *beat,
+    msec_t now)
+{
+	replica_t replica = {id, beat->host.incarnation};
+	config_ref_t ref = {.version = beat->config_version};
+
+	memcpy(ref.digest.bytes, beat->config_digest, DIGEST_BYTES);
+	confspread_peer(&h->spread, replica, ref.version);
+	learn(h, &ref, now);
+}
+
+/* A text has come; it is put in force whole or not at all. */
+static void
+fetched(host_t *h, uint32_t attempt, const char *bytes, size_t len)
+{
+	gboolean usable;
+	config_ref_t ref;
+	char *text;
+
+	if (!confspread_fetched(&h->spread, attempt, bytes, len, clock_now(),
+		&ref))
+		return;
+	text = g_strndup(bytes, len);
+	usable = host_take_text(h, ref.version, text);
+	confspread_parsed(&h->spread, &ref, usable);
+	g_free(text);
+}
+
+typedef struct {
+	host_t *host;
+	uint32_t attempt;
+} fetch_t;
+
+static void
+on_object(void *arg, const store_result_t *result, const GError *err)
+{
+	fetch_t *f = arg;
+
+	if (err != NULL || result->u.object.bytes == NULL)
+		confspread_fetch_failed(&f->host->spread, f->attempt,
+		    clock_now());
+	else
+		fetched(f->host, f->attempt, result->u.object.bytes,
+		    result->u.object.len);
+	g_free(f);
+}
+
+static void
+on_text(void *arg, const rpc_result_t *result, const GError *err)
+{
+	fetch_t *f = arg;
+	const rpc_config_t *config;
+
+	if (err != NULL || !result->u.fetch_config.present) {
+		confspread_fetch_failed(&f->host->spread, f->attempt,
+		    clock_now());
+	} else {
+		config = &result->u.fetch_config.fetch_config_result_t_u.config;
+		fetched(f->host, f->attempt, config->text,
+		    strlen(config->text));
+	}
+	g_free(f);
+}
+
+static char *
+object_name(const digest_t *digest)
+{
+	char hex[DIGEST_HEX_CHARS + 1];
+
+	digest_to_hex(digest, hex);
+	return g_strconcat(OBJECTS_CONFIG, hex, NULL);
+}
+
+static void
+fetch_store(host_t *h, const confspread_action_t *a)
+{
+	char *name = object_name(&a->ref.digest);
+	fetch_t *f = g_new0(fetch_t, 1);
+
+	f->host = h;
+	f->attempt = a->attempt;
+	store_get_object(&h->store, name, on_object, f);
+	g_free(name);
+}
+
+static void
+fetch_peer(host_t *h, const confspread_action_t *a)
+{
+	const char *name =
+	    roster_host(&h->roster, (host_id_t)a->peer.host)->name;
+	rpc_args_t args = {.proc = RPC_PROC_FETCH_CONFIG};
+	fetch_t *f = g_new0(fetch_t, 1);
+
+	f->host = h;
+	f->attempt = a->attempt;
+	args.u.fetch_config.config_version = a->ref.version;
+	if (peers_call(h, name, &args, FETCH_TIMEOUT_MS, on_text, f))
+		return;
+	g_free(f);
+	confspread_fetch_failed(&h->spread, a->attempt, clock_now());
+}
+
+static void
+carry_out(host_t *h, GArray *actions)
+{
+	const confspread_action_t *a;
+	guint i;
+
+	for (i = 0; i < actions->len; i++) {
+		a = &g_array_index(actions, confspread_action_t, i);
+		switch (a->kind) {
+		case CONFSPREAD_FETCH_PEER:
+			fetch_peer(h, a);
+			break;
+		case CONFSPREAD_FETCH_STORE:
+			fetch_store(h, a);
+			break;
+		}
+	}
+	g_array_free(actions, TRUE);
+}
+
+void
+confops_tick(host_t *h, msec_t now)
+{
+	GArray *out = actions_new();
+
+	confspread_tick(&h->spread, now, out);
+	carry_out(h, out);
+}
+
+void
+confops_serve_fetch(host_t *h, rpc_call_id_t call,
+    const fetch_config_args_t *args)
+{
+	rpc_result_t result = {.proc = RPC_PROC_FETCH_CONFIG};
+	fetch_config_result_t *r = &result.u.fetch_config;
+	rpc_config_t *config = &r->fetch_config_result_t_u.config;
+
+	if (h->catalog_text != NULL &&
+	    h->spread.in_force.version == args->config_version) {
+		r->present = TRUE;
+		config->config_version = args->config_version;
+		memcpy(config->digest, h->spread.in_force.digest.bytes,
+		    RPC_DIGEST_SIZE);
+		config->text = h->catalog_text;
+	}
+	rpc_server_answer(&h->rpc_server, call, &result);
+}
--- /dev/null
+++ b/src/host/key_issue.c
@@ -0,0 +1,152 @@
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "host/fenced.h"
+#include "host/keyops.h"
+
+typedef struct {
+	key_issue_t *k; /* NULL: forgotten meanwhile */
+	uint32_t attempt;
+} answer_t;
+
+static void act(key_issue_t *k, commit_action_t action);
+
+static char *
+row_name(const key_issue_t *k)
+{
+	char hex[DIGEST_HEX_CHARS + 1];
+
+	digest_to_hex(&k->issue.digest, hex);
+	return g_strconcat(ROWS_KEY, hex, NULL);
+}
+
+static answer_t *
+answer_new(key_issue_t *k)
+{
+	answer_t *a = g_new0(answer_t, 1);
+
+	a->k = k;
+	a->attempt = k->issue.commit.attempt;
+	k->waiting++;
+	return a;
+}
+
+/* Return: whether the issue has been forgotten while this was under way. */
+static gboolean
+end_wait(key_issue_t *k)
+{
+	k->waiting--;
+	if (!k->forgotten)
+		return FALSE;
+	keyops_issue_free(k);
+	return TRUE;
+}
+
+static void
+on_written(void *arg, write_result_t result, uint64_t version)
+{
+	answer_t *a = arg;
+	key_issue_t *k = a->k;
+	uint32_t attempt = a->attempt;
+
+	g_free(a);
+	if (end_wait(k))
+		return;
+	act(k, issue_written(&k->issue, attempt, result, version,
+		   clock_now()));
+	mirror_scan(&k->host->mirror);
+}
+
+static void
+on_read(void *arg, const store_result_t *result, const GError *err)
+{
+	answer_t *a = arg;
+	key_issue_t *k = a->k;
+	uint32_t attempt = a->attempt;
+	key_store_row_t value = {0};
+	place_t place = PLACE_UNREAD;
+
+	g_free(a);
+	if (end_wait(k))
+		return;
+	if (err == NULL && result->u.row.value == NULL) {
+		place = PLACE_OPEN;
+	} else if (err == NULL) {
+		place = PLACE_OTHERS;
+		if (rows_decode(&row_key, result->u.row.value, &value, NULL) &&
+		    value.token == k->issue.token)
+			place = PLACE_OURS;
+		rows_clear(&row_key, &value);
+	}
+	act(k, issue_read(&k->issue, attempt, place,
+		   err == NULL ? result->u.row.version : 0, clock_now()));
+}
+
+static void
+write_row(key_issue_t *k)
+{
+	const key_store_row_t value = {k->workspace, FALSE, k->issue.token};
+	char *name = row_name(k);
+	char *text = rows_encode(&row_key, &value);
+	const store_check_t check = {name, 0};
+	const store_write_t write = {name, text};
+
+	fenced_write(k->host, &check, 1, &write, 1, on_written, answer_new(k));
+	free(text);
+	g_free(name);
+}
+
+static void
+read_row(key_issue_t *k)
+{
+	char *name = row_name(k);
+
+	store_get(&k->host->store, name, on_read, answer_new(k));
+	g_free(name);
+}
+
+static void
+act(key_issue_t *k, commit_action_t action)
+{
+	switch (action) {
+	case COMMIT_NOTHING:
+		break;
+	case COMMIT_WRITE:
+		write_row(k);
+		break;
+	case COMMIT_READ:
+		read_row(k);
+		break;
+	}
+}
+
+key_issue_t *
+keyops_issue(host_t *h, const digest_t *digest, const char *workspace,
+    uint64_t token)
+{
+	key_issue_t *k = g_new0(key_issue_t, 1);
+
+	k->host = h;
+	k->workspace = g_strdup(workspace);
+	act(k, issue_begin(&k->issue, digest, token, clock_now()));
+	return k;
+}
+
+void
+keyops_issue_free(key_issue_t *k)
+{
+	k->forgotten = TRUE;
+	if (k->waiting > 0)
+		return;
+	g_free(k->workspace);
+	g_free(k);
+}
+
+void
+keyops_issue_tick(key_issue_t *k, msec_t now)
+{
+	guint hosts, reached;
+
+	reached = peers_reached(k->host, k->issue.commit.version, &hosts, now);
+	act(k, issue_tick(&k->issue, reached, hosts, now));
+}
--- /dev/null
+++ b/src/host/keyops.c
@@ -0,0 +1,362 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "host/fenced.h"
+#include "host/keyops.h"
+
+#define TELL_TIMEOUT_MS 1000
+#define FETCH_TIMEOUT_MS 2000
+/* Stored rows of one answer to FETCH_KEYS. */
+#define FETCH_ROWS 1000
+
+/* What an answer about one withdrawal belongs to. */
+typedef struct {
+	host_t *host;
+	uint32_t id;
+	uint32_t attempt;
+	replica_t replica;
+} pending_t;
+
+static void carry_out(host_t *h, GArray *actions);
+
+static GArray *
+actions_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(withdrawal_action_t));
+}
+
+static pending_t *
+pending_new(host_t *h, const withdrawal_action_t *a)
+{
+	pending_t *p = g_new0(pending_t, 1);
+
+	p->host = h;
+	p->id = a->id;
+	if (a->kind == WITHDRAWAL_TELL)
+		p->replica = a->u.tell;
+	else
+		p->attempt = a->u.attempt;
+	return p;
+}
+
+static char *
+key_row_name(const digest_t *digest)
+{
+	char hex[DIGEST_HEX_CHARS + 1];
+
+	digest_to_hex(digest, hex);
+	return g_strconcat(ROWS_KEY, hex, NULL);
+}
+
+static void
+merge_keys(host_t *h, const rpc_key_row_t *rows, guint n)
+{
+	key_row_t row;
+	guint i;
+
+	for (i = 0; i < n; i++) {
+		memcpy(row.digest.bytes, rows[i].digest, DIGEST_BYTES);
+		row.workspace = *rows[i].workspace != '\0'
+		    ? rows[i].workspace
+		    : NULL;
+		row.version = rows[i].store_version;
+		row.withdrawn = rows[i].withdrawn;
+		keys_merge(&h->keys, &row);
+	}
+}
+
+typedef struct {
+	peer_t *peer;
+	uint64_t since;
+} fetch_t;
+
+static void fetch_from(host_t *h, peer_t *peer);
+
+static void
+on_fetched(void *arg, const rpc_result_t *result, const GError *err)
+{
+	fetch_t *f = arg;
+	peer_t *peer = f->peer;
+	host_t *h = peer->host;
+	const fetch_keys_result_t *r;
+
+	peer->fetching_keys = FALSE;
+	if (err == NULL) {
+		r = &result->u.fetch_keys;
+		merge_keys(h, r->keys.keys_val, r->keys.keys_len);
+		keys_merged_range(&h->keys, f->since, r->keys_version);
+		keyops_vouched(h);
+		if (r->more)
+			fetch_from(h, peer);
+	}
+	g_free(f);
+}
+
+static void
+fetch_from(host_t *h, peer_t *peer)
+{
+	rpc_args_t args = {.proc = RPC_PROC_FETCH_KEYS};
+	fetch_t *f = g_new0(fetch_t, 1);
+
+	f->peer = peer;
+	f->since = keys_complete(&h->keys);
+	args.u.fetch_keys.since = f->since;
+	peer->fetching_keys = peers_call(h, peer->name, &args,
+	    FETCH_TIMEOUT_MS, on_fetched, f);
+	if (!peer->fetching_keys)
+		g_free(f);
+}
+
+void
+keyops_heard(host_t *h, peer_t *peer, const rpc_heartbeat_t *beat)
+{
+	if (beat->keys_version > keys_complete(&h->keys) &&
+	    !peer->fetching_keys)
+		fetch_from(h, peer);
+}
+
+void
+keyops_vouched(host_t *h)
+{
+	msec_t since = roster_vouched_since(&h->roster);
+
+	if (since != ROSTER_NEVER)
+		freshness_vouched(&h->fresh, &h->keys, since);
+}
+
+gboolean
+keyops_may_vouch(host_t *h, const rpc_host_t *for_host)
+{
+	replica_t replica = {
+	    .host = roster_find(&h->roster, for_host->id),
+	    .incarnation = for_host->incarnation,
+	};
+
+	return freshness_loaded(&h->fresh, &h->keys) &&
+	    replica.host != HOST_NONE &&
+	    withdrawals_may_vouch(&h->withdrawals, replica,
+		keys_complete(&h->keys));
+}
+
+static void
+on_told(void *arg, const rpc_result_t *result, const GError *err)
+{
+	pending_t *p = arg;
+	withdrawal_t *w = withdrawals_get(&p->host->withdrawals, p->id);
+
+	/* Another incarnation that answers there speaks for itself only. */
+	if (err == NULL && w != NULL && result->u.withdraw.confirmed &&
+	    result->u.withdraw.incarnation == p->replica.incarnation)
+		withdrawal_confirmed(w, p->replica);
+	g_free(p);
+}
+
+static void
+tell(host_t *h, const withdrawal_action_t *a, const withdrawal_t *w)
+{
+	const char *name =
+	    roster_host(&h->roster, (host_id_t)a->u.tell.host)->name;
+	rpc_args_t args = {.proc = RPC_PROC_WITHDRAW};
+	rpc_withdrawal_t row = {.store_version = 0};
+	pending_t *p = pending_new(h, a);
+
+	memcpy(row.digest, w->digest.bytes, DIGEST_BYTES);
+	args.u.withdraw.keys.keys_len = 1;
+	args.u.withdraw.keys.keys_val = &row;
+	if (!peers_call(h, name, &args, TELL_TIMEOUT_MS, on_told, p))
+		g_free(p);
+}
+
+static void
+on_row_written(void *arg, write_result_t result, uint64_t version)
+{
+	pending_t *p = arg;
+	withdrawal_t *w = withdrawals_get(&p->host->withdrawals, p->id);
+	GArray *out = actions_new();
+
+	if (w != NULL)
+		withdrawal_written(w, p->attempt, result, version,
+		    clock_now(), out);
+	carry_out(p->host, out);
+	mirror_scan(&p->host->mirror);
+	g_free(p);
+}
+
+/* Writes over the row as the mirror has it; a newer one is a conflict. */
+static void
+write_row(host_t *h, const withdrawal_action_t *a, const withdrawal_t *w)
+{
+	char *name = key_row_name(&w->digest);
+	const mirror_row_t *before = mirror_get(&h->mirror, name);
+	key_store_row_t value = {.token = h->token};
+	store_check_t check = {name, 0};
+	store_write_t write = {name, NULL};
+	char *text;
+
+	if (before != NULL &&
+	    rows_decode(&row_key, before->value, &value, NULL))
+		check.version = before->version;
+	value.withdrawn = TRUE;
+	text = rows_encode(&row_key, &value);
+	write.value = text;
+	fenced_write(h, &check, 1, &write, 1, on_row_written,
+	    pending_new(h, a));
+	rows_clear(&row_key, &value);
+	free(text);
+	g_free(name);
+}
+
+static void
+on_row_read(void *arg, const store_result_t *result, const GError *err)
+{
+	pending_t *p = arg;
+	withdrawal_t *w = withdrawals_get(&p->host->withdrawals, p->id);
+	GArray *out = actions_new();
+	key_store_row_t value = {0};
+	place_t place = PLACE_UNREAD;
+
+	if (err == NULL) {
+		place = PLACE_OPEN;
+		if (result->u.row.value != NULL &&
+		    rows_decode(&row_key, result->u.row.value, &value, NULL))
+			place = value.withdrawn ? PLACE_OURS : PLACE_OPEN;
+		rows_clear(&row_key, &value);
+	}
+	if (w != NULL)
+		withdrawal_read(w, p->attempt, place,
+		    err == NULL ? result->u.row.version : 0, clock_now(), out);
+	carry_out(p->host, out);
+	g_free(p);
+}
+
+static void
+read_row(host_t *h, const withdrawal_action_t *a, const withdrawal_t *w)
+{
+	char *name = key_row_name(&w->digest);
+
+	store_get(&h->store, name, on_row_read, pending_new(h, a));
+	/* The next write rests on the mirror. */
+	mirror_scan(&h->mirror);
+	g_free(name);
+}
+
+static void
+report(const withdrawal_t *w)
+{
+	char hex[DIGEST_HEX_CHARS + 1];
+
+	digest_to_hex(&w->digest, hex);
+	log_event(LOG_INFO, "key.withdrawal", "digest", hex, "state",
+	    withdrawal_state_name(w->state), NULL);
+}
+
+static void
+carry_out(host_t *h, GArray *actions)
+{
+	const withdrawal_action_t *a;
+	const withdrawal_t *w;
+	guint i;
+
+	for (i = 0; i < actions->len; i++) {
+		a = &g_array_index(actions, withdrawal_action_t, i);
+		w = withdrawals_get(&h->withdrawals, a->id);
+		if (w == NULL)
+			continue;
+		switch (a->kind) {
+		case WITHDRAWAL_TELL:
+			tell(h, a, w);
+			break;
+		case WITHDRAWAL_WRITE:
+			write_row(h, a, w);
+			break;
+		case WITHDRAWAL_READ:
+			read_row(h, a, w);
+			break;
+		case WITHDRAWAL_REPORT:
+			report(w);
+			break;
+		}
+	}
+	g_array_free(actions, TRUE);
+}
+
+static replica_t
+self_replica(const host_t *h)
+{
+	replica_t self = {h->roster.self, h->incarnation};
+
+	return self;
+}
+
+uint32_t
+keyops_withdraw(host_t *h, const digest_t *digest)
+{
+	GArray *out = actions_new();
+	uint32_t id = withdrawals_take(&h->withdrawals, &h->keys, digest,
+	    self_replica(h), &h->view, clock_now(), out);
+
+	carry_out(h, out);
+	return id;
+}
+
+void
+keyops_tick(host_t *h, msec_t now)
+{
+	GArray *out = actions_new();
+
+	withdrawals_tick(&h->withdrawals, &h->keys, self_replica(h),
+	    roster_eligible(&h->roster, now), &h->view, now, out);
+	carry_out(h, out);
+}
+
+void
+keyops_serve_withdraw(host_t *h, rpc_call_id_t call,
+    const withdraw_args_t *args)
+{
+	rpc_result_t result = {.proc = RPC_PROC_WITHDRAW};
+	const rpc_withdrawal_t *in;
+	key_row_t row = {.withdrawn = TRUE};
+	guint i;
+
+	for (i = 0; i < args->keys.keys_len; i++) {
+		in = &args->keys.keys_val[i];
+		memcpy(row.digest.bytes, in->digest, DIGEST_BYTES);
+		row.version = in->store_version;
+		keys_merge(&h->keys, &row);
+	}
+	result.u.withdraw.confirmed = TRUE;
+	result.u.withdraw.incarnation = h->incarnation;
+	result.u.withdraw.keys_version = keys_complete(&h->keys);
+	rpc_server_answer(&h->rpc_server, call, &result);
+}
+
+void
+keyops_serve_fetch(host_t *h, rpc_call_id_t call,
+    const fetch_keys_args_t *args)
+{
+	GArray *rows = g_array_new(FALSE, FALSE, sizeof(key_row_t));
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(rpc_key_row_t));
+	rpc_result_t result = {.proc = RPC_PROC_FETCH_KEYS};
+	fetch_keys_result_t *r = &result.u.fetch_keys;
+	const key_row_t *row;
+	rpc_key_row_t wire;
+	guint i;
+
+	r->keys_version = keys_delta(&h->keys, args->since, FETCH_ROWS, rows);
+	r->more = r->keys_version < keys_complete(&h->keys);
+	for (i = 0; i < rows->len && i < RPC_KEYS_MAX; i++) {
+		row = &g_array_index(rows, key_row_t, i);
+		memcpy(wire.digest, row->digest.bytes, DIGEST_BYTES);
+		wire.workspace = (char *)(uintptr_t)(
+		    row->workspace != NULL ? row->workspace : "");
+		wire.withdrawn = row->withdrawn;
+		wire.store_version = row->version;
+		g_array_append_val(out, wire);
+	}
+	r->keys.keys_len = out->len;
+	r->keys.keys_val = (rpc_key_row_t *)(void *)out->data;
+	rpc_server_answer(&h->rpc_server, call, &result);
+	g_array_free(out, TRUE);
+	g_array_free(rows, TRUE);
+}
--- /dev/null
+++ b/src/host/operate.c
@@ -0,0 +1,400 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "host/confops.h"
+#include "host/dump.h"
+#include "host/keyops.h"
+#include "host/operate.h"
+#include "protocol/text.h"
+
+typedef enum {
+	OPERATION_APPLY,
+	OPERATION_ISSUE,
+	OPERATION_WITHDRAW,
+} operation_kind_t;
+
+struct operation {
+	rpc_token_t token;
+	operation_kind_t kind;
+	msec_t began_at;
+	union {
+		conf_apply_t *apply;
+		key_issue_t *issue;
+		uint32_t withdrawal; /* id */
+	} u;
+};
+
+static void
+operation_free(void *p)
+{
+	operation_t *op = p;
+
+	switch (op->kind) {
+	case OPERATION_APPLY:
+		confops_apply_free(op->u.apply);
+		break;
+	case OPERATION_ISSUE:
+		keyops_issue_free(op->u.issue);
+		break;
+	case OPERATION_WITHDRAW:
+		break;
+	}
+	g_free(op);
+}
+
+void
+operate_init(host_t *h)
+{
+	h->operations = g_ptr_array_new_with_free_func(operation_free);
+}
+
+void
+operate_finish(host_t *h)
+{
+	g_ptr_array_free(h->operations, TRUE);
+}
+
+static operation_t *
+find(const host_t *h, const rpc_token_t token)
+{
+	operation_t *op;
+	guint i;
+
+	for (i = 0; i < h->operations->len; i++) {
+		op = g_ptr_array_index(h->operations, i);
+		if (memcmp(op->token, token, RPC_TOKEN_SIZE) == 0)
+			return op;
+	}
+	return NULL;
+}
+
+static operation_t *
+add(host_t *h, operation_kind_t kind, const rpc_token_t token)
+{
+	operation_t *op = g_new0(operation_t, 1);
+
+	op->kind = kind;
+	op->began_at = clock_now();
+	memcpy(op->token, token, RPC_TOKEN_SIZE);
+	g_ptr_array_add(h->operations, op);
+	return op;
+}
+
+/* The part of a token that goes into rows; fits the store's numbers. */
+static uint64_t
+row_token(const rpc_token_t token)
+{
+	uint64_t n;
+
+	memcpy(&n, token, sizeof(n));
+	return n >> 1;
+}
+
+static operate_outcome_t
+apply_outcome(apply_state_t state)
+{
+	switch (state) {
+	case APPLY_ACCEPTED:
+		return OPERATE_ACCEPTED;
+	case APPLY_IN_FORCE:
+		return OPERATE_IN_FORCE;
+	case APPLY_CONFLICT:
+		return OPERATE_CONFLICT;
+	case APPLY_FAILED:
+		return OPERATE_REFUSED;
+	case APPLY_WRITING:
+	case APPLY_UNKNOWN:
+		break;
+	}
+	return OPERATE_UNKNOWN;
+}
+
+static operate_outcome_t
+issue_outcome(issue_state_t state)
+{
+	switch (state) {
+	case ISSUE_ACCEPTED:
+		return OPERATE_ACCEPTED;
+	case ISSUE_DONE:
+		return OPERATE_DONE;
+	case ISSUE_CONFLICT:
+		return OPERATE_CONFLICT;
+	case ISSUE_FAILED:
+		return OPERATE_REFUSED;
+	case ISSUE_WRITING:
+	case ISSUE_UNKNOWN:
+		break;
+	}
+	return OPERATE_UNKNOWN;
+}
+
+static operate_outcome_t
+withdrawal_outcome(withdrawal_state_t state)
+{
+	switch (state) {
+	case WITHDRAWAL_ACCEPTED:
+		return OPERATE_ACCEPTED;
+	case WITHDRAWAL_DONE:
+		return OPERATE_DONE;
+	case WITHDRAWAL_UNAVAILABLE:
+	case WITHDRAWAL_FENCED:
+	case WITHDRAWAL_WRITING:
+	case WITHDRAWAL_UNKNOWN:
+		break;
+	}
+	/* In force where it was told, which can't be called refused. */
+	return OPERATE_UNKNOWN;
+}
+
+static void
+describe_apply(const apply_t *a, operate_result_t *r)
+{
+	r->outcome = apply_outcome(a->state);
+	r->result_version =
+	    a->state == APPLY_CONFLICT ? a->theirs : a->version;
+	r->hosts_confirmed = a->hosts_in_force;
+	r->hosts_total = a->hosts;
+	r->text = a->state == APPLY_CONFLICT
+	    ? g_strdup_printf("the text was changed from version "
+			      "%" G_GUINT64_FORMAT
+			      ", the present one is %" G_GUINT64_FORMAT,
+		  (guint64)a->base, (guint64)a->theirs)
+	    : g_strdup(apply_state_name(a->state));
+}
+
+static void
+describe_issue(const issue_t *i, operate_result_t *r)
+{
+	r->outcome = issue_outcome(i->state);
+	r->result_version = i->commit.version;
+	r->hosts_confirmed = i->hosts_reached;
+	r->hosts_total = i->hosts;
+	r->text = g_strdup(issue_state_name(i->state));
+}
+
+static void
+describe_withdrawal(const withdrawal_t *w, operate_result_t *r)
+{
+	guint confirmed = 0;
+
+	r->outcome = withdrawal_outcome(w->state);
+	r->result_version = w->commit.version;
+	r->hosts_total = withdrawal_hosts(w, &confirmed);
+	r->hosts_confirmed = confirmed;
+	r->text = g_strdup(withdrawal_state_name(w->state));
+}
+
+static void
+describe(const host_t *h, const operation_t *op, operate_result_t *r)
+{
+	const withdrawal_t *w;
+
+	switch (op->kind) {
+	case OPERATION_APPLY:
+		describe_apply(&op->u.apply->apply, r);
+		return;
+	case OPERATION_ISSUE:
+		describe_issue(&op->u.issue->issue, r);
+		return;
+	case OPERATION_WITHDRAW:
+		break;
+	}
+	w = withdrawals_get(&h->withdrawals, op->u.withdrawal);
+	if (w != NULL)
+		describe_withdrawal(w, r);
+}
+
+static void
+refuse(operate_result_t *r, operate_outcome_t outcome, const char *why)
+{
+	r->outcome = outcome;
+	r->text = g_strdup(why);
+}
+
+static gboolean
+text_is_sound(const char *text, operate_result_t *r)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	catalog_t c;
+	gboolean ok;
+
+	catalog_init(&c);
+	ok = text_parse(&c, "text", text, errors) == 0;
+	if (!ok)
+		refuse(r, OPERATE_REFUSED, g_ptr_array_index(errors, 0));
+	catalog_finish(&c);
+	g_ptr_array_free(errors, TRUE);
+	return ok;
+}
+
+static operation_t *
+start_apply(host_t *h, const operate_apply_t *a, operate_result_t *r)
+{
+	operation_t *op;
+
+	if (!text_is_sound(a->text, r))
+		return NULL;
+	op = add(h, OPERATION_APPLY, a->token);
+	op->u.apply =
+	    confops_apply(h, a->base_version, a->text, row_token(a->token));
+	return op;
+}
+
+static operation_t *
+start_issue(host_t *h, const operate_key_issue_t *a, operate_result_t *r)
+{
+	operation_t *op;
+	digest_t digest;
+
+	if (catalog_find_workspace(&h->catalog, a->workspace) == ID_NONE) {
+		refuse(r, OPERATE_REFUSED, "no such workspace in force here");
+		return NULL;
+	}
+	memcpy(digest.bytes, a->digest, DIGEST_BYTES);
+	op = add(h, OPERATION_ISSUE, a->token);
+	op->u.issue =
+	    keyops_issue(h, &digest, a->workspace, row_token(a->token));
+	return op;
+}
+
+static operation_t *
+start_withdraw(host_t *h, const operate_key_withdraw_t *a)
+{
+	operation_t *op = add(h, OPERATION_WITHDRAW, a->token);
+	digest_t digest;
+
+	memcpy(digest.bytes, a->digest, DIGEST_BYTES);
+	op->u.withdrawal = keyops_withdraw(h, &digest);
+	return op;
+}
+
+static const uint8_t *
+token_of(const operate_args_t *args)
+{
+	switch (args->op) {
+	case OPERATE_APPLY:
+		return (const uint8_t *)args->operate_args_t_u.apply.token;
+	case OPERATE_KEY_ISSUE:
+		return (const uint8_t *)
+		    args->operate_args_t_u.key_issue.token;
+	case OPERATE_KEY_WITHDRAW:
+		return (const uint8_t *)
+		    args->operate_args_t_u.key_withdraw.token;
+	case OPERATE_PROGRESS:
+		return (const uint8_t *)args->operate_args_t_u.progress.token;
+	case OPERATE_MOVE_START:
+		return (const uint8_t *)
+		    args->operate_args_t_u.move_start.token;
+	case OPERATE_MOVE_CANCEL:
+		return (const uint8_t *)
+		    args->operate_args_t_u.move_cancel.token;
+	case OPERATE_STATUS:
+	case OPERATE_DUMP:
+		break;
+	}
+	return NULL;
+}
+
+static void
+show_state(host_t *h, operate_op_t op, operate_result_t *r)
+{
+	char *text =
+	    op == OPERATE_DUMP ? dump_text(h) : dump_status_text(h);
+
+	r->outcome = OPERATE_DONE;
+	r->result_version = h->spread.in_force.version;
+	r->text = g_strdup(text);
+	free(text);
+}
+
+/* Starts what is asked for, unless it has been started before. */
+static void
+run(host_t *h, const operate_args_t *args, operate_result_t *r)
+{
+	const uint8_t *token = token_of(args);
+	operation_t *op = token != NULL ? find(h, (const char *)token) : NULL;
+
+	if (op == NULL) {
+		switch (args->op) {
+		case OPERATE_STATUS:
+		case OPERATE_DUMP:
+			show_state(h, args->op, r);
+			return;
+		case OPERATE_PROGRESS:
+			refuse(r, OPERATE_UNKNOWN,
+			    "this host has not been asked for it");
+			return;
+		case OPERATE_APPLY:
+			op = start_apply(h, &args->operate_args_t_u.apply, r);
+			break;
+		case OPERATE_KEY_ISSUE:
+			op = start_issue(h,
+			    &args->operate_args_t_u.key_issue, r);
+			break;
+		case OPERATE_KEY_WITHDRAW:
+			op = start_withdraw(h,
+			    &args->operate_args_t_u.key_withdraw);
+			break;
+		case OPERATE_MOVE_START:
+		case OPERATE_MOVE_CANCEL:
+			refuse(r, OPERATE_REFUSED, "not served by this build");
+			break;
+		}
+	}
+	if (op != NULL)
+		describe(h, op, r);
+}
+
+static gboolean
+may_operate(const host_t *h, const operate_args_t *args, operate_result_t *r)
+{
+	if (args->op == OPERATE_STATUS || args->op == OPERATE_DUMP ||
+	    args->op == OPERATE_PROGRESS)
+		return TRUE;
+	if (h->phase != HOST_DRAINING &&
+	    h->incarnation != 0 && roster_eligible(&h->roster, clock_now()))
+		return TRUE;
+	refuse(r, OPERATE_REFUSED,
+	    "this host is not yet known to all others, or leaving");
+	return FALSE;
+}
+
+void
+operate_serve(host_t *h, rpc_call_id_t call, const operate_args_t *args)
+{
+	rpc_result_t result = {.proc = RPC_PROC_OPERATE};
+	operate_result_t *r = &result.u.operate;
+
+	if (may_operate(h, args, r))
+		run(h, args, r);
+	if (r->text == NULL)
+		r->text = g_strdup("");
+	rpc_server_answer(&h->rpc_server, call, &result);
+	g_free(r->text);
+}
+
+void
+operate_tick(host_t *h, msec_t now)
+{
+	operation_t *op;
+	guint i;
+
+	for (i = h->operations->len; i > 0; i--) {
+		op = g_ptr_array_index(h->operations, i - 1);
+		if (now - op->began_at > OPERATE_KEEP_MS) {
+			g_ptr_array_remove_index_fast(h->operations, i - 1);
+			continue;
+		}
+		switch (op->kind) {
+		case OPERATION_APPLY:
+			confops_apply_tick(op->u.apply, now);
+			break;
+		case OPERATION_ISSUE:
+			keyops_issue_tick(op->u.issue, now);
+			break;
+		case OPERATION_WITHDRAW:
+			break;
+		}
+	}
+}
--- /dev/null
+++ b/src/host/peers.c
@@ -0,0 +1,356 @@
+#include <string.h>
+
+#include "base/log.h"
+#include "host/confops.h"
+#include "host/heartbeat.h"
+#include "host/keyops.h"
+#include "host/peers.h"
+
+static void
+peer_free(void *p)
+{
+	peer_t *peer = p;
+
+	g_free(peer->name);
+	g_free(peer->address);
+	g_free(peer->callers);
+	g_array_free(peer->steps, TRUE);
+	g_free(peer);
+}
+
+void
+peers_init(host_t *h)
+{
+	h->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+}
+
+void
+peers_finish(host_t *h)
+{
+	g_hash_table_destroy(h->peers);
+}
+
+peer_t *
+peers_get(const host_t *h, const char *name)
+{
+	return g_hash_table_lookup(h->peers, name);
+}
+
+/* The record of a host, reachable at its address of now. */
+static peer_t *
+peer_at(host_t *h, const char *name, const char *address)
+{
+	peer_t *peer = peers_get(h, name);
+	GError *err = NULL;
+
+	if (peer == NULL) {
+		peer = g_new0(peer_t, 1);
+		peer->host = h;
+		peer->name = g_strdup(name);
+		peer->steps = g_array_new(FALSE, TRUE, sizeof(peer_step_t));
+		g_hash_table_insert(h->peers, peer->name, peer);
+	}
+	if (g_strcmp0(peer->address, address) == 0)
+		return peer;
+	if (!rpc_client_peer(&h->rpc_client, address, &peer->rpc, &err)) {
+		log_event(LOG_WARN, "peer.address", "peer", name, "error",
+		    err->message, NULL);
+		g_error_free(err);
+		return NULL;
+	}
+	g_free(peer->address);
+	peer->address = g_strdup(address);
+	return peer;
+}
+
+gboolean
+peers_call(host_t *h, const char *name, const rpc_args_t *args,
+    msec_t timeout_ms, rpc_answer_t fn, void *arg)
+{
+	host_id_t id = roster_find(&h->roster, name);
+	GError *err = NULL;
+	peer_t *peer;
+
+	if (id == HOST_NONE)
+		return FALSE;
+	peer = peer_at(h, name, roster_host(&h->roster, id)->rpc_address);
+	if (peer == NULL)
+		return FALSE;
+	if (rpc_client_call(&h->rpc_client, peer->rpc, args, timeout_ms, fn,
+		arg, &err))
+		return TRUE;
+	log_event(LOG_DEBUG, "peer.call.failed", "peer", name, "error",
+	    err->message, NULL);
+	g_error_free(err);
+	return FALSE;
+}
+
+static host_state_t
+host_state(rpc_host_state_t state)
+{
+	switch (state) {
+	case RPC_HOST_JOINING:
+		return HOST_JOINING;
+	case RPC_HOST_LIVE:
+		return HOST_LIVE;
+	case RPC_HOST_LEAVING:
+		break;
+	}
+	return HOST_LEAVING;
+}
+
+static void
+take_loads(host_t *h, const rpc_heartbeat_t *beat, host_id_t id, msec_t at)
+{
+	const endpoint_stat_t *stat;
+	endpoint_id_t endpoint;
+	guint i, k;
+
+	for (i = 0; i < h->catalog.endpoints->len; i++) {
+		endpoint = (endpoint_id_t)i;
+		stat = endpoint_stats_row(&h->stats, endpoint);
+		for (k = 0; k < beat->loads.loads_len; k++) {
+			if (strcmp(stat->name,
+				beat->loads.loads_val[k].endpoint) == 0)
+				break;
+		}
+		endpoint_stats_peer(&h->stats, endpoint, id,
+		    k < beat->loads.loads_len
+			? (uint16_t)MIN(beat->loads.loads_val[k].in_flight,
+			      UINT16_MAX)
+			: 0,
+		    at);
+	}
+}
+
+static void
+take_steps(peer_t *peer, const rpc_heartbeat_t *beat)
+{
+	const rpc_move_step_t *in;
+	peer_step_t step;
+	guint i;
+
+	g_array_set_size(peer->steps, 0);
+	for (i = 0; i < beat->moves.moves_len; i++) {
+		in = &beat->moves.moves_val[i];
+		step.move = g_quark_from_string(in->move);
+		step.step = in->step;
+		step.stopped = in->stopped;
+		g_array_append_val(peer->steps, step);
+	}
+}
+
+/* What a peer says of itself, whether it asked or answered. */
+static void
+take_heartbeat(host_t *h, peer_t *peer, host_id_t id,
+    const rpc_heartbeat_t *beat, msec_t at, msec_t now)
+{
+	g_free(peer->callers);
+	peer->callers = g_strdup(beat->host.callers_address);
+	peer->config_version = beat->config_version;
+	peer->keys_version = beat->keys_version;
+	peer->heard_at = now;
+	peer->heard_incarnation = beat->host.incarnation;
+	take_steps(peer, beat);
+	if (id != h->roster.self)
+		take_loads(h, beat, id, at);
+	confops_heard(h, id, beat, now);
+	keyops_heard(h, peer, beat);
+}
+
+static void
+on_reply(void *arg, const rpc_result_t *result, const GError *err)
+{
+	peer_t *peer = arg;
+	host_t *h = peer->host;
+	const exchange_result_t *r;
+	host_id_t id = roster_find(&h->roster, peer->name);
+	msec_t now = clock_now();
+	roster_reply_t reply;
+
+	peer->busy = FALSE;
+	if (err != NULL || id == HOST_NONE)
+		return;
+	r = &result->u.exchange;
+	if (r->sequence != peer->sequence ||
+	    strcmp(r->heartbeat.host.id, peer->name) != 0)
+		return;
+	reply.incarnation = r->heartbeat.host.incarnation;
+	reply.state = host_state(r->heartbeat.host.state);
+	reply.vouches = r->vouches;
+	reply.acknowledges = r->knows_incarnation;
+	reply.superseded = r->superseded;
+	/* The peer's version goes first: its vouch rests on it. */
+	freshness_told(&h->fresh, r->heartbeat.keys_version);
+	roster_replied(&h->roster, id, &reply, peer->sent_at, now);
+	take_heartbeat(h, peer, id, &r->heartbeat, peer->sent_at, now);
+	if (r->heartbeat.store_age_ms >= 0)
+		freshness_relayed(&h->fresh, &h->keys, peer->sent_at,
+		    r->heartbeat.store_age_ms, r->heartbeat.keys_version);
+	keyops_vouched(h);
+}
+
+static void
+ask(host_t *h, peer_t *peer, msec_t now)
+{
+	rpc_args_t args = {.proc = RPC_PROC_EXCHANGE};
+	heartbeat_t beat;
+
+	heartbeat_init(&beat, h, now);
+	args.u.exchange.sequence = ++peer->sequence;
+	args.u.exchange.want_vouch = TRUE;
+	args.u.exchange.heartbeat = beat.message;
+	peer->sent_at = now;
+	peer->busy = rpc_client_call(&h->rpc_client, peer->rpc, &args,
+	    EXCHANGE_TIMEOUT_MS, on_reply, peer, NULL);
+	heartbeat_finish(&beat);
+}
+
+void
+peers_tick(host_t *h, msec_t now)
+{
+	const roster_host_t *row;
+	peer_t *peer;
+	guint i;
+
+	if (h->incarnation == 0 || now < h->exchange_at)
+		return;
+	h->exchange_at = now + EXCHANGE_PERIOD_MS;
+	roster_tick(&h->roster, now);
+	for (i = 0; i < h->roster.hosts->len; i++) {
+		row = roster_host(&h->roster, (host_id_t)i);
+		/* A host alone asks its own address, where a later
+		 * incarnation of it would answer. */
+		if (row->state == HOST_GONE ||
+		    (i == h->roster.self && h->view.replicas->len > 1))
+			continue;
+		peer = peer_at(h, row->name, row->rpc_address);
+		if (peer != NULL && !peer->busy)
+			ask(h, peer, now);
+	}
+}
+
+void
+peers_answer(host_t *h, rpc_call_id_t call, const char *caller,
+    const exchange_args_t *args)
+{
+	const rpc_host_t *from = &args->heartbeat.host;
+	const roster_row_t row = {
+	    .name = from->id,
+	    .incarnation = from->incarnation,
+	    .state = host_state(from->state),
+	    .rpc_address = from->rpc_address,
+	    .region = from->region,
+	    .domain = from->domain,
+	};
+	rpc_result_t result = {.proc = RPC_PROC_EXCHANGE};
+	msec_t now = clock_now();
+	roster_reply_t reply;
+	heartbeat_t beat;
+	host_id_t id;
+	peer_t *peer;
+
+	if (h->incarnation == 0 || strcmp(caller, from->id) != 0) {
+		rpc_server_refuse(&h->rpc_server, call);
+		return;
+	}
+	id = roster_asked(&h->roster, &row, args->sequence,
+	    args->want_vouch && keyops_may_vouch(h, from), now, &reply);
+	if (id != HOST_NONE && id != h->roster.self) {
+		peer = peer_at(h, from->id, from->rpc_address);
+		if (peer != NULL)
+			take_heartbeat(h, peer, id, &args->heartbeat, now,
+			    now);
+	}
+	heartbeat_init(&beat, h, now);
+	result.u.exchange.sequence = args->sequence;
+	result.u.exchange.vouches = reply.vouches;
+	result.u.exchange.knows_incarnation = reply.acknowledges;
+	result.u.exchange.superseded = reply.superseded;
+	result.u.exchange.heartbeat = beat.message;
+	rpc_server_answer(&h->rpc_server, call, &result);
+	heartbeat_finish(&beat);
+}
+
+typedef struct {
+	host_t *host;
+	GArray *replicas; /* replica_t */
+	msec_t now;
+} roster_scan_t;
+
+static void
+take_row(void *arg, const char *name, const mirror_row_t *row)
+{
+	roster_scan_t *scan = arg;
+	host_row_t value = {0};
+	roster_row_t out;
+	replica_t replica;
+
+	if (!rows_decode(&row_host, row->value, &value, NULL)) {
+		log_event(LOG_ERROR, "roster.row.unreadable", "host", name,
+		    NULL);
+		return;
+	}
+	out.name = name;
+	out.incarnation = value.incarnation;
+	out.state = (host_state_t)MIN(value.state, HOST_GONE);
+	out.rpc_address = value.rpc;
+	out.region = value.region;
+	out.domain = value.domain;
+	roster_row(&scan->host->roster, &out, row->version, scan->now);
+	replica.host = roster_find(&scan->host->roster, name);
+	replica.incarnation = value.incarnation;
+	if (replica.host != HOST_NONE)
+		g_array_append_val(scan->replicas, replica);
+	rows_clear(&row_host, &value);
+}
+
+void
+peers_scanned(host_t *h, msec_t sent_at)
+{
+	const mirror_row_t *counter =
+	    mirror_get(&h->mirror, ROWS_INCARNATION);
+	roster_scan_t scan = {h, NULL, clock_now()};
+	incarnation_row_t last = {0};
+
+	if (h->incarnation == 0 || counter == NULL ||
+	    !rows_decode(&row_incarnation, counter->value, &last, NULL))
+		return;
+	scan.replicas = g_array_new(FALSE, FALSE, sizeof(replica_t));
+	roster_scan_begin(&h->roster);
+	mirror_each(&h->mirror, ROWS_HOST, take_row, &scan);
+	roster_scan_end(&h->roster, last.last, scan.now);
+	roster_view_read(&h->view, (const replica_t *)(void *)scan.replicas->data,
+	    scan.replicas->len, sent_at, scan.now);
+	g_array_free(scan.replicas, TRUE);
+	if (h->first_exchange) {
+		h->first_exchange = FALSE;
+		h->exchange_at = scan.now;
+	}
+}
+
+guint
+peers_reached(host_t *h, uint64_t version, guint *hosts, msec_t now)
+{
+	const roster_host_t *row;
+	const peer_t *peer;
+	guint i, reached = 0;
+	uint64_t theirs;
+
+	*hosts = 0;
+	for (i = 0; i < h->roster.hosts->len; i++) {
+		row = roster_host(&h->roster, (host_id_t)i);
+		if (i != h->roster.self &&
+		    !roster_live(&h->roster, (host_id_t)i, now))
+			continue;
+		peer = peers_get(h, row->name);
+		theirs = i == h->roster.self ? keys_complete(&h->keys)
+		    : peer != NULL           ? peer->keys_version
+					     : 0;
+		(*hosts)++;
+		if (theirs >= version)
+			reached++;
+	}
+	return reached;
+}
--- a/src/protocol/gen/host_rpc.h
+++ b/src/protocol/gen/host_rpc.h
@@ -69,6 +69,7 @@
 struct rpc_move_step_t {
 	rpc_name_t move;
 	u_int step;
+	bool_t stopped;
 };
 typedef struct rpc_move_step_t rpc_move_step_t;
 
@@ -81,6 +82,7 @@
 struct rpc_heartbeat_t {
 	rpc_host_t host;
 	u_quad_t config_version;
+	rpc_digest_t config_digest;
 	u_quad_t keys_version;
 	quad_t store_age_ms;
 	struct {
@@ -109,6 +111,7 @@
 	u_quad_t sequence;
 	bool_t vouches;
 	bool_t knows_incarnation;
+	bool_t superseded;
 	rpc_heartbeat_t heartbeat;
 };
 typedef struct exchange_result_t exchange_result_t;
@@ -129,6 +132,7 @@
 
 struct withdraw_result_t {
 	bool_t confirmed;
+	u_quad_t incarnation;
 	u_quad_t keys_version;
 };
 typedef struct withdraw_result_t withdraw_result_t;
@@ -182,18 +186,20 @@
 	u_quad_t incarnation;
 	u_quad_t sequence;
 	u_quad_t epoch;
-	u_int used;
-	u_int unused;
-	u_int wanted;
+	u_quad_t taken;
+	u_quad_t used;
+	u_quad_t returned;
+	u_quad_t demand;
+	u_quad_t wanted;
 };
 typedef struct borrow_args_t borrow_args_t;
 
 struct borrow_result_t {
+	bool_t answered;
 	u_quad_t epoch;
 	u_quad_t sequence;
-	u_int granted;
-	u_int ttl_ms;
-	char *refused;
+	u_quad_t granted;
+	u_quad_t excess;
 };
 typedef struct borrow_result_t borrow_result_t;
 
@@ -288,13 +294,13 @@
 typedef struct operate_args_t operate_args_t;
 
 enum operate_outcome_t {
-	OUTCOME_ACCEPTED = 0,
-	OUTCOME_IN_FORCE = 1,
-	OUTCOME_DONE = 2,
-	OUTCOME_TAKEN_BACK = 3,
-	OUTCOME_CONFLICT = 4,
-	OUTCOME_REFUSED = 5,
-	OUTCOME_UNKNOWN = 6,
+	OPERATE_ACCEPTED = 0,
+	OPERATE_IN_FORCE = 1,
+	OPERATE_DONE = 2,
+	OPERATE_TAKEN_BACK = 3,
+	OPERATE_CONFLICT = 4,
+	OPERATE_REFUSED = 5,
+	OPERATE_UNKNOWN = 6,
 };
 typedef enum operate_outcome_t operate_outcome_t;
 
--- a/src/protocol/gen/host_rpc_xdr.c
+++ b/src/protocol/gen/host_rpc_xdr.c
@@ -124,6 +124,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->step))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->stopped))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -148,6 +150,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_rpc_digest_t (xdrs, objp->config_digest))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->keys_version))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->store_age_ms))
@@ -183,12 +187,57 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->vouches))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->knows_incarnation))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->superseded))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->vouches);
+		IXDR_PUT_BOOL(buf, objp->knows_incarnation);
+		IXDR_PUT_BOOL(buf, objp->superseded);
+		}
+		 if (!xdr_rpc_heartbeat_t (xdrs, &objp->heartbeat))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->vouches))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->knows_incarnation))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->superseded))
+				 return FALSE;
+
+		} else {
+		objp->vouches = IXDR_GET_BOOL(buf);
+		objp->knows_incarnation = IXDR_GET_BOOL(buf);
+		objp->superseded = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_rpc_heartbeat_t (xdrs, &objp->heartbeat))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->vouches))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->knows_incarnation))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->superseded))
+		 return FALSE;
 	 if (!xdr_rpc_heartbeat_t (xdrs, &objp->heartbeat))
 		 return FALSE;
 	return TRUE;
@@ -224,6 +273,8 @@
 
 	 if (!xdr_bool (xdrs, &objp->confirmed))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->keys_version))
 		 return FALSE;
 	return TRUE;
@@ -329,11 +380,15 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->used))
+	 if (!xdr_u_quad_t (xdrs, &objp->taken))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->used))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->unused))
+	 if (!xdr_u_quad_t (xdrs, &objp->returned))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->wanted))
+	 if (!xdr_u_quad_t (xdrs, &objp->demand))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->wanted))
 		 return FALSE;
 	return TRUE;
 }
@@ -343,15 +398,15 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_bool (xdrs, &objp->answered))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->granted))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->ttl_ms))
+	 if (!xdr_u_quad_t (xdrs, &objp->granted))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->refused, RPC_REASON_MAX))
+	 if (!xdr_u_quad_t (xdrs, &objp->excess))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/protocol/host_rpc.x
+++ b/src/protocol/host_rpc.x
@@ -53,9 +53,11 @@
 	unsigned hyper epoch;
 };
 
+/* stopped: this host gives the new version nothing more, by its own sight. */
 struct rpc_move_step_t {
 	rpc_name_t move;
 	unsigned int step;
+	bool stopped;
 };
 
 struct rpc_load_t {
@@ -67,6 +69,7 @@
 struct rpc_heartbeat_t {
 	rpc_host_t host;
 	unsigned hyper config_version;
+	rpc_digest_t config_digest;
 	unsigned hyper keys_version;
 	hyper store_age_ms;
 	rpc_lease_t leases<RPC_LEASES_MAX>;
@@ -84,6 +87,7 @@
 	unsigned hyper sequence;
 	bool vouches;
 	bool knows_incarnation;
+	bool superseded;
 	rpc_heartbeat_t heartbeat;
 };
 
@@ -99,6 +103,7 @@
 
 struct withdraw_result_t {
 	bool confirmed;
+	unsigned hyper incarnation;
 	unsigned hyper keys_version;
 };
 
@@ -136,24 +141,30 @@
 	void;
 };
 
-/* Tokens are in hundredths of a request. */
+/*
+ * A question to the lender of a workspace; counts are whole tokens since the
+ * borrower first spoke with this epoch's lender.
+ */
 struct borrow_args_t {
 	rpc_name_t workspace;
 	rpc_name_t borrower;
 	unsigned hyper incarnation;
 	unsigned hyper sequence;
 	unsigned hyper epoch;
-	unsigned int used;
-	unsigned int unused;
-	unsigned int wanted;
+	unsigned hyper taken;
+	unsigned hyper used;
+	unsigned hyper returned;
+	unsigned hyper demand;
+	unsigned hyper wanted;
 };
 
+/* answered is false where this host is not the lender or the question stale. */
 struct borrow_result_t {
+	bool answered;
 	unsigned hyper epoch;
 	unsigned hyper sequence;
-	unsigned int granted;
-	unsigned int ttl_ms;
-	string refused<RPC_REASON_MAX>;
+	unsigned hyper granted;
+	unsigned hyper excess;
 };
 
 struct rpc_suspect_t {
@@ -247,13 +258,13 @@
  * effect. UNKNOWN: may or may not have had one.
  */
 enum operate_outcome_t {
-	OUTCOME_ACCEPTED = 0,
-	OUTCOME_IN_FORCE = 1,
-	OUTCOME_DONE = 2,
-	OUTCOME_TAKEN_BACK = 3,
-	OUTCOME_CONFLICT = 4,
-	OUTCOME_REFUSED = 5,
-	OUTCOME_UNKNOWN = 6
+	OPERATE_ACCEPTED = 0,
+	OPERATE_IN_FORCE = 1,
+	OPERATE_DONE = 2,
+	OPERATE_TAKEN_BACK = 3,
+	OPERATE_CONFLICT = 4,
+	OPERATE_REFUSED = 5,
+	OPERATE_UNKNOWN = 6
 };
 
 struct operate_result_t {
--- a/src/protocol/rows.h
+++ b/src/protocol/rows.h
@@ -20,6 +20,8 @@
 #define ROWS_SLOT "g/slot/"
 #define ROWS_MOVE "g/move/"
 #define ROWS_ONCE "once/"
+/* One for each version that was accepted, kept. */
+#define ROWS_CONFIG_VERSION "config/"
 /* Objects that hold configuration texts, by digest. */
 #define OBJECTS_CONFIG "config-"
 
--- a/src/protocol/rpc_body.c
+++ b/src/protocol/rpc_body.c
@@ -126,7 +126,7 @@
 		return heartbeat_valid(&result->u.exchange.heartbeat);
 	case RPC_PROC_OPERATE:
 		return (unsigned int)result->u.operate.outcome <=
-		    OUTCOME_UNKNOWN;
+		    OPERATE_UNKNOWN;
 	default:
 		return TRUE;
 	}
--- a/tests/rpc_samples.h
+++ b/tests/rpc_samples.h
@@ -6,7 +6,7 @@
 /* One filled message for each procedure; nothing in them is to be freed. */
 
 static rpc_lease_t sample_leases[] = {{"moves", 4}, {"lender/w1", 9}};
-static rpc_move_step_t sample_steps[] = {{"m-1", 3}};
+static rpc_move_step_t sample_steps[] = {{"m-1", 3, TRUE}};
 static rpc_load_t sample_loads[] = {{"lettore-1", 2}, {"lettore-2", 1}};
 static rpc_withdrawal_t sample_withdrawals[] = {{"digest one", 7}, {"d2", 0}};
 static rpc_key_row_t sample_keys[] = {{"digest one", "w1", TRUE, 7}};
@@ -17,7 +17,7 @@
 {
 	rpc_heartbeat_t h = {{"host-a", 12, "milano", "milano-a", "127.0.0.1:1",
 				 "127.0.0.1:2", RPC_HOST_LIVE, "0.1.0"},
-	    5, 6, -1, {2, sample_leases}, {1, sample_steps}, {2, sample_loads}};
+	    5, "d", 6, -1, {2, sample_leases}, {1, sample_steps}, {2, sample_loads}};
 
 	return h;
 }
@@ -56,7 +56,7 @@
 sample_args(size_t i, rpc_args_t *a)
 {
 	static const borrow_args_t borrow = {
-	    "w1", "host-a", 12, 99, 3, 150, 20, 500};
+	    "w1", "host-a", 12, 99, 3, 150, 20, 5, 70, 2};
 
 	memset(a, 0, sizeof(*a));
 	a->proc = i < RPC_PROC_OPERATE ? (rpc_proc_t)i : RPC_PROC_OPERATE;
@@ -90,9 +90,9 @@
 	r->proc = (rpc_proc_t)i;
 	if (i == RPC_PROC_EXCHANGE)
 		r->u.exchange =
-		    (exchange_result_t){17, TRUE, FALSE, sample_heartbeat()};
+		    (exchange_result_t){17, TRUE, FALSE, TRUE, sample_heartbeat()};
 	else if (i == RPC_PROC_WITHDRAW)
-		r->u.withdraw = (withdraw_result_t){TRUE, 7};
+		r->u.withdraw = (withdraw_result_t){TRUE, 12, 7};
 	else if (i == RPC_PROC_FETCH_KEYS)
 		r->u.fetch_keys =
 		    (fetch_keys_result_t){{1, sample_keys}, 7, FALSE};
@@ -100,10 +100,10 @@
 		r->u.fetch_config = (fetch_config_result_t){
 		    TRUE, {{4, "digest", "[region milano]\n"}}};
 	else if (i == RPC_PROC_BORROW)
-		r->u.borrow = (borrow_result_t){3, 99, 500, 800, ""};
+		r->u.borrow = (borrow_result_t){TRUE, 3, 99, 500, 4};
 	else if (i == RPC_PROC_OPERATE)
 		r->u.operate =
-		    (operate_result_t){OUTCOME_IN_FORCE, 42, 3, 3, "{}"};
+		    (operate_result_t){OPERATE_IN_FORCE, 42, 3, 3, "{}"};
 }
 
 #endif
