--- /dev/null
+++ b/src/coordination/borrower.c
@@ -0,0 +1,305 @@
+#include <string.h>
+
+#include "coordination/borrower.h"
+
+void
+borrower_init(borrower_t *b, host_id_t host, uint64_t incarnation,
+    unsigned floor_permille, msec_t now)
+{
+	memset(b, 0, sizeof(*b));
+	b->host = host;
+	b->incarnation = incarnation;
+	b->floor_permille = floor_permille;
+	b->config.slot = SLOT_NONE;
+	b->settle_at = INT64_MAX;
+	bucket_init(&b->floor, b->config.limit, now);
+	b->asked_at = now - BORROW_PERIOD_MS;
+	b->round_trip = WAIT_MAX_MS;
+	b->demand_at = now;
+}
+
+static slots_t
+slots_of(const borrower_config_t *c)
+{
+	slots_t s = {c->limit, c->slots, c->slots};
+
+	return s;
+}
+
+static void
+floor_update(borrower_t *b, msec_t now)
+{
+	slots_t latest = slots_of(&b->config);
+	limit_t part = {0, 0};
+
+	if (b->config.slot < MIN(latest.slots, b->settled.slots))
+		part = limit_min(
+		    limit_floor(latest.limit, b->floor_permille, latest.parts),
+		    limit_floor(
+			b->settled.limit, b->floor_permille, b->settled.parts));
+	bucket_set_limit(&b->floor, part, now);
+}
+
+/* Lets the floor grow when its time has come. */
+static void
+borrower_tick(borrower_t *b, msec_t now)
+{
+	if (now < b->settle_at)
+		return;
+	b->settle_at = INT64_MAX;
+	b->settled = slots_of(&b->config);
+	floor_update(b, now);
+}
+
+static gboolean
+config_equal(const borrower_config_t *a, const borrower_config_t *c)
+{
+	return a->limit.rate == c->limit.rate &&
+	    a->limit.burst == c->limit.burst && a->slots == c->slots &&
+	    a->slot == c->slot;
+}
+
+void
+borrower_configure(borrower_t *b, const borrower_config_t *config, msec_t now)
+{
+	borrower_tick(b, now);
+	if (config_equal(config, &b->config))
+		return;
+	if (config->slot != b->config.slot)
+		bucket_init(&b->floor, b->floor.limit, now);
+	/* Another host may have settled on what was not yet settled here. */
+	b->settled.limit = limit_min(b->settled.limit, b->config.limit);
+	b->settled.parts = MAX(b->settled.parts, b->config.slots);
+	b->settled.slots = MIN(b->settled.slots, b->config.slots);
+	b->settle_at = INT64_MAX;
+	b->config = *config;
+	floor_update(b, now);
+}
+
+void
+borrower_settled(borrower_t *b, msec_t now)
+{
+	if (b->settle_at == INT64_MAX)
+		b->settle_at = now + GRANT_TTL_MS + GRANT_DRIFT_MS;
+}
+
+/* Writes off what has expired; the lender counts it as used. */
+static void
+holding_expire(holding_t *h, msec_t now)
+{
+	if (now < h->expires_at)
+		return;
+	h->used += h->tokens;
+	h->tokens = 0;
+}
+
+static gboolean
+holding_take(holding_t *h, msec_t now)
+{
+	holding_expire(h, now);
+	if (h->tokens == 0)
+		return FALSE;
+	h->tokens--;
+	h->used++;
+	return TRUE;
+}
+
+void
+borrower_epoch(borrower_t *b, uint64_t epoch, msec_t now)
+{
+	if (epoch <= b->holding.epoch)
+		return;
+	/* A lender counts what its forerunners lent until it has expired. */
+	holding_expire(&b->holding, now);
+	b->prior = b->holding;
+	memset(&b->holding, 0, sizeof(b->holding));
+	b->holding.epoch = epoch;
+	b->asking = FALSE;
+	b->asked_at = now - BORROW_PERIOD_MS;
+}
+
+static void
+demand_fade(borrower_t *b, msec_t now)
+{
+	while (now - b->demand_at >= DEMAND_STEP_MS && b->demand > 0) {
+		b->demand -= (b->demand + 9) / 10;
+		b->demand_at += DEMAND_STEP_MS;
+	}
+	if (b->demand == 0)
+		b->demand_at = MAX(b->demand_at, now);
+}
+
+static gboolean
+token_take(borrower_t *b, msec_t now)
+{
+	bucket_refill(&b->floor, 0, now);
+	if (bucket_take(&b->floor, UTOKEN))
+		return TRUE;
+	if (holding_take(&b->prior, now))
+		return TRUE;
+	if (!holding_take(&b->holding, now))
+		return FALSE;
+	b->unreported = TRUE;
+	return TRUE;
+}
+
+/* How long a request may wait: about an exchange with the lender. */
+static msec_t
+wait_limit(const borrower_t *b)
+{
+	msec_t wait = b->round_trip + b->round_trip / 4 + WAIT_MIN_MS;
+
+	return MIN(wait, WAIT_MAX_MS);
+}
+
+/* A verdict for a request for which there is no token now. */
+static admit_t
+admit_later(const borrower_t *b, msec_t arrived_at, msec_t now)
+{
+	msec_t deadline = arrived_at + wait_limit(b);
+	msec_t ready_at = bucket_ready_at(&b->floor, UTOKEN);
+	admit_t verdict = {ADMIT_REFUSE, MIN(ready_at, now + MSEC_PER_SEC)};
+	gboolean hopeless = b->lost >= BORROW_LOST_MAX && ready_at > deadline;
+
+	if (now >= deadline || hopeless || b->waiting > WAITING_MAX)
+		return verdict;
+	verdict.kind = ADMIT_WAIT;
+	verdict.until = MIN(ready_at, deadline);
+	verdict.until = MAX(verdict.until, now + 1);
+	return verdict;
+}
+
+admit_t
+borrower_admit(borrower_t *b, msec_t arrived_at, gboolean again, gboolean fresh,
+    msec_t now)
+{
+	admit_t verdict = {ADMIT, now};
+
+	borrower_tick(b, now);
+	if (again)
+		borrower_cancel(b);
+	else {
+		demand_fade(b, now);
+		b->demand += MSEC_PER_SEC;
+	}
+	if (!fresh) {
+		verdict.kind = ADMIT_STALE;
+		return verdict;
+	}
+	/* A newcomer doesn't overtake those that wait. */
+	if ((again || b->waiting == 0) && token_take(b, now))
+		return verdict;
+	verdict = admit_later(b, arrived_at, now);
+	if (verdict.kind == ADMIT_WAIT)
+		b->waiting++;
+	return verdict;
+}
+
+void
+borrower_cancel(borrower_t *b)
+{
+	if (b->waiting > 0)
+		b->waiting--;
+}
+
+/* Few tokens for the demand of an exchange and a period. */
+static gboolean
+holding_low(const borrower_t *b)
+{
+	uint64_t horizon = (uint64_t)(b->round_trip + BORROW_PERIOD_MS);
+
+	uint64_t need = b->demand * horizon / MSEC_PER_SEC;
+
+	return b->waiting > 0 ||
+	    b->holding.tokens * MSEC_PER_SEC + MSEC_PER_SEC / 2 < need;
+}
+
+static gboolean
+ask_is_due(const borrower_t *b, msec_t now)
+{
+	msec_t elapsed = now - b->asked_at;
+
+	if (b->asking)
+		return elapsed >= BORROW_TIMEOUT_MS;
+	/* Being low asks sooner than the period, but not in a storm. */
+	if (holding_low(b))
+		return elapsed >= BORROW_PERIOD_MS / 4;
+	if (elapsed < BORROW_PERIOD_MS)
+		return FALSE;
+	return b->unreported || b->demand > 0 || b->holding.tokens > 0;
+}
+
+gboolean
+borrower_ask(borrower_t *b, msec_t now, borrow_request_t *request)
+{
+	demand_fade(b, now);
+	holding_expire(&b->holding, now);
+	if (!ask_is_due(b, now))
+		return FALSE;
+	if (b->asking)
+		b->lost++;
+	b->asking = TRUE;
+	b->asked_at = now;
+	b->unreported = FALSE;
+	memset(request, 0, sizeof(*request));
+	request->host = b->host;
+	request->incarnation = b->incarnation;
+	request->sequence = ++b->sequence;
+	request->epoch = b->holding.epoch;
+	request->taken = b->holding.taken;
+	request->used = b->holding.used;
+	request->returned = b->holding.returned;
+	request->demand = b->demand;
+	request->wanted = b->waiting;
+	return TRUE;
+}
+
+msec_t
+borrower_ask_at(const borrower_t *b)
+{
+	if (b->asking)
+		return b->asked_at + BORROW_TIMEOUT_MS;
+	if (holding_low(b))
+		return b->asked_at + BORROW_PERIOD_MS / 4;
+	if (b->unreported || b->demand > 0 || b->holding.tokens > 0)
+		return b->asked_at + BORROW_PERIOD_MS;
+	return INT64_MAX;
+}
+
+gboolean
+borrower_answered(borrower_t *b, const borrow_answer_t *answer, msec_t now)
+{
+	holding_t *h = &b->holding;
+	msec_t asked_at = b->asked_at;
+	uint64_t excess;
+
+	if (!b->asking || answer->sequence != b->sequence ||
+	    answer->epoch < h->epoch)
+		return FALSE;
+	borrower_epoch(b, answer->epoch, now);
+	b->asking = FALSE;
+	b->asked_at = asked_at;
+	b->lost = 0;
+	b->round_trip += (now - asked_at - b->round_trip) / 2;
+	/* What has expired is not revived by the answer. */
+	holding_expire(h, now);
+	h->tokens += answer->granted;
+	h->taken += answer->granted;
+	h->expires_at = asked_at + GRANT_TTL_MS;
+	holding_expire(h, now);
+	excess = MIN(answer->excess, h->tokens);
+	h->tokens -= excess;
+	h->returned += excess;
+	b->unreported = b->unreported || excess > 0;
+	return h->tokens > 0;
+}
+
+uint64_t
+borrower_tokens(borrower_t *b, msec_t now)
+{
+	bucket_refill(&b->floor, 0, now);
+	holding_expire(&b->holding, now);
+	holding_expire(&b->prior, now);
+	return (uint64_t)(b->floor.level / UTOKEN) + b->holding.tokens +
+	    b->prior.tokens;
+}
--- a/src/coordination/roster.c
+++ b/src/coordination/roster.c
@@ -139,7 +139,7 @@
 	if ((h == NULL || row->incarnation > h->incarnation) &&
 	    row->incarnation <= r->synced)
 		return;
-	if (id == r->self && row->incarnation > h->incarnation) {
+	if (h != NULL && id == r->self && row->incarnation > h->incarnation) {
 		r->superseded = TRUE;
 		return;
 	}
@@ -250,7 +250,7 @@
 	memset(reply, 0, sizeof(*reply));
 	reply->incarnation = host_at(r, r->self)->incarnation;
 	reply->state = host_at(r, r->self)->state;
-	if (id == r->self && from->incarnation > h->incarnation)
+	if (h != NULL && id == r->self && from->incarnation > h->incarnation)
 		r->superseded = TRUE;
 	else if (row_is_past(r, h, from))
 		reply->superseded = TRUE;
--- /dev/null
+++ b/tests/test_limits.c
@@ -0,0 +1,471 @@
+#include <stdlib.h>
+
+#include "fuzz/limits_model.h"
+#include "suite.h"
+
+/* Runs the model over random bytes until it notices a violation. */
+static int
+runs_until_violated(
+    model_break_t broken, int runs, long *admitted, long *refused)
+{
+	/* Faults are rarer than what makes progress. */
+	static const uint8_t ops[] = {EV_TIME, EV_TIME, EV_REQUESTS,
+	    EV_REQUESTS, EV_ASK, EV_ASK, EV_ASK, EV_DELIVER, EV_DELIVER,
+	    EV_DELIVER, EV_DELIVER, EV_DOUBLE, EV_LOSE, EV_TAKE_LEASE,
+	    EV_RENEW_LEASE, EV_FRESHEN, EV_ADOPT, EV_SETTLE, EV_CALM, EV_CALM};
+	static const uint8_t faults[] = {EV_PAUSE, EV_PAUSE, EV_KILL, EV_JOIN,
+	    EV_JOIN, EV_CONFIG, EV_CONFIG};
+	static model_t m;
+	GRand *rand = g_rand_new_with_seed(1);
+	uint8_t data[257];
+	size_t j;
+	int i;
+
+	for (i = 0; i < runs; i++) {
+		data[0] = (uint8_t)i;
+		for (j = 1; j < sizeof(data); j += 2) {
+			data[j] = ops[g_rand_int_range(rand, 0, sizeof(ops))];
+			if (g_rand_int_range(rand, 0, 12) == 0)
+				data[j] = faults[g_rand_int_range(
+				    rand, 0, sizeof(faults))];
+			data[j + 1] = (uint8_t)g_rand_int_range(rand, 0, 256);
+		}
+		model_run(&m, broken, data, sizeof(data));
+		*admitted += m.admitted;
+		*refused += m.refused;
+		if (m.violated)
+			break;
+	}
+	g_rand_free(rand);
+	return i;
+}
+
+/* Numbers of the model's configurations, by what they are good for. */
+#define FAST 0	 /* 100 per second, burst 20 */
+#define STEADY 2 /* 50 per second, burst 60 */
+#define STEADY_MANY_SLOTS 6
+#define SLOW 4 /* 10 per second, burst 100 */
+/* The argument of EV_REQUESTS for the most requests at a process. */
+#define MANY(proc) (252 + (proc))
+/* The argument of EV_CALM for the longest stretch, idle or busy. */
+#define IDLE 15
+#define BUSY (7 * 32 + 15)
+
+static void
+many_requests(model_t *m)
+{
+	int i;
+
+	for (i = 0; i < 3 * NAMES; i++)
+		model_event(m, EV_REQUESTS, MANY(i % NAMES));
+}
+
+/* Lets the buckets fill, and some requests spread the loans. */
+static void
+fill(model_t *m)
+{
+	int i;
+
+	for (i = 0; i < 40; i++)
+		model_event(m, EV_CALM, IDLE);
+	model_event(m, EV_CALM, 2 * 32 + 7);
+}
+
+/* One question and its answer; @arg as for EV_ASK. */
+static void
+exchange(model_t *m, int arg)
+{
+	model_event(m, EV_ASK, arg);
+	model_event(m, EV_DELIVER, 0);
+	model_event(m, EV_DELIVER, 0);
+}
+
+static void
+all_is_used_and_expires(model_t *m)
+{
+	many_requests(m);
+	model_event(m, EV_TIME, 255);
+	model_event(m, EV_TIME, 255);
+	model_event(m, EV_TIME, 40);
+	model_event(m, EV_CALM, BUSY);
+}
+
+static void
+an_answer_comes_many_times(model_t *m)
+{
+	int i;
+
+	for (i = 0; i < 20; i++)
+		model_event(m, EV_CALM, IDLE);
+	model_event(m, EV_REQUESTS, MANY(0));
+	model_event(m, EV_ASK, 0);
+	model_event(m, EV_DELIVER, 0);
+	for (i = 0; i < 20; i++) {
+		model_event(m, EV_DOUBLE, 0);
+		model_event(m, EV_REQUESTS, MANY(0));
+	}
+}
+
+/* The last loans are made at the end of the lease. */
+static void
+the_lender_changes(model_t *m)
+{
+	int i;
+
+	for (i = 0; i < 20; i++) {
+		model_event(m, EV_TIME, 49);
+		exchange(m, 1);
+		exchange(m, 2);
+	}
+	model_event(m, EV_TIME, 20);
+	model_event(m, EV_TAKE_LEASE, 1);
+	model_event(m, EV_TIME, 255);
+	model_event(m, EV_TIME, 150);
+	model_event(m, EV_REQUESTS, MANY(0));
+	exchange(m, 0);
+	many_requests(m);
+}
+
+static void
+an_answer_is_late(model_t *m)
+{
+	model_event(m, EV_TIME, 60);
+	model_event(m, EV_ASK, 1);
+	model_event(m, EV_DELIVER, 0);
+	model_event(m, EV_TIME, 195);
+	exchange(m, 0);
+	model_event(m, EV_DOUBLE, 0);
+	model_event(m, EV_TIME, 255);
+	model_event(m, EV_DELIVER, 0);
+	model_event(m, EV_TIME, 200);
+	model_event(m, EV_REQUESTS, MANY(0));
+	exchange(m, 0);
+	many_requests(m);
+}
+
+/* A host goes on asking the lender whose lease has ended. */
+static void
+the_lease_ends_unnoticed(model_t *m)
+{
+	int i;
+
+	for (i = 0; i < 40; i++) {
+		model_event(m, EV_TIME, 60);
+		model_event(m, EV_TAKE_LEASE, 1);
+		model_event(m, EV_FRESHEN, 1);
+		model_event(m, EV_FRESHEN, 2);
+		model_event(m, EV_REQUESTS, MANY(1));
+		model_event(m, EV_REQUESTS, MANY(2));
+		exchange(m, 1);
+		exchange(m, 192 + 2);
+	}
+}
+
+/* A host is replaced, and its forerunner lives on. */
+static void
+two_hold_a_slot(model_t *m)
+{
+	int i;
+
+	model_event(m, EV_JOIN, 0);
+	for (i = 0; i < 60 && !m->violated; i++) {
+		model_event(m, EV_CALM, BUSY);
+		model_event(m, EV_REQUESTS, 252);
+	}
+}
+
+/* The number of slots falls, and one host has not heard of it. */
+static void
+one_keeps_the_old_configuration(model_t *m)
+{
+	int i;
+
+	model_event(m, EV_CALM, IDLE);
+	model_event(m, EV_PAUSE, 2);
+	model_event(m, EV_CONFIG, STEADY_MANY_SLOTS);
+	for (i = 0; i < 4; i++)
+		model_event(m, EV_CALM, IDLE);
+	model_event(m, EV_PAUSE, 2);
+	many_requests(m);
+	model_event(m, EV_CALM, BUSY);
+	many_requests(m);
+}
+
+static void
+the_oracle_notices_each_broken_rule(void)
+{
+	static const struct {
+		model_break_t rule;
+		int config;
+		void (*run)(model_t *m);
+	} rows[] = {
+	    {BREAK_EXPIRED, SLOW, all_is_used_and_expires},
+	    {BREAK_TWICE, SLOW, an_answer_comes_many_times},
+	    {BREAK_WAIT, FAST, the_lender_changes},
+	    {BREAK_RECEIPT, FAST, an_answer_is_late},
+	    {BREAK_LEASE, FAST, the_lease_ends_unnoticed},
+	    {BREAK_FRESH, STEADY, two_hold_a_slot},
+	    {BREAK_SETTLED, STEADY, one_keeps_the_old_configuration},
+	};
+	static model_t m;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		model_init(&m, BREAK_NONE, rows[i].config);
+		fill(&m);
+		rows[i].run(&m);
+		model_finish(&m);
+		ck_assert_msg(!m.violated, "row %zu kept", i);
+		model_init(&m, rows[i].rule, rows[i].config);
+		fill(&m);
+		rows[i].run(&m);
+		model_finish(&m);
+		ck_assert_msg(m.violated, "row %zu broken", i);
+	}
+}
+
+static void
+random_runs_hold_and_do_something(void)
+{
+	long admitted = 0, refused = 0;
+
+	ck_assert_int_eq(
+	    runs_until_violated(BREAK_NONE, 300, &admitted, &refused), 300);
+	ck_assert_int_gt(admitted, 10000);
+	ck_assert_int_gt(refused, 1000);
+}
+
+static void
+buckets_fill_and_empty(void)
+{
+	static const struct {
+		double rate, burst;
+		utoken_t reserved;
+		msec_t elapsed;
+		utoken_t level;
+		msec_t ready_at; /* for one token */
+	} rows[] = {
+	    {10, 5, 0, 0, 0, 100},
+	    {10, 5, 0, 99, 990000, 100},
+	    {10, 5, 0, 100, UTOKEN, 100},
+	    {10, 5, 0, 100000, 5 * UTOKEN, 100000},
+	    {10, 5, 4 * UTOKEN, 100000, UTOKEN, 100000},
+	    {10, 5, 6 * UTOKEN, 100000, 0, 100100},
+	    {0, 5, 0, 100000, 0, INT64_MAX},
+	    {10, 0.5, 0, 100000, UTOKEN / 2, INT64_MAX},
+	    {-1, -1, 0, 100, 0, INT64_MAX},
+	    {1e30, 1e30, 0, INT64_MAX / 2, 1000000000 * UTOKEN, INT64_MAX / 2},
+	    {10, 5, 0, -1000, 0, 100},
+	};
+	bucket_t b;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		bucket_init(&b, limit_make(rows[i].rate, rows[i].burst), 0);
+		bucket_refill(&b, rows[i].reserved, rows[i].elapsed);
+		ck_assert_msg(b.level == rows[i].level, "row %zu", i);
+		ck_assert_msg(bucket_ready_at(&b, UTOKEN) == rows[i].ready_at,
+		    "row %zu ready", i);
+	}
+}
+
+static void
+parts_never_exceed_the_whole(void)
+{
+	static const struct {
+		double rate, burst;
+		unsigned slots;
+		utoken_t floor, lent; /* of the burst */
+	} rows[] = {
+	    {100, 50, 10, UTOKEN, 40 * UTOKEN},
+	    {100, 40, 10, 0, 40 * UTOKEN},
+	    {100, 50, 0, 0, 50 * UTOKEN},
+	    {7, 50.5, 3, 3366666, 40400002},
+	};
+	limit_t whole, part, lent;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		whole = limit_make(rows[i].rate, rows[i].burst);
+		part = limit_floor(whole, 200, rows[i].slots);
+		lent = limit_lent(whole, 200, rows[i].slots, TRUE);
+		ck_assert_int_eq(part.burst, rows[i].floor);
+		ck_assert_int_eq(lent.burst, rows[i].lent);
+		ck_assert_int_eq(
+		    part.rate * rows[i].slots + lent.rate, whole.rate);
+		lent = limit_lent(whole, 200, rows[i].slots, FALSE);
+		ck_assert_int_le(lent.burst, whole.burst * 8 / 10);
+	}
+}
+
+/* One lender, its questions in order, what each is granted. */
+static void
+questions_are_answered_once(void)
+{
+	static const struct {
+		msec_t at;
+		host_id_t host;
+		uint64_t sequence, epoch, taken, used, returned, wanted;
+		lend_verdict_t verdict;
+		uint64_t granted, excess;
+		utoken_t level; /* whole tokens after it */
+	} rows[] = {
+	    /* Loans of forerunners are waited out, then it fills. */
+	    {1019, 1, 1, 0, 0, 0, 0, 5, LEND_ANSWERED, 0, 0, 0},
+	    {1120, 1, 2, 0, 0, 0, 0, 5, LEND_ANSWERED, 5, 0, 5},
+	    /* Doubled, overtaken. */
+	    {1120, 1, 2, 0, 0, 0, 0, 5, LEND_STALE, 0, 0, 5},
+	    {1120, 1, 1, 0, 0, 0, 0, 5, LEND_STALE, 0, 0, 5},
+	    /* The answer was lost: what it gave is there again. */
+	    {1120, 1, 3, 1, 0, 0, 0, 7, LEND_ANSWERED, 7, 0, 3},
+	    /* Used is gone, returned is back, the rest stays lent. */
+	    {1120, 1, 4, 1, 7, 3, 2, 2, LEND_ANSWERED, 0, 0, 5},
+	    {1120, 1, 5, 1, 7, 3, 2, 0, LEND_ANSWERED, 0, 2, 5},
+	    /*
+	     * A loan that has expired is used, whatever is claimed; its room
+	     * is refilled only from then on.
+	     */
+	    {2140, 3, 1, 1, 0, 0, 0, 0, LEND_ANSWERED, 0, 0, 8},
+	    {2160, 1, 6, 1, 7, 3, 2, 0, LEND_ANSWERED, 0, 0, 10},
+	    {2160, 1, 7, 1, 7, 5, 2, 1, LEND_ANSWERED, 1, 0, 9},
+	    /* Another host gets no more than there is. */
+	    {2160, 2, 1, 1, 0, 0, 0, 20, LEND_ANSWERED, 9, 0, 0},
+	    /* A newer lender is known, the lease has ended. */
+	    {2160, 2, 2, 2, 0, 0, 0, 20, LEND_NOT_HOLDER, 0, 0, 0},
+	    {5000, 2, 2, 1, 0, 0, 0, 20, LEND_NOT_HOLDER, 0, 0, 10},
+	};
+	borrow_request_t request;
+	borrow_answer_t answer;
+	lender_t l;
+	size_t i;
+
+	lender_init(&l);
+	lender_start(&l, 1, limit_make(100, 10), 0);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		memset(&answer, 0, sizeof(answer));
+		request = (borrow_request_t){.host = rows[i].host,
+		    .incarnation = 1,
+		    .sequence = rows[i].sequence,
+		    .epoch = rows[i].epoch,
+		    .taken = rows[i].taken,
+		    .used = rows[i].used,
+		    .returned = rows[i].returned,
+		    .wanted = rows[i].wanted};
+		ck_assert_msg(lender_borrow(&l, &request, 5000, rows[i].at,
+				  &answer) == rows[i].verdict,
+		    "row %zu verdict", i);
+		ck_assert_msg(answer.granted == rows[i].granted &&
+			answer.excess == rows[i].excess,
+		    "row %zu: %d granted, %d excess", i, (int)answer.granted,
+		    (int)answer.excess);
+		ck_assert_msg(
+		    lender_level(&l, rows[i].at) / UTOKEN == rows[i].level,
+		    "row %zu level %d", i,
+		    (int)(lender_level(&l, rows[i].at) / UTOKEN));
+	}
+	lender_finish(&l);
+}
+
+static void
+requests_wait_about_an_exchange(void)
+{
+	borrow_request_t request;
+	borrow_answer_t answer = {1, 1, 1, 0};
+	borrower_t b;
+	admit_t v;
+
+	borrower_init(&b, 1, 1, FLOOR_PERMILLE, 0);
+	ck_assert(!borrower_ask(&b, 0, &request));
+	v = borrower_admit(&b, 0, FALSE, FALSE, 0);
+	ck_assert_int_eq(v.kind, ADMIT_STALE);
+	v = borrower_admit(&b, 0, FALSE, TRUE, 0);
+	ck_assert_int_eq(v.kind, ADMIT_WAIT);
+	ck_assert_int_eq(v.until, WAIT_MAX_MS);
+	v = borrower_admit(&b, 0, FALSE, TRUE, 0);
+	ck_assert_int_eq(v.kind, ADMIT_WAIT);
+	ck_assert(borrower_ask(&b, 0, &request));
+	ck_assert_int_eq(request.wanted, 2);
+	ck_assert(!borrower_ask(&b, 10, &request));
+	ck_assert(borrower_answered(&b, &answer, 20));
+	/* A newcomer doesn't overtake, one of the two that wait is served. */
+	v = borrower_admit(&b, 20, FALSE, TRUE, 20);
+	ck_assert_int_eq(v.kind, ADMIT_WAIT);
+	v = borrower_admit(&b, 0, TRUE, TRUE, 20);
+	ck_assert_int_eq(v.kind, ADMIT);
+	v = borrower_admit(&b, 0, TRUE, TRUE, WAIT_MAX_MS);
+	ck_assert_int_eq(v.kind, ADMIT_REFUSE);
+	/* The same answer again brings nothing. */
+	ck_assert(!borrower_answered(&b, &answer, 300));
+	ck_assert_int_eq(borrower_tokens(&b, 300), 0);
+}
+
+static void
+a_lost_lender_is_not_waited_for(void)
+{
+	borrow_request_t request;
+	borrower_t b;
+	admit_t v;
+	msec_t now = 0;
+	int i;
+
+	borrower_init(&b, 1, 1, FLOOR_PERMILLE, 0);
+	for (i = 0; i <= BORROW_LOST_MAX; i++) {
+		v = borrower_admit(&b, now, FALSE, TRUE, now);
+		ck_assert_int_eq(v.kind, ADMIT_WAIT);
+		ck_assert(borrower_ask(&b, now, &request));
+		now += BORROW_TIMEOUT_MS;
+		v = borrower_admit(
+		    &b, now - BORROW_TIMEOUT_MS, TRUE, TRUE, now);
+		ck_assert_int_eq(v.kind, ADMIT_REFUSE);
+	}
+	v = borrower_admit(&b, now, FALSE, TRUE, now);
+	ck_assert_int_eq(v.kind, ADMIT_REFUSE);
+	ck_assert_int_eq(v.until, now + MSEC_PER_SEC);
+}
+
+static void
+a_floor_grows_late_and_shrinks_at_once(void)
+{
+	borrower_config_t wide = {limit_make(100, 100), 10, 3},
+			  narrow = {limit_make(100, 100), 20, 3},
+			  none = {limit_make(100, 100), 10, SLOT_NONE};
+	borrower_t b;
+
+	borrower_init(&b, 1, 1, FLOOR_PERMILLE, 0);
+	borrower_configure(&b, &wide, 0);
+	ck_assert_int_eq(borrower_tokens(&b, 10000), 0);
+	borrower_settled(&b, 10000);
+	borrower_admit(&b, 11019, FALSE, FALSE, 11019);
+	ck_assert_int_eq(borrower_tokens(&b, 20000), 0);
+	borrower_admit(&b, 20000, FALSE, FALSE, 20000);
+	ck_assert_int_eq(borrower_tokens(&b, 20000), 0);
+	ck_assert_int_eq(borrower_tokens(&b, 30000), 2);
+	borrower_configure(&b, &narrow, 30000);
+	ck_assert_int_eq(borrower_tokens(&b, 40000), 1);
+	borrower_configure(&b, &wide, 40000);
+	ck_assert_int_eq(borrower_tokens(&b, 50000), 1);
+	borrower_configure(&b, &none, 50000);
+	ck_assert_int_eq(borrower_tokens(&b, 60000), 0);
+}
+
+int
+main(void)
+{
+	static const suite_case_t cases[] = {
+	    {"buckets fill and empty", buckets_fill_and_empty},
+	    {"parts never exceed the whole", parts_never_exceed_the_whole},
+	    {"questions are answered once", questions_are_answered_once},
+	    {"requests wait about an exchange",
+		requests_wait_about_an_exchange},
+	    {"a lost lender is not waited for",
+		a_lost_lender_is_not_waited_for},
+	    {"a floor grows late and shrinks at once",
+		a_floor_grows_late_and_shrinks_at_once},
+	    {"the oracle notices each broken rule",
+		the_oracle_notices_each_broken_rule},
+	    {"random runs hold and do something",
+		random_runs_hold_and_do_something},
+	};
+
+	return suite_run("limits", cases, G_N_ELEMENTS(cases));
+}
