--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -37,7 +37,9 @@
 	http_handler_t handler;
 	struct event *timer;
 	size_t max_body;
-	gboolean starting; /* within http_call() */
+	gboolean starting;  /* within http_call() */
+	gboolean in_head;   /* within on_head: evhttp still uses the request */
+	gboolean cancelled; /* there; ends without a callback */
 	gboolean timed_out;
 	gboolean early_answer; /* a 1xx answer: the exchange has failed */
 };
@@ -55,6 +57,8 @@
 conn_free(conn_t *conn)
 {
 	conn->target->open--;
+	/* evhttp would tell of the close that we ourselves ask for. */
+	evhttp_connection_set_closecb(conn->evcon, NULL, NULL);
 	evhttp_connection_free(conn->evcon);
 	g_free(conn);
 }
@@ -123,8 +127,10 @@
 void
 http_client_free(http_client_t *client)
 {
-	while (client->busy->len > 0) {
-		conn_t *conn = g_ptr_array_index(client->busy, 0);
+	guint i;
+
+	for (i = client->busy->len; i > 0; i--) {
+		conn_t *conn = g_ptr_array_index(client->busy, i - 1);
 
 		http_call_cancel(conn->call);
 	}
@@ -267,10 +273,15 @@
 		call->req = NULL;
 		return;
 	}
+	g_ptr_array_remove_fast(conn->client->busy, conn);
+	if (call->cancelled) {
+		conn_doom(conn);
+		call_free(call);
+		return;
+	}
 	if (answered && req->response_code < 200)
 		call->early_answer = TRUE;
 	outcome = outcome_of(call, answered);
-	g_ptr_array_remove_fast(conn->client->busy, conn);
 	if (outcome == HTTP_ANSWERED) {
 		call->handler.on_done(call->handler.arg, outcome,
 		    req->response_code, req->input_headers, req->input_buffer);
@@ -295,10 +306,13 @@
 		call->early_answer = TRUE;
 		return -1;
 	}
-	if (call->handler.on_head != NULL)
-		call->handler.on_head(
-		    call->handler.arg, req->response_code, req->input_headers);
-	return 0;
+	if (call->handler.on_head == NULL)
+		return 0;
+	call->in_head = TRUE;
+	call->handler.on_head(
+	    call->handler.arg, req->response_code, req->input_headers);
+	call->in_head = FALSE;
+	return call->cancelled ? -1 : 0;
 }
 
 static void
@@ -397,6 +411,10 @@
 {
 	conn_t *conn = call->conn;
 
+	if (call->in_head) {
+		call->cancelled = TRUE;
+		return;
+	}
 	g_ptr_array_remove_fast(conn->client->busy, conn);
 	/* The connection is freed later: no callback may find the call. */
 	if (call->req != NULL)
@@ -417,6 +435,12 @@
 		bufferevent_enable(bev, EV_READ);
 }
 
+void
+http_call_rehandle(http_call_t *call, const http_handler_t *handler)
+{
+	call->handler = *handler;
+}
+
 unsigned int
 http_client_connections(const http_client_t *client, const char *address)
 {
