--- a/src/coordination/lender.c
+++ b/src/coordination/lender.c
@@ -157,8 +157,8 @@
 		total += (double)loan_at(l, i)->demand;
 	if (total <= 0)
 		return 0;
-	lendable =
-	    (double)l->bucket.limit.burst / (double)UTOKEN * LEND_PERMILLE / 1000;
+	lendable = (double)l->bucket.limit.burst / (double)UTOKEN *
+	    LEND_PERMILLE / 1000;
 	return (uint64_t)(lendable * (double)loan->demand / total);
 }
 
--- a/tests/fuzz/limits_model.h
+++ b/tests/fuzz/limits_model.h
@@ -512,8 +512,9 @@
 	m->oracle.level = m->oracle.limit.burst;
 	for (i = 0; i < NAMES; i++)
 		model_join(m, i);
-	model_calm(m, 48, 2);
-	model_calm(m, 8, 0);
+	model_calm(m, 2, 1);
+	model_time(m, GRANT_TTL_MS + GRANT_DRIFT_MS);
+	model_calm(m, 12, 2);
 }
 
 static void
