--- a/src/cmd/cli_commands.c
+++ b/src/cmd/cli_commands.c
@@ -8,8 +8,8 @@
 #include "protocol/ini.h"
 #include "protocol/text.h"
 #include "state/digest.h"
+#include "state/key_text.h"
 
-#define KEY_BYTES 32	  /* random bytes of a key */
 #define KEY_CHARS_MAX 256 /* of a key that is read */
 #define WATCH_MS 1000
 
@@ -219,17 +219,15 @@
 static cli_exit_t
 run_key_issue(run_t *r)
 {
-	char key[sodium_base64_ENCODED_LEN(
-	    KEY_BYTES, sodium_base64_VARIANT_URLSAFE_NO_PADDING)];
+	char key[KEY_TEXT_CHARS + 1];
 	operate_args_t args = {.op = OPERATE_KEY_ISSUE};
 	operate_key_issue_t *issue = &args.operate_args_t_u.key_issue;
-	uint8_t secret[KEY_BYTES];
+	uint8_t secret[KEY_RANDOM_BYTES];
 	digest_t digest;
 	cli_answer_t a;
 
 	randombytes_buf(secret, sizeof(secret));
-	sodium_bin2base64(key, sizeof(key), secret, sizeof(secret),
-	    sodium_base64_VARIANT_URLSAFE_NO_PADDING);
+	key_text_make(secret, key);
 	digest_of(key, strlen(key), &digest);
 	issue->workspace = r->o->operand;
 	memcpy(issue->digest, digest.bytes, sizeof(issue->digest));
@@ -247,20 +245,22 @@
 {
 	char line[KEY_CHARS_MAX];
 	const char *key = r->o->operand;
-	size_t len;
+	gboolean ok;
 
 	if (strcmp(key, "-") == 0) {
 		if (fgets(line, sizeof(line), r->in) == NULL)
 			line[0] = '\0';
+		line[strcspn(line, "\r\n")] = '\0';
 		key = line;
 	}
-	len = strcspn(key, "\r\n");
-	if (key == line)
-		line[len] = '\0';
-	if (len > 0 && !digest_from_hex(key, digest))
-		digest_of(key, len, digest);
+	ok = digest_from_hex(key, digest);
+	/* A mistyped key would be withdrawn in vain. */
+	if (!ok && key_text_valid(key)) {
+		digest_of(key, strlen(key), digest);
+		ok = TRUE;
+	}
 	sodium_memzero(line, sizeof(line));
-	return len > 0;
+	return ok;
 }
 
 static cli_exit_t
@@ -271,7 +271,9 @@
 	digest_t digest;
 
 	if (!read_key_digest(r, &digest)) {
-		fputs("greengageloom: expected a key or its digest\n", r->err);
+		fputs("greengageloom: expected a key or its digest in "
+		      "hexadecimal\n",
+		    r->err);
 		return CLI_EXIT_USAGE;
 	}
 	memcpy(w->digest, digest.bytes, sizeof(w->digest));
--- a/src/host/carry.c
+++ b/src/host/carry.c
@@ -140,8 +140,8 @@
 	guint i, n = 0;
 
 	for (i = 0; i < catalog->endpoints->len && n < max; i++) {
-		if (was_tried(c,
-			catalog_endpoint(catalog, (endpoint_id_t)i)->name))
+		if (was_tried(
+			c, catalog_endpoint(catalog, (endpoint_id_t)i)->name))
 			ids[n++] = (endpoint_id_t)i;
 	}
 	return n;
@@ -164,8 +164,8 @@
 		return ATTEMPT_NO_SERVER;
 	want.n_tried = tried_ids(c, tried, ATTEMPT_TRIES_MAX);
 	want.bits = evbuffer_get_length(c->request.body) * 8;
-	r = route_choose(&h->routes, &h->stats, &h->catalog, &want,
-	    clock_now());
+	r = route_choose(
+	    &h->routes, &h->stats, &h->catalog, &want, clock_now());
 	switch (r.kind) {
 	case ROUTE_FULL:
 		return ATTEMPT_NO_ROOM;
@@ -302,9 +302,9 @@
 	attempt_action_t action;
 
 	c->started = TRUE;
-	action = attempt_init(&c->attempt, h->next_request, c->idempotent,
-	    deadline, c->timeout_ms, host_retry_budget(h, c->request.service),
-	    now);
+	action =
+	    attempt_init(&c->attempt, h->next_request, c->idempotent, deadline,
+		c->timeout_ms, host_retry_budget(h, c->request.service), now);
 	carry_act(c, &action);
 }
 
@@ -322,8 +322,8 @@
 	if (service == ID_NONE)
 		return FALSE;
 	*why = REFUSAL_NO_ROUTE;
-	route = catalog_route(&h->catalog, service, c->request.method_name,
-	    c->request.path);
+	route = catalog_route(
+	    &h->catalog, service, c->request.method_name, c->request.path);
 	if (route == NULL)
 		return FALSE;
 	c->idempotent = route->idempotent;
@@ -376,10 +376,9 @@
 	c->arrived_at = clock_now();
 	c->tried = g_array_new(FALSE, FALSE, sizeof(GQuark));
 	g_ptr_array_add(h->carries, c);
-	g_snprintf(c->id, sizeof(c->id), "%s-%" G_GUINT64_FORMAT
-					 "-%" G_GUINT64_FORMAT,
-	    h->settings.id, (guint64)h->incarnation,
-	    (guint64)++h->next_request);
+	g_snprintf(c->id, sizeof(c->id),
+	    "%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, h->settings.id,
+	    (guint64)h->incarnation, (guint64)++h->next_request);
 	http_exchange_watch(x, on_gone, c);
 	if (!admit(c, &why)) {
 		if (why >= REFUSAL_KEY_MISSING && why <= REFUSAL_NOT_FRESH)
--- a/src/host/carry_send.c
+++ b/src/host/carry_send.c
@@ -224,8 +224,8 @@
 void
 carry_send(carry_t *c, msec_t timeout_ms)
 {
-	static const http_handler_t handler = {on_head, on_piece, on_done,
-	    NULL};
+	static const http_handler_t handler = {
+	    on_head, on_piece, on_done, NULL};
 	http_handler_t mine = handler;
 	struct evkeyvalq headers;
 	struct evbuffer *body = evbuffer_new();
--- a/src/host/probe.c
+++ b/src/host/probe.c
@@ -20,8 +20,7 @@
 {
 	endpoint_id_t id =
 	    catalog_find_endpoint(&p->host->catalog, p->endpoint);
-	const char *health =
-	    json_string_value(json_object_get(root, "health"));
+	const char *health = json_string_value(json_object_get(root, "health"));
 	const json_t *running = json_object_get(root, "running");
 	const json_t *slots = json_object_get(root, "slots");
 	endpoint_report_t report = {.taken_at = p->sent_at};
@@ -49,8 +48,8 @@
 	(void)headers;
 	if (outcome == HTTP_ANSWERED && status == HTTP_OK) {
 		len = evbuffer_get_length(body);
-		root = json_loadb((const char *)evbuffer_pullup(body, -1),
-		    len, JSON_REJECT_DUPLICATES, NULL);
+		root = json_loadb((const char *)evbuffer_pullup(body, -1), len,
+		    JSON_REJECT_DUPLICATES, NULL);
 	}
 	if (root != NULL)
 		take_report(p, root);
--- a/src/protocol/gen/host_rpc.h
+++ b/src/protocol/gen/host_rpc.h
@@ -9,8 +9,8 @@
 extern "C" {
 #endif
 
-#define RPC_NAME_MAX 63
-#define RPC_ADDRESS_MAX 63
+#define RPC_NAME_MAX 127
+#define RPC_ADDRESS_MAX 64
 #define RPC_REASON_MAX 255
 #define RPC_TEXT_MAX 1048576
 #define RPC_LEASES_MAX 256
--- a/src/protocol/host_rpc.x
+++ b/src/protocol/host_rpc.x
@@ -3,8 +3,8 @@
  * Every string and array is bounded here, so that decoding is.
  */
 
-const RPC_NAME_MAX = 63;
-const RPC_ADDRESS_MAX = 63;
+const RPC_NAME_MAX = 127;
+const RPC_ADDRESS_MAX = 64;
 const RPC_REASON_MAX = 255;
 const RPC_TEXT_MAX = 1048576;
 const RPC_LEASES_MAX = 256;
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -37,7 +37,7 @@
 	http_handler_t handler;
 	struct event *timer;
 	size_t max_body;
-	gboolean starting; /* within http_call() */
+	gboolean starting;  /* within http_call() */
 	gboolean in_head;   /* within on_head: evhttp still uses the request */
 	gboolean cancelled; /* there; ends without a callback */
 	gboolean timed_out;
--- /dev/null
+++ b/src/transport/rpc_conn.h
@@ -0,0 +1,69 @@
+#ifndef TRANSPORT_RPC_CONN_H
+#define TRANSPORT_RPC_CONN_H
+
+#include <event2/bufferevent.h>
+
+#include "protocol/record_mark.h"
+#include "transport/rpc_server.h"
+
+/* One connection at the server: takes records, judges and hands on calls. */
+
+typedef struct {
+	rpc_server_t *server;
+	uint64_t id;
+	struct bufferevent *bev;
+	record_reader_t reader;
+	rpc_session_t session;
+	char peer[64];
+	unsigned int pending;
+	size_t unfinished; /* part of the server's sum */
+	msec_t opened_at;
+	msec_t heard_at;
+	msec_t record_at; /* when the unfinished record began */
+} rpc_conn_t;
+
+/* An unanswered call: what its reply needs. */
+typedef struct {
+	rpc_call_id_t id;
+	uint64_t conn;
+	uint32_t xid;
+	rpc_proc_t proc;
+	rpc_nonce_t session;
+	uint8_t mac[RPC_MAC_SIZE];
+} rpc_pending_t;
+
+rpc_conn_t *rpc_conn_new(
+    rpc_server_t *s, evutil_socket_t fd, const struct sockaddr *addr, int len);
+
+/* Frees a connection; as the destructor of rpc_server_t.conns. */
+void rpc_conn_free(void *conn);
+
+/**
+ * rpc_conn_close() - Close a connection and drop its unanswered calls.
+ * @c: the connection, gone afterwards
+ */
+void rpc_conn_close(rpc_conn_t *c);
+
+/**
+ * rpc_conn_refuse() - Close a connection and count why.
+ * @c: the connection, gone afterwards
+ * @reason: why
+ */
+void rpc_conn_refuse(rpc_conn_t *c, rpc_refusal_t reason);
+
+/**
+ * rpc_conn_reply() - Sign a reply if it is accepted, and send it.
+ * @c: the connection
+ * @reply: the reply
+ * @of_call: verifier of the call that it answers
+ */
+void rpc_conn_reply(rpc_conn_t *c, rpc_reply_t *reply, const uint8_t *of_call);
+
+/**
+ * rpc_conn_is_slow() - Whether a connection has outlived a time limit.
+ * @c: the connection
+ * @now: milliseconds
+ */
+gboolean rpc_conn_is_slow(const rpc_conn_t *c, msec_t now);
+
+#endif
