--- a/src/host/carry.c
+++ b/src/host/carry.c
@@ -212,6 +212,9 @@
 static refusal_t
 refusal_of(refuse_reason_t reason, ran_t ran)
 {
+	if (ran != RAN_NO)
+		return reason == REFUSED_DEADLINE ? REFUSAL_TIMEOUT
+						  : REFUSAL_BROKEN;
 	switch (reason) {
 	case REFUSED_NO_ROOM:
 		return REFUSAL_NO_ROOM;
@@ -223,7 +226,7 @@
 	case REFUSED_DEADLINE:
 		break;
 	}
-	return ran == RAN_NO ? REFUSAL_DEADLINE : REFUSAL_TIMEOUT;
+	return REFUSAL_DEADLINE;
 }
 
 static void
