--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,128 @@
+# Functions for scripts that run the stand-ins and entry hosts on loopback.
+# Needs: bin (build folder), dir (scratch folder), base (first port). Only
+# processes started here are ended, each by its id.
+# shellcheck shell=sh
+
+pids=
+
+# start NAME COMMAND...: runs in the background; its id in pid_NAME.
+start() {
+	name=$1
+	shift
+	"$@" >>"$dir/$name.log" 2>&1 &
+	eval "pid_$name=$!"
+	pids="$pids $!"
+}
+
+# pid NAME
+pid() {
+	eval "echo \$pid_$1"
+}
+
+# finish NAME SIGNAL: sends the signal and waits; status in $status.
+finish() {
+	p=$(pid "$1")
+	kill "-$2" "$p" 2>/dev/null || true
+	status=0
+	wait "$p" 2>/dev/null || status=$?
+	pids=$(echo "$pids" | sed "s/ $p\$//; s/ $p / /")
+}
+
+stop_all() {
+	for p in $pids; do
+		kill -CONT "$p" 2>/dev/null || true
+		kill -KILL "$p" 2>/dev/null || true
+	done
+	for p in $pids; do
+		wait "$p" 2>/dev/null || true
+	done
+	pids=
+}
+
+store_port=$((base))
+store_address=127.0.0.1:$store_port
+
+start_store() {
+	start store "$bin/tests/standin_store" "$store_port"
+}
+
+# store_control QUERY
+store_control() {
+	"$bin/tests/standin_get" "$store_address" "/control?$1" >/dev/null
+}
+
+# start_backend N NAME VERSION [SLOTS [HOLD_MS]]
+start_backend() {
+	start "backend_$1" "$bin/tests/standin_backend" \
+	    --port $((base + 100 + $1)) --name "$2" --version-name "$3" \
+	    --slots "${4:-3}" --hold "${5:-5}" --log "$dir/runs.log"
+}
+
+# host_settings N ID REGION DOMAIN: writes the settings of host N.
+host_settings() {
+	cat >"$dir/host_$1.ini" <<END
+[host]
+id = $2
+region = $3
+failure_domain = $4
+callers = 127.0.0.1:$((base + 10 + $1))
+rpc = 127.0.0.1:$((base + 20 + $1))
+operators = 127.0.0.1:$((base + 30 + $1))
+drain_sec = 10
+[store]
+address = $store_address
+[fleet]
+secret_file = $dir/secret
+[log]
+level = ${log_level:-info}
+END
+}
+
+# start_host N
+start_host() {
+	start "host_$1" "$bin/src/cmd/greengageloomd" \
+	    --config "$dir/host_$1.ini"
+}
+
+callers() {
+	echo "127.0.0.1:$((base + 10 + $1))"
+}
+
+operators() {
+	echo "127.0.0.1:$((base + 30 + $1))"
+}
+
+new_secret() {
+	head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$dir/secret"
+}
+
+# ggl N ARGS...: the operators' command, asking host N.
+ggl() {
+	n=$1
+	shift
+	"$bin/src/cmd/greengageloom" --secret-file "$dir/secret" \
+	    --host "127.0.0.1:$((base + 20 + n))" "$@"
+}
+
+# wait_until SECONDS COMMAND...: repeats it until it succeeds.
+wait_until() {
+	tries=$(($1 * 10))
+	shift
+	while [ "$tries" -gt 0 ]; do
+		"$@" >/dev/null 2>&1 && return 0
+		sleep 0.1
+		tries=$((tries - 1))
+	done
+	return 1
+}
+
+# Whether host N serves with a configuration.
+serving() {
+	"$bin/tests/standin_get" "$(operators "$1")" /healthz | grep -q serving
+}
+
+# metric N NAME
+metric() {
+	"$bin/tests/standin_get" "$(operators "$1")" /metrics |
+	    sed -n "s/^greengageloom_$2 //p"
+}
--- a/src/host/conf_apply.c
+++ b/src/host/conf_apply.c
@@ -45,8 +45,8 @@
 static char *
 version_row_name(uint64_t version)
 {
-	return g_strdup_printf(ROWS_CONFIG_VERSION "%" G_GUINT64_FORMAT,
-	    (guint64)version);
+	return g_strdup_printf(
+	    ROWS_CONFIG_VERSION "%" G_GUINT64_FORMAT, (guint64)version);
 }
 
 static void
@@ -72,8 +72,8 @@
 	digest_to_hex(&a->apply.digest, hex);
 	name = g_strconcat(OBJECTS_CONFIG, hex, NULL);
 	a->waiting++;
-	store_put_object(&a->host->store, name, a->text, strlen(a->text),
-	    on_put, a);
+	store_put_object(
+	    &a->host->store, name, a->text, strlen(a->text), on_put, a);
 	g_free(name);
 }
 
@@ -102,8 +102,7 @@
 	const mirror_row_t *row = mirror_get(&a->host->mirror, ROWS_CONFIG);
 	config_row_t head = {0};
 
-	if (row == NULL ||
-	    !rows_decode(&row_config, row->value, &head, NULL))
+	if (row == NULL || !rows_decode(&row_config, row->value, &head, NULL))
 		return a->apply.base == 0 ? 0 : UINT64_MAX >> 1;
 	return head.version == a->apply.base ? row->version : UINT64_MAX >> 1;
 }
@@ -111,8 +110,8 @@
 static void
 write_rows(conf_apply_t *a, uint32_t attempt)
 {
-	const config_row_t value = {a->apply.version, a->apply.digest,
-	    a->apply.token};
+	const config_row_t value = {
+	    a->apply.version, a->apply.digest, a->apply.token};
 	char *name = version_row_name(a->apply.version);
 	char *text = rows_encode(&row_config, &value);
 	const store_check_t checks[] = {
--- a/src/host/confops.c
+++ b/src/host/confops.c
@@ -18,8 +18,7 @@
 {
 	GArray *out = actions_new();
 
-	if (ref->version != 0 &&
-	    !confspread_learn(&h->spread, ref, now, out))
+	if (ref->version != 0 && !confspread_learn(&h->spread, ref, now, out))
 		log_event(LOG_ERROR, "config.contradiction", "version",
 		    log_num((long long)ref->version), NULL);
 	carry_out(h, out);
@@ -40,8 +39,7 @@
 }
 
 void
-confops_heard(host_t *h, host_id_t id, const rpc_heartbeat_t *beat,
-    msec_t now)
+confops_heard(host_t *h, host_id_t id, const rpc_heartbeat_t *beat, msec_t now)
 {
 	replica_t replica = {id, beat->host.incarnation};
 	config_ref_t ref = {.version = beat->config_version};
@@ -59,8 +57,8 @@
 	config_ref_t ref;
 	char *text;
 
-	if (!confspread_fetched(&h->spread, attempt, bytes, len, clock_now(),
-		&ref))
+	if (!confspread_fetched(
+		&h->spread, attempt, bytes, len, clock_now(), &ref))
 		return;
 	text = g_strndup(bytes, len);
 	usable = host_take_text(h, ref.version, text);
@@ -79,8 +77,8 @@
 	fetch_t *f = arg;
 
 	if (err != NULL || result->u.object.bytes == NULL)
-		confspread_fetch_failed(&f->host->spread, f->attempt,
-		    clock_now());
+		confspread_fetch_failed(
+		    &f->host->spread, f->attempt, clock_now());
 	else
 		fetched(f->host, f->attempt, result->u.object.bytes,
 		    result->u.object.len);
@@ -94,12 +92,12 @@
 	const rpc_config_t *config;
 
 	if (err != NULL || !result->u.fetch_config.present) {
-		confspread_fetch_failed(&f->host->spread, f->attempt,
-		    clock_now());
+		confspread_fetch_failed(
+		    &f->host->spread, f->attempt, clock_now());
 	} else {
 		config = &result->u.fetch_config.fetch_config_result_t_u.config;
-		fetched(f->host, f->attempt, config->text,
-		    strlen(config->text));
+		fetched(
+		    f->host, f->attempt, config->text, strlen(config->text));
 	}
 	g_free(f);
 }
@@ -172,8 +170,8 @@
 }
 
 void
-confops_serve_fetch(host_t *h, rpc_call_id_t call,
-    const fetch_config_args_t *args)
+confops_serve_fetch(
+    host_t *h, rpc_call_id_t call, const fetch_config_args_t *args)
 {
 	rpc_result_t result = {.proc = RPC_PROC_FETCH_CONFIG};
 	fetch_config_result_t *r = &result.u.fetch_config;
--- a/src/host/confops.h
+++ b/src/host/confops.h
@@ -29,8 +29,8 @@
  * @beat: what it said
  * @now: present time
  */
-void confops_heard(host_t *h, host_id_t id, const rpc_heartbeat_t *beat,
-    msec_t now);
+void confops_heard(
+    host_t *h, host_id_t id, const rpc_heartbeat_t *beat, msec_t now);
 
 /**
  * confops_tick() - Fetch what is wanted.
@@ -48,8 +48,8 @@
  *
  * Return: the change, to be freed with confops_apply_free().
  */
-conf_apply_t *confops_apply(host_t *h, uint64_t base, const char *text,
-    uint64_t token);
+conf_apply_t *confops_apply(
+    host_t *h, uint64_t base, const char *text, uint64_t token);
 void confops_apply_free(conf_apply_t *a);
 
 /**
@@ -60,7 +60,7 @@
 void confops_apply_tick(conf_apply_t *a, msec_t now);
 
 /* Answers FETCH_CONFIG of a peer. */
-void confops_serve_fetch(host_t *h, rpc_call_id_t call,
-    const fetch_config_args_t *args);
+void confops_serve_fetch(
+    host_t *h, rpc_call_id_t call, const fetch_config_args_t *args);
 
 #endif
--- a/src/host/control.c
+++ b/src/host/control.c
@@ -1,19 +1,13 @@
-#include <stdlib.h>
 #include <string.h>
 
-#include "base/error.h"
 #include "base/log.h"
+#include "host/confops.h"
 #include "host/control.h"
 #include "host/join.h"
+#include "host/keyops.h"
+#include "host/operate.h"
+#include "host/peers.h"
 #include "host/probe.h"
-#include "protocol/rows.h"
-#include "protocol/text.h"
-
-static const char *
-tail_of(const char *key, const char *prefix)
-{
-	return g_str_has_prefix(key, prefix) ? key + strlen(prefix) : NULL;
-}
 
 static void
 take_key(host_t *h, const char *name, const store_row_t *row)
@@ -26,88 +20,89 @@
 		return; /* rows of keys are never deleted */
 	if (!digest_from_hex(name, &key.digest) ||
 	    !rows_decode(&row_key, row->value, &value, &err)) {
-		log_event(
-		    LOG_ERROR, "key.row.unreadable", "key", row->key, NULL);
+		log_event(LOG_ERROR, "key.row.unreadable", "key", row->key,
+		    "error", err != NULL ? err->message : NULL, NULL);
 		g_clear_error(&err);
 		return;
 	}
-	key.workspace = value.workspace;
+	key.workspace = *value.workspace != '\0' ? value.workspace : NULL;
 	key.withdrawn = value.withdrawn;
 	keys_merge(&h->keys, &key);
 	rows_clear(&row_key, &value);
 }
 
-void
-control_changed(host_t *h, const GArray *rows, msec_t sent_at)
+static void
+take_keys(host_t *h, const GArray *rows, msec_t sent_at)
 {
 	const store_row_t *row;
-	const char *name;
 	guint i;
 
 	for (i = 0; i < rows->len; i++) {
 		row = &g_array_index(rows, store_row_t, i);
-		name = tail_of(row->key, ROWS_KEY);
-		if (name != NULL)
-			take_key(h, name, row);
+		if (g_str_has_prefix(row->key, ROWS_KEY))
+			take_key(h, row->key + strlen(ROWS_KEY), row);
 	}
-	keys_merged_range(&h->keys, keys_complete(&h->keys), h->mirror.version);
-	join_changed(h);
+	keys_merged_range(&h->keys, 0, h->mirror.version);
 	freshness_scanned(&h->fresh, &h->keys, sent_at);
 }
 
-static void
-on_text(void *arg, const store_result_t *result, const GError *err)
+void
+control_changed(host_t *h, const GArray *rows, msec_t sent_at)
 {
-	host_t *h = arg;
-	digest_t digest;
-	char *text;
+	join_changed(h);
+	/* A scan from before our own row was written shows no place of ours. */
+	if (h->incarnation != 0 && h->mirror.version >= h->row_version)
+		peers_scanned(h, sent_at);
+	take_keys(h, rows, sent_at);
+	confops_scanned(h);
+}
 
-	h->fetching = FALSE;
-	if (err != NULL || result->u.object.bytes == NULL)
-		return; /* the next tick asks again */
-	digest_of(result->u.object.bytes, result->u.object.len, &digest);
-	if (!digest_equal(&digest, &h->wanted.digest)) {
-		log_event(LOG_ERROR, "config.damaged", "version",
-		    log_num((long long)h->wanted.version), NULL);
+static void
+scan_when_due(host_t *h, msec_t now)
+{
+	if (now < h->scan_at)
 		return;
-	}
-	text = g_strndup(result->u.object.bytes, result->u.object.len);
-	host_take_text(h, h->wanted.version, text);
-	g_free(text);
+	h->scan_at = now + MIRROR_PERIOD_MS;
+	mirror_scan(&h->mirror);
 }
 
 static void
-fetch_config(host_t *h)
+probe_when_due(host_t *h, msec_t now)
 {
-	const mirror_row_t *row = mirror_get(&h->mirror, ROWS_CONFIG);
-	char hex[DIGEST_HEX_CHARS + 1];
-	char *name;
+	if (now < h->probe_at)
+		return;
+	h->probe_at = now + PROBE_PERIOD_MS;
+	probe_all(h);
+}
 
-	if (row == NULL || h->fetching ||
-	    !rows_decode(&row_config, row->value, &h->wanted, NULL) ||
-	    h->wanted.version <= h->catalog.version)
+/* Another incarnation has this host's place: serve nothing, start anew. */
+static void
+check_place(host_t *h)
+{
+	if (h->incarnation == 0 || h->superseded ||
+	    !roster_superseded(&h->roster))
 		return;
-	h->fetching = TRUE;
-	digest_to_hex(&h->wanted.digest, hex);
-	name = g_strconcat(OBJECTS_CONFIG, hex, NULL);
-	store_get_object(&h->store, name, on_text, h);
-	g_free(name);
+	log_event(LOG_ERROR, "roster.superseded", "incarnation",
+	    log_num((long long)h->incarnation), NULL);
+	h->superseded = TRUE;
+	freshness_stop(&h->fresh);
+	host_stop(h);
 }
 
 void
 control_tick(host_t *h, msec_t now)
 {
 	join_tick(h);
-	fetch_config(h);
-	if (now >= h->scan_at) {
-		h->scan_at = now + MIRROR_PERIOD_MS;
-		mirror_scan(&h->mirror);
-	}
-	if (now >= h->probe_at) {
-		h->probe_at = now + PROBE_PERIOD_MS;
-		probe_all(h);
+	scan_when_due(h, now);
+	probe_when_due(h, now);
+	if (h->incarnation != 0) {
+		peers_tick(h, now);
+		keyops_tick(h, now);
+		confops_tick(h, now);
+		operate_tick(h, now);
 	}
+	check_place(h);
 	if (h->phase == HOST_STARTING && h->incarnation != 0 &&
-	    h->catalog.version != 0)
+	    h->catalog.version != 0 && freshness_ok(&h->fresh, now))
 		h->phase = HOST_SERVING;
 }
--- a/src/host/control.h
+++ b/src/host/control.h
@@ -3,7 +3,7 @@
 
 #include "host/host.h"
 
-/* What this host takes from the platform: roster, keys, configuration. */
+/* What this host takes from the platform, and what is due from time to time. */
 
 /**
  * control_changed() - Take in what a scan of the control rows has brought.
@@ -14,7 +14,7 @@
 void control_changed(host_t *h, const GArray *rows, msec_t sent_at);
 
 /**
- * control_tick() - Do what is due: join the roster, scan, probe.
+ * control_tick() - Do what is due.
  * @h: the host
  * @now: present time
  */
--- a/src/host/dump.c
+++ b/src/host/dump.c
@@ -3,6 +3,7 @@
 #include <jansson.h>
 
 #include "host/dump.h"
+#include "host/peers.h"
 #include "host/refusal.h"
 
 static const char *
@@ -82,6 +83,51 @@
 	return text;
 }
 
+static json_t *
+hosts_json(const host_t *h, msec_t now)
+{
+	json_t *list = json_array();
+	const roster_host_t *row;
+	const peer_t *peer;
+	gboolean self;
+	guint i;
+
+	for (i = 0; h->incarnation != 0 && i < h->roster.hosts->len; i++) {
+		row = roster_host(&h->roster, (host_id_t)i);
+		if (row->state == HOST_GONE)
+			continue;
+		self = i == h->roster.self;
+		peer = peers_get(h, row->name);
+		json_array_append_new(list,
+		    json_pack("{s:s, s:s, s:s, s:b, s:I}", "host", row->name,
+			"region", row->region, "failure_domain", row->domain,
+			"live",
+			self || roster_live(&h->roster, (host_id_t)i, now),
+			"config_version",
+			self ? (json_int_t)h->spread.in_force.version
+			    : peer != NULL ? (json_int_t)peer->config_version
+					   : 0));
+	}
+	return list;
+}
+
+char *
+dump_status_text(const host_t *h)
+{
+	msec_t now = clock_now();
+	json_t *root = json_pack("{s:s, s:s, s:I, s:b, s:I, s:o}", "host",
+	    h->settings.id, "phase", phase_name(h->phase), "config_version",
+	    (json_int_t)h->spread.in_force.version, "keys_fresh",
+	    freshness_ok(&h->fresh, now), "store_answered_ms_ago",
+	    h->store.answered_at != 0 ? (json_int_t)(now - h->store.answered_at)
+				      : -1,
+	    "hosts", hosts_json(h, now));
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	return text;
+}
+
 static void
 set_gauges(host_t *h)
 {
--- a/src/host/dump.h
+++ b/src/host/dump.h
@@ -13,6 +13,14 @@
  */
 char *dump_text(const host_t *h);
 
+/**
+ * dump_status_text() - The fleet as this host sees it, as JSON.
+ * @h: the host
+ *
+ * Return: text to be freed with free().
+ */
+char *dump_status_text(const host_t *h);
+
 /**
  * dump_serve() - Answer on the operators' address: /metrics, /healthz.
  * @arg: the host
--- a/src/host/fenced.h
+++ b/src/host/fenced.h
@@ -18,8 +18,8 @@
  * @result: what became of it
  * @version: store version for WRITE_WON
  */
-typedef void (*fenced_done_t)(void *arg, write_result_t result,
-    uint64_t version);
+typedef void (*fenced_done_t)(
+    void *arg, write_result_t result, uint64_t version);
 
 /**
  * fenced_write() - Write on condition of our own roster row.
@@ -32,7 +32,6 @@
  * @arg: for @done
  */
 void fenced_write(host_t *h, const store_check_t *checks, size_t nchecks,
-    const store_write_t *writes, size_t nwrites, fenced_done_t done,
-    void *arg);
+    const store_write_t *writes, size_t nwrites, fenced_done_t done, void *arg);
 
 #endif
--- a/src/host/heartbeat.c
+++ b/src/host/heartbeat.c
@@ -59,8 +59,8 @@
 	add_self(&m->host, h);
 	add_loads(b, h);
 	m->config_version = h->spread.in_force.version;
-	memcpy(m->config_digest, h->spread.in_force.digest.bytes,
-	    RPC_DIGEST_SIZE);
+	memcpy(
+	    m->config_digest, h->spread.in_force.digest.bytes, RPC_DIGEST_SIZE);
 	m->keys_version = keys_complete(&h->keys);
 	m->store_age_ms = freshness_store_age(&h->fresh, now);
 	m->leases.leases_len = b->leases->len;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -6,11 +6,15 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "host/carry.h"
+#include "host/confops.h"
 #include "host/control.h"
 #include "host/dump.h"
 #include "host/host.h"
 #include "host/join.h"
+#include "host/keyops.h"
 #include "host/lookups.h"
+#include "host/operate.h"
+#include "host/peers.h"
 #include "protocol/text.h"
 
 #define TICK_MS 50
@@ -153,6 +157,22 @@
 		event_base_loopbreak(h->base);
 }
 
+void
+host_stop(host_t *h)
+{
+	msec_t now = clock_now();
+
+	if (h->phase == HOST_DRAINING)
+		return;
+	h->phase = HOST_DRAINING;
+	h->drain_until = now + h->settings.drain_ms;
+	h->linger_until = h->superseded
+	    ? now
+	    : now + (msec_t)h->catalog.caps.lookup_ttl_sec * MSEC_PER_SEC;
+	if (h->incarnation != 0 && !h->superseded)
+		join_leave(h, FALSE, NULL);
+}
+
 /* The first signal begins a graceful stop, a second one ends it. */
 static void
 on_stop(evutil_socket_t sig, short what, void *arg)
@@ -166,12 +186,62 @@
 	}
 	log_event(LOG_INFO, "host.stopping", "signal", log_num(sig),
 	    "in_flight", log_num(h->carries->len), NULL);
-	h->phase = HOST_DRAINING;
-	h->drain_until = clock_now() + h->settings.drain_ms;
-	h->linger_until =
-	    clock_now() + (msec_t)h->catalog.caps.lookup_ttl_sec * MSEC_PER_SEC;
-	if (h->incarnation != 0)
-		join_leave(h, FALSE, NULL);
+	host_stop(h);
+}
+
+void
+host_joined(host_t *h, uint64_t incarnation, uint64_t version)
+{
+	const settings_t *s = &h->settings;
+	const roster_row_t self = {
+	    .name = s->id,
+	    .incarnation = incarnation,
+	    .state = HOST_LIVE,
+	    .rpc_address = s->rpc,
+	    .region = s->region,
+	    .domain = s->domain,
+	};
+
+	h->incarnation = incarnation;
+	h->row_version = version;
+	roster_init(&h->roster, &self);
+	freshness_joined(&h->fresh, version);
+	log_event(LOG_INFO, "roster.joined", "host", s->id, "incarnation",
+	    log_num((long long)incarnation), NULL);
+}
+
+static void
+serve_rpc(
+    void *arg, rpc_call_id_t id, const char *caller, const rpc_args_t *args)
+{
+	host_t *h = arg;
+
+	if (h->incarnation == 0 && args->proc != RPC_PROC_OPERATE) {
+		rpc_server_refuse(&h->rpc_server, id);
+		return;
+	}
+	switch (args->proc) {
+	case RPC_PROC_EXCHANGE:
+		peers_answer(h, id, caller, &args->u.exchange);
+		break;
+	case RPC_PROC_WITHDRAW:
+		keyops_serve_withdraw(h, id, &args->u.withdraw);
+		break;
+	case RPC_PROC_FETCH_KEYS:
+		keyops_serve_fetch(h, id, &args->u.fetch_keys);
+		break;
+	case RPC_PROC_FETCH_CONFIG:
+		confops_serve_fetch(h, id, &args->u.fetch_config);
+		break;
+	case RPC_PROC_OPERATE:
+		operate_serve(h, id, &args->u.operate);
+		break;
+	case RPC_PROC_BORROW:
+	case RPC_PROC_SUSPECT:
+	case RPC_PROC_NULL:
+		rpc_server_refuse(&h->rpc_server, id);
+		break;
+	}
 }
 
 static void
@@ -194,6 +264,35 @@
 	return ev;
 }
 
+static gboolean
+open_rpc(host_t *h, GError **err)
+{
+	const rpc_client_config_t client = {
+	    .base = h->base,
+	    .key = &h->rpc_key,
+	    .id = h->settings.id,
+	    .metrics = &h->metrics,
+	    .version = HOST_VERSION,
+	};
+	const rpc_server_config_t server = {
+	    .base = h->base,
+	    .key = &h->rpc_key,
+	    .self = {h->settings.id, h->settings.rpc},
+	    .metrics = &h->metrics,
+	    .handler = serve_rpc,
+	    .arg = h,
+	};
+
+	if (!rpc_key_load(&h->rpc_key, h->settings.secret_file, err))
+		return FALSE;
+	rpc_client_init(&h->rpc_client, &client);
+	h->rpc_open =
+	    rpc_server_init(&h->rpc_server, &server, h->settings.rpc, err);
+	if (!h->rpc_open)
+		rpc_client_finish(&h->rpc_client);
+	return h->rpc_open;
+}
+
 static gboolean
 open_ports(host_t *h, GError **err)
 {
@@ -207,6 +306,8 @@
 	    .receive_ms = RECEIVE_MS,
 	};
 
+	if (!open_rpc(h, err))
+		return FALSE;
 	h->callers =
 	    http_server_new(h->base, &conf, serve_callers, refuse_body, h, err);
 	if (h->callers == NULL)
@@ -230,6 +331,11 @@
 	catalog_init(&h->catalog);
 	keys_init(&h->keys);
 	freshness_init(&h->fresh);
+	withdrawals_init(&h->withdrawals);
+	confspread_init(&h->spread);
+	roster_view_init(&h->view);
+	peers_init(h);
+	operate_init(h);
 	endpoint_stats_init(&h->stats);
 	randombytes_buf(&h->token, sizeof(h->token));
 	h->token >>= 1; /* fits the store's signed numbers */
@@ -240,13 +346,12 @@
 }
 
 gboolean
-host_init(host_t *h, settings_t *settings, GError **err)
+host_init(host_t *h, const settings_t *settings, GError **err)
 {
 	const struct timeval tick = {0, TICK_MS * 1000};
 
 	memset(h, 0, sizeof(*h));
 	h->settings = *settings;
-	memset(settings, 0, sizeof(*settings));
 	init_state(h);
 	h->ticker = event_new(h->base, -1, EV_PERSIST, on_tick, h);
 	event_add(h->ticker, &tick);
@@ -266,6 +371,12 @@
 		http_server_free(h->callers);
 	if (h->operators != NULL)
 		http_server_free(h->operators);
+	operate_finish(h);
+	if (h->rpc_open) {
+		rpc_server_finish(&h->rpc_server);
+		rpc_client_finish(&h->rpc_client);
+	}
+	rpc_key_finish(&h->rpc_key);
 	event_free(h->ticker);
 	event_free(h->term);
 	event_free(h->interrupt);
@@ -273,6 +384,12 @@
 	http_client_free(h->http);
 	store_finish(&h->store);
 	mirror_finish(&h->mirror);
+	peers_finish(h);
+	if (h->incarnation != 0)
+		roster_finish(&h->roster);
+	roster_view_finish(&h->view);
+	confspread_finish(&h->spread);
+	withdrawals_finish(&h->withdrawals);
 	route_choice_finish(&h->routes);
 	endpoint_stats_finish(&h->stats);
 	keys_finish(&h->keys);
@@ -282,7 +399,6 @@
 	g_hash_table_destroy(h->budgets);
 	metrics_finish(&h->metrics);
 	event_base_free(h->base);
-	settings_finish(&h->settings);
 }
 
 static void
@@ -297,11 +413,13 @@
 	log_event(LOG_INFO, "host.started", "host", h->settings.id, "callers",
 	    h->settings.callers, "version", GREENGAGELOOM_VERSION, NULL);
 	event_base_dispatch(h->base);
-	if (h->incarnation != 0) {
+	if (h->incarnation != 0 && !h->superseded) {
 		join_leave(h, TRUE, on_gone);
 		event_base_dispatch(h->base);
 	}
 	log_event(
 	    LOG_INFO, "host.stopped", "cut", log_num(h->carries->len), NULL);
+	if (h->superseded)
+		return HOST_AGAIN;
 	return h->carries->len == 0 ? 0 : 1;
 }
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -4,8 +4,12 @@
 #include <event2/event.h>
 
 #include "base/metrics.h"
+#include "coordination/confspread.h"
 #include "coordination/freshness.h"
 #include "coordination/retry_budget.h"
+#include "coordination/roster.h"
+#include "coordination/roster_view.h"
+#include "coordination/withdrawals.h"
 #include "host/mirror.h"
 #include "host/settings.h"
 #include "protocol/rows.h"
@@ -15,6 +19,8 @@
 #include "state/route_choice.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
+#include "transport/rpc_client.h"
+#include "transport/rpc_server.h"
 #include "transport/store.h"
 
 /*
@@ -38,7 +44,7 @@
 typedef struct carry carry_t;
 
 typedef struct host {
-	settings_t settings;
+	settings_t settings; /* borrowed */
 	struct event_base *base;
 	host_phase_t phase;
 	uint64_t token;	      /* random; names this process in its row */
@@ -52,16 +58,27 @@
 	http_client_t *http;
 	http_server_t *callers;
 	http_server_t *operators;
+	rpc_key_t rpc_key;
+	rpc_server_t rpc_server;
+	rpc_client_t rpc_client;
+	gboolean rpc_open;
 	store_t store;
 	mirror_t mirror;
+	/* The other hosts. */
+	roster_t roster; /* set up once we have joined */
+	roster_view_t view;
+	GHashTable *peers; /* name to peer_t */
+	msec_t exchange_at;
+	gboolean superseded;
 	/* Configuration in force; version 0: none yet. */
 	catalog_t catalog;
 	char *catalog_text;
-	config_row_t wanted;
-	gboolean fetching;
+	confspread_t spread;
 	msec_t scan_at, probe_at;
 	keys_t keys;
 	freshness_t fresh;
+	withdrawals_t withdrawals;
+	GPtrArray *operations; /* operation_t of operators */
 	endpoint_stats_t stats;
 	route_choice_t routes;
 	GHashTable *budgets; /* service name to retry_budget_t */
@@ -72,23 +89,41 @@
 	msec_t drain_until;
 } host_t;
 
+/* What host_run() returns for a host that should be made anew. */
+#define HOST_AGAIN (-1)
+
 /**
  * host_init() - Make a host from its settings.
  * @h: memory of the caller
- * @settings: moved into @h
+ * @settings: must outlive @h
  * @err: set if a port can't be bound
  */
-gboolean host_init(host_t *h, settings_t *settings, GError **err);
+gboolean host_init(host_t *h, const settings_t *settings, GError **err);
 void host_finish(host_t *h);
 
 /**
  * host_run() - Serve until told to stop.
  * @h: the host
  *
- * Return: exit status of the process.
+ * Return: exit status of the process, or HOST_AGAIN where it should be made
+ * anew because its place in the roster was taken.
  */
 int host_run(host_t *h);
 
+/**
+ * host_joined() - This process has its place in the roster.
+ * @h: the host
+ * @incarnation: which one it is
+ * @version: of its row in the store
+ */
+void host_joined(host_t *h, uint64_t incarnation, uint64_t version);
+
+/**
+ * host_stop() - Begin a graceful stop.
+ * @h: the host
+ */
+void host_stop(host_t *h);
+
 /**
  * host_take_text() - Put a configuration in force, whole or not at all.
  * @h: the host
--- a/src/host/join.c
+++ b/src/host/join.c
@@ -48,16 +48,6 @@
 	return last.last;
 }
 
-static void
-joined(host_t *h, uint64_t incarnation, uint64_t version)
-{
-	h->incarnation = incarnation;
-	h->row_version = version;
-	freshness_joined(&h->fresh, version);
-	log_event(LOG_INFO, "roster.joined", "host", h->settings.id,
-	    "incarnation", log_num((long long)incarnation), NULL);
-}
-
 static void
 on_joined(void *arg, const store_result_t *result, const GError *err)
 {
@@ -65,7 +55,7 @@
 
 	h->joining = FALSE;
 	if (err == NULL) {
-		joined(h, h->join_incarnation, result->u.version);
+		host_joined(h, h->join_incarnation, result->u.version);
 		mirror_scan(&h->mirror);
 		return;
 	}
@@ -116,7 +106,7 @@
 	if (row == NULL || !rows_decode(&row_host, row->value, &value, NULL))
 		goto out;
 	if (h->incarnation == 0 && value.token == h->token)
-		joined(h, value.incarnation, row->version);
+		host_joined(h, value.incarnation, row->version);
 	rows_clear(&row_host, &value);
 out:
 	/* A write that is still on its way has its checks against it. */
--- a/src/host/key_issue.c
+++ b/src/host/key_issue.c
@@ -52,8 +52,7 @@
 	g_free(a);
 	if (end_wait(k))
 		return;
-	act(k, issue_written(&k->issue, attempt, result, version,
-		   clock_now()));
+	act(k, issue_written(&k->issue, attempt, result, version, clock_now()));
 	mirror_scan(&k->host->mirror);
 }
 
@@ -78,8 +77,9 @@
 			place = PLACE_OURS;
 		rows_clear(&row_key, &value);
 	}
-	act(k, issue_read(&k->issue, attempt, place,
-		   err == NULL ? result->u.row.version : 0, clock_now()));
+	act(k,
+	    issue_read(&k->issue, attempt, place,
+		err == NULL ? result->u.row.version : 0, clock_now()));
 }
 
 static void
@@ -121,8 +121,8 @@
 }
 
 key_issue_t *
-keyops_issue(host_t *h, const digest_t *digest, const char *workspace,
-    uint64_t token)
+keyops_issue(
+    host_t *h, const digest_t *digest, const char *workspace, uint64_t token)
 {
 	key_issue_t *k = g_new0(key_issue_t, 1);
 
--- a/src/host/keyops.c
+++ b/src/host/keyops.c
@@ -57,9 +57,8 @@
 
 	for (i = 0; i < n; i++) {
 		memcpy(row.digest.bytes, rows[i].digest, DIGEST_BYTES);
-		row.workspace = *rows[i].workspace != '\0'
-		    ? rows[i].workspace
-		    : NULL;
+		row.workspace =
+		    *rows[i].workspace != '\0' ? rows[i].workspace : NULL;
 		row.version = rows[i].store_version;
 		row.withdrawn = rows[i].withdrawn;
 		keys_merge(&h->keys, &row);
@@ -102,8 +101,8 @@
 	f->peer = peer;
 	f->since = keys_complete(&h->keys);
 	args.u.fetch_keys.since = f->since;
-	peer->fetching_keys = peers_call(h, peer->name, &args,
-	    FETCH_TIMEOUT_MS, on_fetched, f);
+	peer->fetching_keys =
+	    peers_call(h, peer->name, &args, FETCH_TIMEOUT_MS, on_fetched, f);
 	if (!peer->fetching_keys)
 		g_free(f);
 }
@@ -135,8 +134,8 @@
 
 	return freshness_loaded(&h->fresh, &h->keys) &&
 	    replica.host != HOST_NONE &&
-	    withdrawals_may_vouch(&h->withdrawals, replica,
-		keys_complete(&h->keys));
+	    withdrawals_may_vouch(
+		&h->withdrawals, replica, keys_complete(&h->keys));
 }
 
 static void
@@ -176,8 +175,8 @@
 	GArray *out = actions_new();
 
 	if (w != NULL)
-		withdrawal_written(w, p->attempt, result, version,
-		    clock_now(), out);
+		withdrawal_written(
+		    w, p->attempt, result, version, clock_now(), out);
 	carry_out(p->host, out);
 	mirror_scan(&p->host->mirror);
 	g_free(p);
@@ -200,8 +199,8 @@
 	value.withdrawn = TRUE;
 	text = rows_encode(&row_key, &value);
 	write.value = text;
-	fenced_write(h, &check, 1, &write, 1, on_row_written,
-	    pending_new(h, a));
+	fenced_write(
+	    h, &check, 1, &write, 1, on_row_written, pending_new(h, a));
 	rows_clear(&row_key, &value);
 	free(text);
 	g_free(name);
@@ -311,8 +310,8 @@
 }
 
 void
-keyops_serve_withdraw(host_t *h, rpc_call_id_t call,
-    const withdraw_args_t *args)
+keyops_serve_withdraw(
+    host_t *h, rpc_call_id_t call, const withdraw_args_t *args)
 {
 	rpc_result_t result = {.proc = RPC_PROC_WITHDRAW};
 	const rpc_withdrawal_t *in;
@@ -332,8 +331,7 @@
 }
 
 void
-keyops_serve_fetch(host_t *h, rpc_call_id_t call,
-    const fetch_keys_args_t *args)
+keyops_serve_fetch(host_t *h, rpc_call_id_t call, const fetch_keys_args_t *args)
 {
 	GArray *rows = g_array_new(FALSE, FALSE, sizeof(key_row_t));
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(rpc_key_row_t));
@@ -348,8 +346,9 @@
 	for (i = 0; i < rows->len && i < RPC_KEYS_MAX; i++) {
 		row = &g_array_index(rows, key_row_t, i);
 		memcpy(wire.digest, row->digest.bytes, DIGEST_BYTES);
-		wire.workspace = (char *)(uintptr_t)(
-		    row->workspace != NULL ? row->workspace : "");
+		wire.workspace =
+		    (char *)(uintptr_t)(row->workspace != NULL ? row->workspace
+							       : "");
 		wire.withdrawn = row->withdrawn;
 		wire.store_version = row->version;
 		g_array_append_val(out, wire);
--- a/src/host/keyops.h
+++ b/src/host/keyops.h
@@ -64,8 +64,8 @@
  *
  * Return: the issue, to be freed with keyops_issue_free().
  */
-key_issue_t *keyops_issue(host_t *h, const digest_t *digest,
-    const char *workspace, uint64_t token);
+key_issue_t *keyops_issue(
+    host_t *h, const digest_t *digest, const char *workspace, uint64_t token);
 void keyops_issue_free(key_issue_t *k);
 
 /**
@@ -76,9 +76,9 @@
 void keyops_issue_tick(key_issue_t *k, msec_t now);
 
 /* Answers to WITHDRAW and FETCH_KEYS of peers. */
-void keyops_serve_withdraw(host_t *h, rpc_call_id_t call,
-    const withdraw_args_t *args);
-void keyops_serve_fetch(host_t *h, rpc_call_id_t call,
-    const fetch_keys_args_t *args);
+void keyops_serve_withdraw(
+    host_t *h, rpc_call_id_t call, const withdraw_args_t *args);
+void keyops_serve_fetch(
+    host_t *h, rpc_call_id_t call, const fetch_keys_args_t *args);
 
 #endif
--- a/src/host/operate.c
+++ b/src/host/operate.c
@@ -151,8 +151,7 @@
 describe_apply(const apply_t *a, operate_result_t *r)
 {
 	r->outcome = apply_outcome(a->state);
-	r->result_version =
-	    a->state == APPLY_CONFLICT ? a->theirs : a->version;
+	r->result_version = a->state == APPLY_CONFLICT ? a->theirs : a->version;
 	r->hosts_confirmed = a->hosts_in_force;
 	r->hosts_total = a->hosts;
 	r->text = a->state == APPLY_CONFLICT
@@ -276,19 +275,17 @@
 	case OPERATE_APPLY:
 		return (const uint8_t *)args->operate_args_t_u.apply.token;
 	case OPERATE_KEY_ISSUE:
-		return (const uint8_t *)
-		    args->operate_args_t_u.key_issue.token;
+		return (const uint8_t *)args->operate_args_t_u.key_issue.token;
 	case OPERATE_KEY_WITHDRAW:
-		return (const uint8_t *)
-		    args->operate_args_t_u.key_withdraw.token;
+		return (
+		    const uint8_t *)args->operate_args_t_u.key_withdraw.token;
 	case OPERATE_PROGRESS:
 		return (const uint8_t *)args->operate_args_t_u.progress.token;
 	case OPERATE_MOVE_START:
-		return (const uint8_t *)
-		    args->operate_args_t_u.move_start.token;
+		return (const uint8_t *)args->operate_args_t_u.move_start.token;
 	case OPERATE_MOVE_CANCEL:
-		return (const uint8_t *)
-		    args->operate_args_t_u.move_cancel.token;
+		return (
+		    const uint8_t *)args->operate_args_t_u.move_cancel.token;
 	case OPERATE_STATUS:
 	case OPERATE_DUMP:
 		break;
@@ -299,8 +296,7 @@
 static void
 show_state(host_t *h, operate_op_t op, operate_result_t *r)
 {
-	char *text =
-	    op == OPERATE_DUMP ? dump_text(h) : dump_status_text(h);
+	char *text = op == OPERATE_DUMP ? dump_text(h) : dump_status_text(h);
 
 	r->outcome = OPERATE_DONE;
 	r->result_version = h->spread.in_force.version;
@@ -329,12 +325,12 @@
 			op = start_apply(h, &args->operate_args_t_u.apply, r);
 			break;
 		case OPERATE_KEY_ISSUE:
-			op = start_issue(h,
-			    &args->operate_args_t_u.key_issue, r);
+			op = start_issue(
+			    h, &args->operate_args_t_u.key_issue, r);
 			break;
 		case OPERATE_KEY_WITHDRAW:
-			op = start_withdraw(h,
-			    &args->operate_args_t_u.key_withdraw);
+			op = start_withdraw(
+			    h, &args->operate_args_t_u.key_withdraw);
 			break;
 		case OPERATE_MOVE_START:
 		case OPERATE_MOVE_CANCEL:
@@ -352,8 +348,8 @@
 	if (args->op == OPERATE_STATUS || args->op == OPERATE_DUMP ||
 	    args->op == OPERATE_PROGRESS)
 		return TRUE;
-	if (h->phase != HOST_DRAINING &&
-	    h->incarnation != 0 && roster_eligible(&h->roster, clock_now()))
+	if (h->phase != HOST_DRAINING && h->incarnation != 0 &&
+	    roster_eligible(&h->roster, clock_now()))
 		return TRUE;
 	refuse(r, OPERATE_REFUSED,
 	    "this host is not yet known to all others, or leaving");
--- a/src/host/peers.c
+++ b/src/host/peers.c
@@ -77,8 +77,8 @@
 	peer = peer_at(h, name, roster_host(&h->roster, id)->rpc_address);
 	if (peer == NULL)
 		return FALSE;
-	if (rpc_client_call(&h->rpc_client, peer->rpc, args, timeout_ms, fn,
-		arg, &err))
+	if (rpc_client_call(
+		&h->rpc_client, peer->rpc, args, timeout_ms, fn, arg, &err))
 		return TRUE;
 	log_event(LOG_DEBUG, "peer.call.failed", "peer", name, "error",
 	    err->message, NULL);
@@ -117,8 +117,8 @@
 		}
 		endpoint_stats_peer(&h->stats, endpoint, id,
 		    k < beat->loads.loads_len
-			? (uint16_t)MIN(beat->loads.loads_val[k].in_flight,
-			      UINT16_MAX)
+			? (uint16_t)MIN(
+			      beat->loads.loads_val[k].in_flight, UINT16_MAX)
 			: 0,
 		    at);
 	}
@@ -260,8 +260,7 @@
 	if (id != HOST_NONE && id != h->roster.self) {
 		peer = peer_at(h, from->id, from->rpc_address);
 		if (peer != NULL)
-			take_heartbeat(h, peer, id, &args->heartbeat, now,
-			    now);
+			take_heartbeat(h, peer, id, &args->heartbeat, now, now);
 	}
 	heartbeat_init(&beat, h, now);
 	result.u.exchange.sequence = args->sequence;
@@ -288,8 +287,8 @@
 	replica_t replica;
 
 	if (!rows_decode(&row_host, row->value, &value, NULL)) {
-		log_event(LOG_ERROR, "roster.row.unreadable", "host", name,
-		    NULL);
+		log_event(
+		    LOG_ERROR, "roster.row.unreadable", "host", name, NULL);
 		return;
 	}
 	out.name = name;
@@ -309,8 +308,7 @@
 void
 peers_scanned(host_t *h, msec_t sent_at)
 {
-	const mirror_row_t *counter =
-	    mirror_get(&h->mirror, ROWS_INCARNATION);
+	const mirror_row_t *counter = mirror_get(&h->mirror, ROWS_INCARNATION);
 	roster_scan_t scan = {h, NULL, clock_now()};
 	incarnation_row_t last = {0};
 
@@ -321,13 +319,10 @@
 	roster_scan_begin(&h->roster);
 	mirror_each(&h->mirror, ROWS_HOST, take_row, &scan);
 	roster_scan_end(&h->roster, last.last, scan.now);
-	roster_view_read(&h->view, (const replica_t *)(void *)scan.replicas->data,
-	    scan.replicas->len, sent_at, scan.now);
+	roster_view_read(&h->view,
+	    (const replica_t *)(void *)scan.replicas->data, scan.replicas->len,
+	    sent_at, scan.now);
 	g_array_free(scan.replicas, TRUE);
-	if (h->first_exchange) {
-		h->first_exchange = FALSE;
-		h->exchange_at = scan.now;
-	}
 }
 
 guint
@@ -346,7 +341,7 @@
 			continue;
 		peer = peers_get(h, row->name);
 		theirs = i == h->roster.self ? keys_complete(&h->keys)
-		    : peer != NULL           ? peer->keys_version
+		    : peer != NULL	     ? peer->keys_version
 					     : 0;
 		(*hosts)++;
 		if (theirs >= version)
--- a/tests/rpc_samples.h
+++ b/tests/rpc_samples.h
@@ -17,7 +17,8 @@
 {
 	rpc_heartbeat_t h = {{"host-a", 12, "milano", "milano-a", "127.0.0.1:1",
 				 "127.0.0.1:2", RPC_HOST_LIVE, "0.1.0"},
-	    5, "d", 6, -1, {2, sample_leases}, {1, sample_steps}, {2, sample_loads}};
+	    5, "d", 6, -1, {2, sample_leases}, {1, sample_steps},
+	    {2, sample_loads}};
 
 	return h;
 }
@@ -89,8 +90,8 @@
 	memset(r, 0, sizeof(*r));
 	r->proc = (rpc_proc_t)i;
 	if (i == RPC_PROC_EXCHANGE)
-		r->u.exchange =
-		    (exchange_result_t){17, TRUE, FALSE, TRUE, sample_heartbeat()};
+		r->u.exchange = (exchange_result_t){
+		    17, TRUE, FALSE, TRUE, sample_heartbeat()};
 	else if (i == RPC_PROC_WITHDRAW)
 		r->u.withdraw = (withdraw_result_t){TRUE, 12, 7};
 	else if (i == RPC_PROC_FETCH_KEYS)
--- a/tests/standins/standin_backend.c
+++ b/tests/standins/standin_backend.c
@@ -61,6 +61,17 @@
 	return evhttp_find_header(evhttp_request_get_input_headers(req), key);
 }
 
+/* With the number that the caller gave its request, so runs can be counted. */
+static void
+log_run(struct evhttp_request *req, const char *id)
+{
+	const char *number = header(req, "X-Caller-Number");
+	char *line = g_strdup_printf("%s %s", id, number ? number : "-");
+
+	log_line("run", line);
+	g_free(line);
+}
+
 static void
 drop_connection(struct evhttp_request *req)
 {
@@ -169,7 +180,7 @@
 		shed(req);
 		return;
 	}
-	log_line("run", id != NULL ? id : "-");
+	log_run(req, id != NULL ? id : "-");
 	if (header(req, "Authorization") != NULL)
 		log_line("key-seen", id != NULL ? id : "-");
 	runs++;
--- /dev/null
+++ b/tests/standins/standin_caller.c
@@ -0,0 +1,248 @@
+/*
+ * Stands in for callers: sends requests one after another over several
+ * connections, to hosts in turn, and counts what came of each.
+ *
+ *   standin_caller --to IP:PORT[,IP:PORT...] --path /call/S/P [--method POST]
+ *	[--key-file F] [--count N] [--rate N] [--at-once N] [--log FILE]
+ *
+ * A request that was refused "not-run", or could not be sent, is sent again
+ * to the next host for up to --tries times. The last line on standard output
+ * is: sent=N answered=N refused_not_run=N unknown=N
+ */
+#include <sys/queue.h>
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+#include <glib.h>
+#include <popt.h>
+
+#include "base/clock.h"
+#include "transport/http_client.h"
+
+static char *to, *path = "/", *method = "GET", *key_file, *log_path, *body_text;
+static char *fault, *once;
+static int count = 1, rate = 100, at_once = 4, tries = 3, timeout_ms = 10000;
+
+static struct event_base *base;
+static http_client_t *http;
+static struct event *pacer;
+static char **hosts;
+static guint n_hosts, next_host;
+static char *authorization;
+static FILE *log_file;
+static int started, running, ended;
+static int answered, refused, unknown;
+static GHashTable *reasons;
+
+typedef struct {
+	int number;
+	int tries_left;
+	msec_t began_at;
+} job_t;
+
+static void send_job(job_t *job);
+
+static void
+note_reason(const char *reason)
+{
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(reasons, reason));
+
+	g_hash_table_insert(reasons, g_strdup(reason), GINT_TO_POINTER(n + 1));
+}
+
+static void
+end_job(job_t *job, const char *what)
+{
+	if (log_file != NULL)
+		fprintf(log_file, "%s %d %lld\n", what, job->number,
+		    (long long)(clock_now() - job->began_at));
+	running--;
+	ended++;
+	g_free(job);
+	if (ended == count)
+		event_base_loopbreak(base);
+}
+
+static void
+finish_answered(job_t *job, struct evbuffer *body)
+{
+	char *text = g_strndup((const char *)evbuffer_pullup(body, -1),
+	    MIN(evbuffer_get_length(body), 100));
+	char *line;
+
+	g_strchomp(text);
+	line = g_strdup_printf("answered [%s]", text);
+	answered++;
+	end_job(job, line);
+	g_free(line);
+	g_free(text);
+}
+
+static void
+on_done(void *arg, http_outcome_t outcome, int status,
+    const struct evkeyvalq *headers, struct evbuffer *body)
+{
+	const char *ran = headers != NULL
+	    ? evhttp_find_header(headers, "Greengageloom-Ran")
+	    : NULL;
+	const char *reason = headers != NULL
+	    ? evhttp_find_header(headers, "Greengageloom-Reason")
+	    : NULL;
+	job_t *job = arg;
+	gboolean not_run = outcome == HTTP_NOT_SENT ||
+	    (ran != NULL && strcmp(ran, "not-run") == 0);
+
+	if (outcome == HTTP_ANSWERED && ran == NULL && status < 500) {
+		finish_answered(job, body);
+		return;
+	}
+	note_reason(reason != NULL	   ? reason
+		: outcome == HTTP_ANSWERED ? "status"
+					   : "connection");
+	if (not_run && --job->tries_left > 0) {
+		send_job(job);
+	} else if (not_run) {
+		refused++;
+		end_job(job, "refused-not-run");
+	} else {
+		unknown++;
+		end_job(job, "unknown");
+	}
+}
+
+static void
+send_job(job_t *job)
+{
+	http_handler_t handler = {.on_done = on_done, .arg = job};
+	struct evbuffer *body = evbuffer_new();
+	struct evkeyvalq headers;
+	http_request_t request = {
+	    .address = hosts[next_host++ % n_hosts],
+	    .method =
+		strcmp(method, "POST") == 0 ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
+	    .path = path,
+	    .headers = &headers,
+	    .body = body,
+	    .timeout_ms = timeout_ms,
+	};
+	char number[24];
+
+	TAILQ_INIT(&headers);
+	g_snprintf(number, sizeof(number), "%d", job->number);
+	evhttp_add_header(&headers, "X-Caller-Number", number);
+	if (authorization != NULL)
+		evhttp_add_header(&headers, "Authorization", authorization);
+	if (fault != NULL)
+		evhttp_add_header(&headers, "X-Fault", fault);
+	if (once != NULL)
+		evhttp_add_header(&headers, "Idempotency-Key", once);
+	if (request.method == EVHTTP_REQ_POST)
+		evbuffer_add_printf(
+		    body, "%s", body_text != NULL ? body_text : "body");
+	if (http_call(http, &request, &handler) == NULL)
+		abort();
+	evhttp_clear_headers(&headers);
+	evbuffer_free(body);
+}
+
+static void
+on_pace(evutil_socket_t fd, short what, void *arg)
+{
+	job_t *job;
+
+	(void)fd;
+	(void)what;
+	(void)arg;
+	if (started == count || running >= at_once)
+		return;
+	job = g_new0(job_t, 1);
+	job->number = started++;
+	job->tries_left = tries;
+	job->began_at = clock_now();
+	running++;
+	send_job(job);
+}
+
+static const struct poptOption options[] = {
+    {"to", 't', POPT_ARG_STRING, &to, 0, "hosts", "IP:PORT,..."},
+    {"path", 'p', POPT_ARG_STRING, &path, 0, "path", "PATH"},
+    {"method", 'm', POPT_ARG_STRING, &method, 0, "GET or POST", "METHOD"},
+    {"key-file", 'k', POPT_ARG_STRING, &key_file, 0, "caller's key", "FILE"},
+    {"log", 'l', POPT_ARG_STRING, &log_path, 0, "a line a request", "FILE"},
+    {"body", 'b', POPT_ARG_STRING, &body_text, 0, "of POST", "TEXT"},
+    {"fault", 'f', POPT_ARG_STRING, &fault, 0, "X-Fault header", "FAULT"},
+    {"once", 'o', POPT_ARG_STRING, &once, 0, "Idempotency-Key", "KEY"},
+    {"count", 'n', POPT_ARG_INT, &count, 0, "requests", "N"},
+    {"rate", 'r', POPT_ARG_INT, &rate, 0, "requests a second", "N"},
+    {"at-once", 'a', POPT_ARG_INT, &at_once, 0, "at a time", "N"},
+    {"tries", 0, POPT_ARG_INT, &tries, 0, "tries of each", "N"},
+    {"timeout", 0, POPT_ARG_INT, &timeout_ms, 0, "of one try", "MS"},
+    POPT_AUTOHELP POPT_TABLEEND,
+};
+
+static void
+print_counts(void)
+{
+	GHashTableIter iter;
+	gpointer reason, n;
+
+	g_hash_table_iter_init(&iter, reasons);
+	while (g_hash_table_iter_next(&iter, &reason, &n))
+		printf("reason %s %d\n", (char *)reason, GPOINTER_TO_INT(n));
+	printf("sent=%d answered=%d refused_not_run=%d unknown=%d\n", started,
+	    answered, refused, unknown);
+}
+
+static void
+load_key(void)
+{
+	char *text;
+
+	if (key_file == NULL)
+		return;
+	if (!g_file_get_contents(key_file, &text, NULL, NULL))
+		exit(2);
+	g_strchomp(text);
+	authorization = g_strconcat("Bearer ", text, NULL);
+	g_free(text);
+}
+
+int
+main(int argc, char **argv)
+{
+	poptContext ctx =
+	    poptGetContext(NULL, argc, (const char **)argv, options, 0);
+	struct timeval tv;
+
+	if (poptGetNextOpt(ctx) != -1 || to == NULL || rate < 1) {
+		poptPrintUsage(ctx, stderr, 0);
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	load_key();
+	hosts = g_strsplit(to, ",", -1);
+	n_hosts = g_strv_length(hosts);
+	if (log_path != NULL)
+		log_file = fopen(log_path, "a");
+	reasons = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	base = event_base_new();
+	http = http_client_new(base, 16);
+	pacer = event_new(base, -1, EV_PERSIST, on_pace, NULL);
+	tv.tv_sec = 1 / rate;
+	tv.tv_usec = 1000000 / rate % 1000000;
+	event_add(pacer, &tv);
+	event_base_dispatch(base);
+	print_counts();
+	event_free(pacer);
+	http_client_free(http);
+	event_base_free(base);
+	g_hash_table_destroy(reasons);
+	g_strfreev(hosts);
+	g_free(authorization);
+	poptFreeContext(ctx);
+	return 0;
+}
