--- /dev/null
+++ b/tests/bench/bench_limits.c
@@ -0,0 +1,444 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <popt.h>
+
+#include "coordination/borrower.h"
+
+/*
+ * The decision on one workspace's requests by ten hosts with a lender at a
+ * fixed distance. What is refused although one shared bucket would have
+ * admitted it is a wrongful refusal.
+ */
+
+#define HOSTS 10
+#define CUT_HOSTS 3 /* hosts of the region that is cut off */
+#define RUN_MS 60000
+#define MEASURE_FROM_MS 20000 /* the buckets are full by then */
+#define FAULT_FROM_MS 20000
+#define FAULT_TO_MS 50000
+#define MESSAGES_MAX 256
+#define QUEUE_MAX 128
+#define WAITS (WAIT_MAX_MS + 2)
+#define LENDER 0  /* the host with the lease */
+#define BUSIEST 1 /* the host that lopsided callers prefer */
+#define DEAD 2
+
+typedef enum {
+	FAULT_NONE,
+	FAULT_LENDER, /* no host holds the lease */
+	FAULT_REGION, /* some hosts don't reach the lender */
+	FAULT_HOST,   /* one host is dead; its callers go to the others */
+} fault_t;
+
+typedef struct {
+	const char *name;
+	double rate, burst, load; /* load as a multiple of the rate */
+	double busiest;		  /* part of the callers at one host; 0: even */
+	msec_t one_way;
+	fault_t fault;
+} scene_t;
+
+/* A policy: fixed split, or lending with a floor. */
+typedef struct {
+	const char *name;
+	gboolean fixed;
+	unsigned floor_permille;
+} policy_t;
+
+typedef struct {
+	msec_t arrived_at, until;
+	gboolean ideal; /* the shared bucket admitted it */
+} waiting_t;
+
+typedef struct {
+	borrower_t borrower;
+	bucket_t split;
+	waiting_t queue[QUEUE_MAX];
+	int n_queue;
+	double next_at; /* arrival, milliseconds */
+} sim_host_t;
+
+typedef struct {
+	gboolean used, answer;
+	int host;
+	msec_t due;
+	borrow_request_t request;
+	borrow_answer_t reply;
+} message_t;
+
+typedef struct {
+	long offered, ideal, wrongful, admitted, waited, questions, over;
+	long waits[WAITS];
+} result_t;
+
+typedef struct {
+	const scene_t *scene;
+	const policy_t *policy;
+	GRand *rand;
+	msec_t now;
+	sim_host_t hosts[HOSTS];
+	lender_t lender;
+	uint64_t epoch;
+	message_t messages[MESSAGES_MAX];
+	bucket_t ideal;
+	bucket_t promise; /* what the admitted requests may not exceed */
+	result_t *result;
+} sim_t;
+
+static gboolean
+fault_now(const sim_t *s, fault_t fault)
+{
+	return s->scene->fault == fault && s->now >= FAULT_FROM_MS &&
+	    s->now < FAULT_TO_MS;
+}
+
+static gboolean
+reaches_lender(const sim_t *s, int host)
+{
+	if (fault_now(s, FAULT_LENDER))
+		return FALSE;
+	return !fault_now(s, FAULT_REGION) || host < HOSTS - CUT_HOSTS;
+}
+
+static gboolean
+host_dead(const sim_t *s, int host)
+{
+	return host == DEAD && fault_now(s, FAULT_HOST);
+}
+
+/* Requests per millisecond at a host, all alive. */
+static double
+host_rate(const sim_t *s, int host)
+{
+	double all = s->scene->rate * s->scene->load / MSEC_PER_SEC;
+
+	double busiest = s->scene->busiest;
+
+	if (busiest == 0)
+		return all / HOSTS;
+	return host == BUSIEST ? all * busiest
+			       : all * (1 - busiest) / (HOSTS - 1);
+}
+
+static double
+next_arrival(sim_t *s, int host, double after)
+{
+	double u = g_rand_double_range(s->rand, 1e-12, 1);
+	double sum = 0, term, x;
+	int i;
+
+	/* -log(u) without libm: halve until near one, then the series. */
+	for (x = u; x < 0.5; x *= 2)
+		sum += 0.69314718055994531;
+	for (i = 1, term = 1 - x; i < 60; i++, term *= 1 - x)
+		sum += term / i;
+	return after + sum / MAX(host_rate(s, host), 1e-9);
+}
+
+static void
+sim_init(sim_t *s, const scene_t *scene, const policy_t *policy, guint32 seed,
+    result_t *result)
+{
+	limit_t limit = limit_make(scene->rate, scene->burst);
+	borrower_config_t config = {limit, HOSTS, 0};
+	sim_host_t *h;
+	int i;
+
+	memset(s, 0, sizeof(*s));
+	s->scene = scene;
+	s->policy = policy;
+	s->result = result;
+	s->rand = g_rand_new_with_seed(seed);
+	bucket_init(&s->ideal, limit, 0);
+	bucket_init(&s->promise, limit, 0);
+	s->ideal.level = s->promise.level = limit.burst;
+	lender_init(&s->lender);
+	for (i = 0; i < HOSTS; i++) {
+		h = &s->hosts[i];
+		borrower_init(
+		    &h->borrower, (host_id_t)i, 1, policy->floor_permille, 0);
+		config.slot = (uint16_t)i;
+		borrower_configure(&h->borrower, &config, 0);
+		borrower_settled(&h->borrower, 0);
+		bucket_init(&h->split, limit_floor(limit, 1000, HOSTS), 0);
+		h->next_at = next_arrival(s, i, 0);
+	}
+}
+
+static void
+sim_lend(sim_t *s)
+{
+	if (s->epoch != 0 && s->now != FAULT_TO_MS)
+		return;
+	if (s->epoch != 0 && s->scene->fault != FAULT_LENDER)
+		return;
+	lender_start(&s->lender, ++s->epoch,
+	    limit_lent(limit_make(s->scene->rate, s->scene->burst),
+		s->policy->floor_permille, HOSTS, TRUE),
+	    s->now);
+}
+
+static void
+sim_decided(sim_t *s, const waiting_t *w, gboolean admitted)
+{
+	result_t *r = s->result;
+	msec_t waited = MIN(s->now - w->arrived_at, WAITS - 1);
+
+	if (admitted) {
+		bucket_refill(&s->promise, 0, s->now);
+		r->over += !bucket_take(&s->promise, UTOKEN);
+	}
+	if (w->arrived_at < MEASURE_FROM_MS)
+		return;
+	r->wrongful += !admitted && w->ideal;
+	r->admitted += admitted;
+	r->waited += admitted && waited > 0;
+	r->waits[waited] += admitted;
+}
+
+/* Tries a request; false if it goes on waiting. */
+static gboolean
+sim_try(sim_t *s, sim_host_t *h, waiting_t *w, gboolean again)
+{
+	admit_t v;
+
+	if (s->policy->fixed) {
+		bucket_refill(&h->split, 0, s->now);
+		sim_decided(s, w, bucket_take(&h->split, UTOKEN));
+		return TRUE;
+	}
+	v = borrower_admit(&h->borrower, w->arrived_at, again, TRUE, s->now);
+	w->until = v.until;
+	if (v.kind == ADMIT_WAIT)
+		return FALSE;
+	sim_decided(s, w, v.kind == ADMIT);
+	return TRUE;
+}
+
+static void
+sim_retry(sim_t *s, sim_host_t *h, gboolean all)
+{
+	waiting_t w;
+	int i, n = h->n_queue, kept = 0;
+
+	for (i = 0; i < n; i++) {
+		w = h->queue[i];
+		if ((all || w.until <= s->now) && sim_try(s, h, &w, TRUE))
+			continue;
+		h->queue[kept++] = w;
+	}
+	h->n_queue = kept;
+}
+
+static int
+caller_target(sim_t *s, int host)
+{
+	while (host_dead(s, host))
+		host = g_rand_int_range(s->rand, 0, HOSTS);
+	return host;
+}
+
+static void
+sim_arrivals(sim_t *s, int host)
+{
+	sim_host_t *h = &s->hosts[host], *target;
+	waiting_t w;
+
+	while (h->next_at <= (double)s->now) {
+		h->next_at = next_arrival(s, host, h->next_at);
+		target = &s->hosts[caller_target(s, host)];
+		bucket_refill(&s->ideal, 0, s->now);
+		w.arrived_at = s->now;
+		w.ideal = bucket_take(&s->ideal, UTOKEN);
+		if (s->now >= MEASURE_FROM_MS) {
+			s->result->offered++;
+			s->result->ideal += w.ideal;
+		}
+		if (!sim_try(s, target, &w, FALSE)) {
+			if (target->n_queue == QUEUE_MAX)
+				abort();
+			target->queue[target->n_queue++] = w;
+		}
+	}
+}
+
+static void
+sim_send(sim_t *s, const message_t *m)
+{
+	int i;
+
+	for (i = 0; s->messages[i].used; i++) {
+		if (i == MESSAGES_MAX - 1)
+			abort();
+	}
+	s->messages[i] = *m;
+	s->messages[i].used = TRUE;
+	s->messages[i].due =
+	    s->now + (m->host == LENDER ? 0 : s->scene->one_way);
+}
+
+static void
+sim_ask(sim_t *s, int host)
+{
+	message_t m = {.host = host};
+
+	if (s->policy->fixed || host_dead(s, host) ||
+	    !borrower_ask(&s->hosts[host].borrower, s->now, &m.request))
+		return;
+	s->result->questions++;
+	if (reaches_lender(s, host))
+		sim_send(s, &m);
+}
+
+static void
+sim_receive(sim_t *s, message_t *m)
+{
+	sim_host_t *h = &s->hosts[m->host];
+
+	m->used = FALSE;
+	if (!reaches_lender(s, m->host) || host_dead(s, m->host))
+		return;
+	if (m->answer) {
+		borrower_answered(&h->borrower, &m->reply, s->now);
+		sim_retry(s, h, TRUE);
+		return;
+	}
+	if (lender_borrow(&s->lender, &m->request, INT64_MAX, s->now,
+		&m->reply) != LEND_ANSWERED)
+		return;
+	m->answer = TRUE;
+	sim_send(s, m);
+}
+
+static void
+sim_step(sim_t *s)
+{
+	int i, again = TRUE;
+
+	sim_lend(s);
+	for (i = 0; i < HOSTS; i++) {
+		sim_retry(s, &s->hosts[i], FALSE);
+		sim_arrivals(s, i);
+	}
+	for (i = 0; i < HOSTS; i++)
+		sim_ask(s, i);
+	while (again) {
+		again = FALSE;
+		for (i = 0; i < MESSAGES_MAX; i++) {
+			if (!s->messages[i].used || s->messages[i].due > s->now)
+				continue;
+			sim_receive(s, &s->messages[i]);
+			again = TRUE;
+		}
+	}
+}
+
+static void
+sim_run(const scene_t *scene, const policy_t *policy, guint32 seed,
+    result_t *result)
+{
+	static sim_t s;
+
+	sim_init(&s, scene, policy, seed, result);
+	for (s.now = 0; s.now < RUN_MS; s.now++)
+		sim_step(&s);
+	lender_finish(&s.lender);
+	g_rand_free(s.rand);
+}
+
+static int
+wait_percentile(const result_t *r, double part)
+{
+	long seen = 0;
+	int i;
+
+	for (i = 0; i < WAITS - 1; i++) {
+		seen += r->waits[i];
+		if ((double)seen >= part * (double)r->admitted)
+			break;
+	}
+	return i;
+}
+
+static void
+print_result(
+    const scene_t *scene, const policy_t *policy, const result_t *r, int json)
+{
+	double missed =
+	    100.0 * (double)(r->ideal - r->admitted) / (double)r->ideal;
+	double wrongful = 100.0 * (double)r->wrongful / (double)r->ideal;
+	double waited = 100.0 * (double)r->waited / (double)r->admitted;
+	double questions = (double)r->questions / HOSTS / (RUN_MS / 1000.0);
+	const char *format = json
+	    ? "{\"scene\":\"%s\",\"policy\":\"%s\",\"offered\":%ld,"
+	      "\"wrongful_percent\":%.3f,\"missed_percent\":%.3f,\"waited_"
+	      "percent\":%.2f,"
+	      "\"p99_wait_ms\":%d,\"questions_per_host_sec\":%.1f,"
+	      "\"over\":%ld}\n"
+	    : "%-24s %-12s %8ld %9.3f %8.2f %8.2f %8d %8.1f %5ld\n";
+
+	printf(format, scene->name, policy->name, r->offered, wrongful, missed,
+	    waited, wait_percentile(r, 0.99), questions, r->over);
+}
+
+int
+main(int argc, const char **argv)
+{
+	static const scene_t scenes[] = {
+	    {"even 1 ms", 100, 50, 0.8, 0, 1, FAULT_NONE},
+	    {"even 20 ms", 100, 50, 0.8, 0, 20, FAULT_NONE},
+	    {"even 55 ms", 100, 50, 0.8, 0, 55, FAULT_NONE},
+	    {"lopsided 1 ms", 100, 50, 0.8, 0.5, 1, FAULT_NONE},
+	    {"lopsided 20 ms", 100, 50, 0.8, 0.5, 20, FAULT_NONE},
+	    {"lopsided 55 ms", 100, 50, 0.8, 0.5, 55, FAULT_NONE},
+	    {"all at one host, 20 ms", 100, 50, 0.8, 1, 20, FAULT_NONE},
+	    {"small lopsided 20 ms", 10, 10, 0.8, 0.5, 20, FAULT_NONE},
+	    {"light lopsided 55 ms", 100, 50, 0.3, 0.5, 55, FAULT_NONE},
+	    {"five times, 20 ms", 100, 50, 5, 0.5, 20, FAULT_NONE},
+	    {"one host dead, 20 ms", 100, 50, 0.8, 0.5, 20, FAULT_HOST},
+	    {"region cut, 20 ms", 100, 50, 0.8, 0, 20, FAULT_REGION},
+	    {"lender away, even", 100, 50, 0.8, 0, 20, FAULT_LENDER},
+	    {"lender away, lopsided", 100, 50, 0.8, 0.5, 20, FAULT_LENDER},
+	    {"lender away, light", 100, 50, 0.3, 0, 20, FAULT_LENDER},
+	};
+	static const policy_t policies[] = {
+	    {"fixed split", TRUE, 1000},
+	    {"lend f=0", FALSE, 0},
+	    {"lend f=0.2", FALSE, 200},
+	    {"lend f=0.5", FALSE, 500},
+	};
+	int seed = 1, seeds = 5, json = 0, k;
+	long over = 0;
+	const struct poptOption options[] = {
+	    {"seed", 0, POPT_ARG_INT, &seed, 0, "first seed", "N"},
+	    {"seeds", 0, POPT_ARG_INT, &seeds, 0, "number of runs", "N"},
+	    {"json", 0, POPT_ARG_NONE, &json, 0, "one object a line", NULL},
+	    POPT_AUTOHELP POPT_TABLEEND};
+	poptContext context = poptGetContext(NULL, argc, argv, options, 0);
+	result_t r;
+	size_t i, j;
+
+	if (poptGetNextOpt(context) != -1)
+		return 2;
+	poptFreeContext(context);
+	if (!json)
+		printf("seeds %d to %d, %d hosts, %d s each, faults from %d "
+		       "to %d s\n%-24s %-12s %8s %9s %8s %8s %8s %8s %5s\n",
+		    seed, seed + seeds - 1, HOSTS, RUN_MS / 1000,
+		    FAULT_FROM_MS / 1000, FAULT_TO_MS / 1000, "scene", "policy",
+		    "offered", "wrongful%", "missed%", "waited%", "p99 wait",
+		    "asks/s", "over");
+	for (i = 0; i < G_N_ELEMENTS(scenes); i++) {
+		for (j = 0; j < G_N_ELEMENTS(policies); j++) {
+			memset(&r, 0, sizeof(r));
+			for (k = 0; k < seeds; k++)
+				sim_run(&scenes[i], &policies[j],
+				    (guint32)(seed + k), &r);
+			print_result(&scenes[i], &policies[j], &r, json);
+			over += r.over;
+		}
+	}
+	return over == 0 ? 0 : 1;
+}
