--- a/tests/fuzz/byte_feed.h
+++ b/tests/fuzz/byte_feed.h
@@ -8,6 +8,12 @@
 
 #include <glib.h>
 
+/* The names are libFuzzer's. */
+/* NOLINTBEGIN(readability-identifier-naming) */
+int LLVMFuzzerInitialize(int *argc, char ***argv);
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+/* NOLINTEND(readability-identifier-naming) */
+
 /* Bytes of the fuzzer as a sequence of choices; zero once used up. */
 typedef struct {
 	const uint8_t *data;
--- a/tests/fuzz/fuzz_lease.c
+++ b/tests/fuzz/fuzz_lease.c
@@ -235,15 +235,14 @@
 	host_t *h = &w->hosts[m->to];
 	const char *not_for = lease_withholds(&h->lease);
 
-	if (m->incarnation < h->acked[m->from])
+	if (m->incarnation < h->acked[m->from] ||
+	    (not_for != NULL && not_for[1] - '0' == m->from)) {
 		m->from = -1;
-	else if (not_for != NULL && not_for[1] - '0' == m->from)
-		m->from = -1;
-	else {
-		h->acked[m->from] = m->incarnation;
-		h->gave_at[m->from] = local(w, m->to);
-		m->answer = TRUE;
+		return;
 	}
+	h->acked[m->from] = m->incarnation;
+	h->gave_at[m->from] = local(w, m->to);
+	m->answer = TRUE;
 }
 
 static void
@@ -449,9 +448,7 @@
 	return violation;
 }
 
-int LLVMFuzzerInitialize(int *argc, char ***argv);
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
-
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 int
 LLVMFuzzerInitialize(int *argc, char ***argv)
 {
@@ -465,6 +462,7 @@
 	return 0;
 }
 
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
