--- /dev/null
+++ b/src/state/judge.c
@@ -0,0 +1,200 @@
+#include <math.h>
+#include <string.h>
+
+#include "state/judge.h"
+
+/* How many times worse than its peer a bad version may be. */
+static const double ratios[JUDGE_RATIOS] = {2.5, 8, 32};
+
+/*
+ * A statistic this near to the threshold, in nats, is not clear. A good
+ * version comes so near with at most exp(3) = 20 times the probability alpha.
+ */
+#define JUDGE_UNCLEAR 3.0
+
+void
+judge_init(judge_t *j, unsigned int routes, uint32_t windows, double alpha)
+{
+	unsigned int i, m, r;
+
+	memset(j, 0, sizeof(*j));
+	j->routes = routes < JUDGE_ROUTES_MAX ? routes : JUDGE_ROUTES_MAX;
+	j->log_threshold =
+	    log((double)windows * JUDGE_METRICS * (j->routes + 1) / alpha);
+	for (i = 0; i <= j->routes; i++)
+		for (m = 0; m < JUDGE_METRICS; m++)
+			for (r = 0; r < JUDGE_RATIOS; r++)
+				j->cells[i].log_stat[m][r] = -INFINITY;
+}
+
+/*
+ * Logarithm of the likelihood ratio of one band: the new version goes wrong
+ * `ratio` times as often as its peer, against as often.
+ */
+static double
+band_evidence(const judge_sample_t *s, judge_metric_t m, double ratio)
+{
+	double fresh = s->fresh.requests, peer = s->peer.requests;
+	double even, worse;
+
+	if (s->fresh.requests == 0 || s->peer.requests == 0)
+		return 0;
+	even = fresh / (fresh + peer);
+	worse = ratio * fresh / (ratio * fresh + peer);
+	return s->fresh.bad[m] * log(worse / even) +
+	    s->peer.bad[m] * log((1 - worse) / (1 - even));
+}
+
+static double
+route_evidence(const judge_sample_t *bands, judge_metric_t m, double ratio)
+{
+	double sum = 0;
+	int b;
+
+	for (b = 0; b < JUDGE_BANDS; b++)
+		sum += band_evidence(&bands[b], m, ratio);
+	return sum;
+}
+
+/* Shiryaev-Roberts step, S = (1 + S) * ratio, on logarithms. */
+static void
+accumulate(double *log_stat, double evidence)
+{
+	double s = *log_stat;
+
+	s = s > 0 ? s + log1p(exp(-s)) : log1p(exp(s));
+	*log_stat = s + evidence;
+}
+
+/* Logarithm of the mean of the statistics over the ratios. */
+static double
+mixture(const judge_cell_t *c, judge_metric_t m)
+{
+	double top = -INFINITY, sum = 0;
+	int r;
+
+	for (r = 0; r < JUDGE_RATIOS; r++)
+		top = fmax(top, c->log_stat[m][r]);
+	if (isinf(top))
+		return top;
+	for (r = 0; r < JUDGE_RATIOS; r++)
+		sum += exp(c->log_stat[m][r] - top);
+	return top + log(sum / JUDGE_RATIOS);
+}
+
+static void
+count(judge_t *j, unsigned int route, const judge_sample_t *bands)
+{
+	judge_cell_t *c = &j->cells[route], *all = &j->cells[j->routes];
+	int b;
+
+	for (b = 0; b < JUDGE_BANDS; b++) {
+		c->fresh_requests += bands[b].fresh.requests;
+		c->peer_requests += bands[b].peer.requests;
+		all->fresh_requests += bands[b].fresh.requests;
+		all->peer_requests += bands[b].peer.requests;
+		j->band_fresh[b] += bands[b].fresh.requests;
+		j->band_peer[b] += bands[b].peer.requests;
+	}
+}
+
+/* Takes the evidence of a window into each route and into the whole. */
+static void
+weigh(
+    judge_t *j, judge_metric_t m, const judge_sample_t (*samples)[JUDGE_BANDS])
+{
+	double evidence, sum;
+	unsigned int i;
+	int r;
+
+	for (r = 0; r < JUDGE_RATIOS; r++) {
+		sum = 0;
+		for (i = 0; i < j->routes; i++) {
+			evidence = route_evidence(samples[i], m, ratios[r]);
+			accumulate(&j->cells[i].log_stat[m][r], evidence);
+			sum += evidence;
+		}
+		accumulate(&j->cells[j->routes].log_stat[m][r], sum);
+	}
+}
+
+static void
+find_bad(judge_t *j, judge_metric_t m)
+{
+	unsigned int i;
+
+	for (i = 0; i <= j->routes && !j->bad; i++) {
+		if (mixture(&j->cells[i], m) < j->log_threshold)
+			continue;
+		j->bad = TRUE;
+		j->bad_route = i;
+		j->bad_metric = m;
+	}
+}
+
+void
+judge_window(judge_t *j, const judge_sample_t (*samples)[JUDGE_BANDS])
+{
+	unsigned int i;
+	int m;
+
+	for (i = 0; i < j->routes; i++)
+		count(j, i, samples[i]);
+	for (m = 0; m < JUDGE_METRICS; m++) {
+		weigh(j, (judge_metric_t)m, samples);
+		find_bad(j, (judge_metric_t)m);
+	}
+}
+
+void
+judge_step(judge_t *j)
+{
+	unsigned int i;
+
+	for (i = 0; i <= j->routes; i++) {
+		j->cells[i].fresh_requests = 0;
+		j->cells[i].peer_requests = 0;
+	}
+	memset(j->band_fresh, 0, sizeof(j->band_fresh));
+	memset(j->band_peer, 0, sizeof(j->band_peer));
+}
+
+/* Whether a part of the peer's traffic was hardly seen by the new version. */
+static gboolean
+unseen(const judge_t *j, uint32_t peer, uint32_t fresh)
+{
+	uint32_t all = j->cells[j->routes].peer_requests;
+
+	return peer > 0 && (uint64_t)peer * JUDGE_PART >= all &&
+	    fresh < JUDGE_MIN_PART;
+}
+
+static gboolean
+cell_is_clear(const judge_t *j, const judge_cell_t *c)
+{
+	return mixture(c, JUDGE_ERRORS) < j->log_threshold - JUDGE_UNCLEAR &&
+	    mixture(c, JUDGE_SLOW) < j->log_threshold - JUDGE_UNCLEAR;
+}
+
+judge_verdict_t
+judge_verdict(const judge_t *j)
+{
+	const judge_cell_t *c;
+	unsigned int i;
+
+	if (j->bad)
+		return JUDGE_BAD;
+	if (j->cells[j->routes].fresh_requests < JUDGE_MIN_REQUESTS)
+		return JUDGE_WAIT;
+	for (i = 0; i <= j->routes; i++) {
+		c = &j->cells[i];
+		if (!cell_is_clear(j, c) ||
+		    unseen(j, c->peer_requests, c->fresh_requests))
+			return JUDGE_WAIT;
+	}
+	for (i = 0; i < JUDGE_BANDS; i++) {
+		if (unseen(j, j->band_peer[i], j->band_fresh[i]))
+			return JUDGE_WAIT;
+	}
+	return JUDGE_GOOD;
+}
--- /dev/null
+++ b/tests/test_judge.c
@@ -0,0 +1,169 @@
+#include <string.h>
+
+#include "state/judge.h"
+#include "suite.h"
+
+#define ROUTES 4
+#define ALPHA 0.01
+#define SEEDS 400
+#define WINDOWS 600
+
+/* What the new version does from a window on, on a route and at a load. */
+typedef struct {
+	const char *name;
+	int from_window;
+	int route; /* -1: all */
+	int band;  /* least load band */
+	double errors, slow;
+	int within; /* found at most so many windows later */
+} fault_t;
+
+static uint32_t
+binomial(GRand *rand, uint32_t n, double p)
+{
+	uint32_t i, k = 0;
+
+	for (i = 0; i < n; i++)
+		k += g_rand_double(rand) < p;
+	return k;
+}
+
+static judge_count_t
+serve(GRand *rand, uint32_t requests, double errors, double slow)
+{
+	judge_count_t c = {.requests = requests};
+
+	c.bad[JUDGE_ERRORS] = binomial(rand, requests, errors);
+	c.bad[JUDGE_SLOW] = binomial(rand, requests, slow);
+	return c;
+}
+
+/*
+ * A window of about 100 requests, 1 in 20 of them to the new version; the
+ * load goes through its bands, and both versions get worse with it.
+ */
+static void
+window(GRand *rand, judge_sample_t (*samples)[JUDGE_BANDS], int w,
+    const fault_t *f)
+{
+	double errors, slow;
+	int band = w / 20 % JUDGE_BANDS, r;
+	gboolean hit;
+
+	memset(samples, 0, sizeof(samples[0]) * ROUTES);
+	for (r = 0; r < ROUTES; r++) {
+		errors = 0.002 * (1 + band);
+		slow = 0.03 + 0.05 * band;
+		samples[r][band].peer = serve(rand, 24, errors, slow);
+		hit = f != NULL && w >= f->from_window && band >= f->band &&
+		    (f->route < 0 || f->route == r);
+		if (hit) {
+			errors += f->errors;
+			slow += f->slow;
+		}
+		samples[r][band].fresh =
+		    serve(rand, 1 + (r == w % ROUTES), errors, slow);
+	}
+}
+
+/* Return: the window in which it was found bad, or WINDOWS. */
+static int
+judge_run(uint32_t seed, const fault_t *f, judge_t *j)
+{
+	judge_sample_t samples[ROUTES][JUDGE_BANDS];
+	GRand *rand = g_rand_new_with_seed(seed);
+	int w;
+
+	judge_init(j, ROUTES, WINDOWS, ALPHA);
+	for (w = 0; w < WINDOWS && !j->bad; w++) {
+		window(rand, samples, w, f);
+		judge_window(j, (const judge_sample_t(*)[JUDGE_BANDS])samples);
+	}
+	g_rand_free(rand);
+	return j->bad ? w : WINDOWS;
+}
+
+/* At most alpha of good ones is called bad; 3 sigma above it is 10 of 400. */
+static void
+good_ones_stay(void)
+{
+	int seed, bad = 0, good = 0;
+	judge_t j;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		bad += judge_run((uint32_t)seed, NULL, &j) < WINDOWS;
+		good += judge_verdict(&j) == JUDGE_GOOD;
+	}
+	ck_assert_int_le(bad, 10);
+	ck_assert_int_ge(good, SEEDS * 9 / 10);
+}
+
+static void
+bad_ones_are_found(void)
+{
+	static const fault_t faults[] = {
+	    {"at once, fails", 0, -1, 0, 0.5, 0, 20},
+	    {"at once, slow", 0, -1, 0, 0, 0.5, 40},
+	    {"later", 300, -1, 0, 0.5, 0, 20},
+	    {"under load only", 0, -1, 2, 0.5, 0, 70},
+	    {"one route", 0, 2, 0, 0.8, 0, 40},
+	    {"one route, slow", 0, 2, 0, 0, 0.8, 120},
+	};
+	judge_t j;
+	size_t i;
+	int seed, at;
+
+	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		for (seed = 1; seed <= 40; seed++) {
+			at = judge_run((uint32_t)seed, &faults[i], &j);
+			ck_assert_msg(
+			    at <= faults[i].from_window + faults[i].within,
+			    "%s: seed %d found in window %d", faults[i].name,
+			    seed, at);
+			ck_assert_msg(at > faults[i].from_window,
+			    "%s: seed %d blamed before", faults[i].name, seed);
+		}
+	}
+}
+
+/* Few samples, a route or a load not seen: neither good nor bad. */
+static void
+unseen_is_not_good(void)
+{
+	judge_sample_t samples[ROUTES][JUDGE_BANDS];
+	judge_t j;
+	int w, r;
+
+	judge_init(&j, ROUTES, WINDOWS, ALPHA);
+	for (w = 0; w < 200; w++) {
+		memset(samples, 0, sizeof(samples));
+		for (r = 0; r < ROUTES; r++) {
+			samples[r][0].peer.requests = 20;
+			samples[r][2].peer.requests = 20;
+			samples[r][0].fresh.requests = 2;
+		}
+		judge_window(&j, (const judge_sample_t(*)[JUDGE_BANDS])samples);
+	}
+	ck_assert_int_eq(judge_verdict(&j), JUDGE_WAIT);
+	judge_init(&j, ROUTES, WINDOWS, ALPHA);
+	for (w = 0; w < 200; w++) {
+		for (r = 0; r < ROUTES; r++) {
+			samples[r][2].peer.requests = 0;
+			samples[r][0].fresh.requests = r == 1 ? 0 : 2;
+		}
+		judge_window(&j, (const judge_sample_t(*)[JUDGE_BANDS])samples);
+	}
+	ck_assert_int_eq(judge_verdict(&j), JUDGE_WAIT);
+}
+
+int
+main(void)
+{
+	static const suite_case_t cases[] = {
+	    {"good ones stay", good_ones_stay},
+	    {"bad ones are found", bad_ones_are_found},
+	    {"unseen is not good", unseen_is_not_good},
+	};
+
+	return suite_run("judge", cases, sizeof(cases) / sizeof(cases[0]));
+}
