Moves: shift, drain and rollout as one state machine

Cause: a move must keep its cap on every host while hosts disagree, go on under another holder, and be reported once and truly.

--- /dev/null
+++ b/src/coordination/move_plan.c
@@ -0,0 +1,71 @@
+#include "coordination/move_plan.h"
+
+static share_t
+least(share_t a, share_t b)
+{
+	return a < b ? a : b;
+}
+
+static int64_t
+soak_end(const move_row_t *row)
+{
+	int64_t window = row->deadline_wall - row->created_wall;
+
+	if (row->deadline_wall == 0)
+		return row->created_wall;
+	return row->created_wall + window * MOVE_SOAK_PERCENT / 100;
+}
+
+/* Spreads what is left over the time left; the last step is kept free. */
+static share_t
+spread(const move_row_t *row, const move_pace_t *pace)
+{
+	share_t rest = row->goal - row->share, add = row->step_cap;
+	int64_t left = row->deadline_wall - pace->wall_now - pace->step_ms;
+	int64_t steps = pace->step_ms > 0 ? left / pace->step_ms : left;
+
+	if (row->deadline_wall != 0 && steps > 0)
+		add = (share_t)((rest + steps - 1) / steps);
+	if (add < MOVE_LEAST_STEP)
+		add = MOVE_LEAST_STEP;
+	return row->share + least(rest, least(add, row->step_cap));
+}
+
+static share_t
+rollout_next(const move_row_t *row, const move_pace_t *pace, gboolean *proven)
+{
+	if (row->share < row->cap && !row->proven) {
+		if (row->share == 0)
+			return least(row->cap, MOVE_FIRST_SHARE);
+		return row->cap;
+	}
+	if (pace->verdict != JUDGE_GOOD)
+		return row->share;
+	if (!row->proven && pace->wall_now < soak_end(row))
+		return row->share;
+	*proven = TRUE;
+	return spread(row, pace);
+}
+
+share_t
+move_plan_next(const move_row_t *row, const move_pace_t *pace, gboolean *proven)
+{
+	*proven = row->proven;
+	switch (row->kind) {
+	case MOVE_ROLLOUT:
+		return rollout_next(row, pace, proven);
+	case MOVE_SHIFT:
+	case MOVE_DRAIN:
+		break;
+	}
+	return spread(row, pace);
+}
+
+share_t
+move_plan_back(const move_row_t *row)
+{
+	/* A new version leaves at once; what was shifted leaves by steps. */
+	if (row->kind == MOVE_ROLLOUT || row->share <= row->step_cap)
+		return 0;
+	return row->share - row->step_cap;
+}
--- /dev/null
+++ b/src/coordination/move_plan.h
@@ -0,0 +1,38 @@
+#ifndef COORDINATION_MOVE_PLAN_H
+#define COORDINATION_MOVE_PLAN_H
+
+#include "coordination/move.h"
+#include "state/judge.h"
+
+/* First share of a new version, if its cap allows. */
+#define MOVE_FIRST_SHARE (SHARE_ONE / 100)
+/* Least step, so that a move with much time ends before its deadline. */
+#define MOVE_LEAST_STEP (SHARE_ONE / 50)
+/* Part of a rollout's time in which it stays unproven, below its cap. */
+#define MOVE_SOAK_PERCENT 50
+
+typedef struct {
+	int64_t wall_now;
+	msec_t step_ms; /* that one step is expected to take */
+	judge_verdict_t verdict;
+} move_pace_t;
+
+/**
+ * move_plan_next() - The share that the next step should have.
+ * @row: a running move whose present step is confirmed
+ * @pace: time and judgement
+ * @proven: set to TRUE when the new version may pass its cap
+ *
+ * Steps are spread over the time left, so that each is as small as the
+ * deadline allows.
+ *
+ * Return: a share between the present one and the goal; the present one
+ * where the move has to wait.
+ */
+share_t move_plan_next(
+    const move_row_t *row, const move_pace_t *pace, gboolean *proven);
+
+/** move_plan_back() - The next share of a move that backs out. */
+share_t move_plan_back(const move_row_t *row);
+
+#endif
--- /dev/null
+++ b/src/coordination/move_room.h
@@ -0,0 +1,49 @@
+#ifndef COORDINATION_MOVE_ROOM_H
+#define COORDINATION_MOVE_ROOM_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "state/split.h"
+
+/* Oldest measurement on which a step may rest. */
+#define MOVE_MEASURE_MAX_AGE_MS (5 * MSEC_PER_SEC)
+/* Part of the slots and of the link that moved traffic may fill. */
+#define MOVE_FILL_PERCENT 80
+/* Duration of a request on warm caches, in the unit of cold_percent. */
+#define MOVE_WARM_PERCENT 100
+
+/* The side that would receive the next step, and what it would receive. */
+typedef struct {
+	gboolean known;	       /* every part of it was measured */
+	msec_t measured_at;    /* the oldest part, on this host's clock */
+	uint32_t slots;	       /* healthy, of the receiving side */
+	uint32_t busy;	       /* requests at once, measured there */
+	uint32_t on_way;       /* requests at once that other steps send there,
+				  not yet seen in busy */
+	uint32_t demand;       /* requests at once of all that may be moved */
+	uint32_t cold_percent; /* duration on cold caches, of a warm one's */
+	uint64_t link_free;    /* bits per second; unused if no traffic */
+	uint64_t link_demand;  /* bits per second of all that may be moved;
+				  0: no link is crossed */
+} move_room_t;
+
+/**
+ * move_room_fresh() - Whether a step may rest on the measurement.
+ * @room: the measurement
+ * @since: it must not be older than this moment
+ * @now: time
+ */
+gboolean move_room_fresh(const move_room_t *room, msec_t since, msec_t now);
+
+/**
+ * move_room_share() - How much more may be sent to the receiving side.
+ * @room: a fresh measurement
+ *
+ * Return: share of the demand, 0..SHARE_ONE, rounded down.
+ */
+share_t move_room_share(const move_room_t *room);
+
+#endif
--- /dev/null
+++ b/tests/fuzz/fuzz_moves.c
@@ -0,0 +1,638 @@
+/*
+ * One move, three hosts, two candidates for the lease. Rows and reports are
+ * lost, late, doubled and reordered; hosts are paused, restarted and gone; the
+ * store is cut off, loses answers and applies writes late; the holder changes
+ * at any time; measurements go missing; a version turns bad. The oracle looks
+ * at what hosts really give, and at what is written and reported.
+ */
+#include <string.h>
+
+#include "byte_feed.h"
+#include "coordination/move_admit.h"
+#include "coordination/move_holder.h"
+#include "coordination/move_host.h"
+
+#define HOSTS 3
+#define QUEUE 12
+#define STEPS 512
+#define SETTLE_MS 1000
+#define COLD_PERCENT 150
+
+typedef enum {
+	RULES_KEPT,
+	STEP_UNAWAITED,
+	MEASUREMENT_IGNORED,
+	ROOM_IGNORED,
+	STEP_LOWERED,
+	STOP_FORGOTTEN,
+	REPORTED_TWICE,
+	CAP_PASSED,
+} broken_t;
+
+typedef struct {
+	uint32_t seq;
+	move_report_t report;
+} word_t;
+
+typedef struct {
+	move_host_t moves;
+	gboolean paused, cut, live;
+	gboolean synced; /* has read the store since its start */
+	uint32_t seq, step, ever;
+	gboolean had_stopped;
+} host_t;
+
+typedef struct {
+	gboolean order; /* else a report */
+	int host;
+	word_t word;
+	uint64_t epoch;
+} message_t;
+
+typedef struct {
+	move_holder_t m;
+	gboolean started;
+	uint64_t epoch;
+	move_action_t pending;
+	word_t words[HOSTS];
+} candidate_t;
+
+typedef struct {
+	broken_t broken;
+	msec_t now;
+	move_row_t row;
+	uint64_t version;
+	uint64_t fence; /* epoch of the lease */
+	host_t hosts[HOSTS];
+	candidate_t candidates[2];
+	int holder;
+	message_t queue[QUEUE];
+	int queued;
+	move_action_t late;
+	move_room_t room;
+	judge_verdict_t verdict;
+	gboolean cancelled;
+	share_t shares[STEPS]; /* committed, by step */
+	gboolean any_proven;
+	uint32_t back_step; /* first step of backing out; 0: none */
+	int reports, finals;
+	const char *violation;
+} world_t;
+
+static void
+host_start(host_t *h)
+{
+	if (h->moves.moves != NULL)
+		move_host_finish(&h->moves);
+	move_host_init(&h->moves);
+	h->synced = FALSE;
+	h->had_stopped = FALSE;
+	h->step = 0;
+}
+
+static share_t
+share_given(const world_t *w, const host_t *h)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(move_weight_t));
+	share_t sum = 0;
+	guint i;
+
+	move_weights(&h->moves, "till", w->now, out);
+	for (i = 0; i < out->len; i++)
+		sum += g_array_index(out, move_weight_t, i).share;
+	g_array_free(out, TRUE);
+	return sum;
+}
+
+static void
+store_write(world_t *w, const move_row_t *row)
+{
+	gboolean to_first =
+	    row->kind == MOVE_ROLLOUT && !row->proven && row->share <= row->cap;
+
+	if (move_is_final(&w->row))
+		w->violation = "written after the final state";
+	if (row->share > w->row.share && !to_first &&
+	    row->share - w->row.share > row->step_cap)
+		w->violation = "a step over its cap";
+	if (row->share > w->row.share && row->state != MOVE_RUNNING)
+		w->violation = "share raised while backing out";
+	if (row->step != w->row.step + 1 || row->step >= STEPS)
+		w->violation = "steps skipped";
+	w->row = *row;
+	w->version++;
+	if (row->step < STEPS)
+		w->shares[row->step] = row->share;
+	w->any_proven |= row->proven;
+	w->finals += move_is_final(row);
+	if (row->state == MOVE_BACKING_OUT && w->back_step == 0)
+		w->back_step = row->step;
+}
+
+static gboolean
+store_commit(world_t *w, const move_action_t *a)
+{
+	if (a->row.epoch != w->fence || a->check_version != w->version)
+		return FALSE;
+	store_write(w, &a->row);
+	return TRUE;
+}
+
+static void
+note_step(world_t *w, host_t *h)
+{
+	uint32_t step = move_host_step(&h->moves, "m1");
+
+	if (step < h->step)
+		w->violation = "a step was lowered";
+	h->step = step;
+	if (step > h->ever)
+		h->ever = step;
+}
+
+/* What must be true when the holder decides to write. */
+static void
+check_decision(world_t *w, const move_row_t *from, const move_row_t *to)
+{
+	uint64_t usable = (uint64_t)w->room.slots * MOVE_FILL_PERCENT / 100;
+	uint64_t added = to->share - from->share;
+	gboolean raised = to->share > from->share;
+	host_t *h;
+	int i;
+
+	for (i = 0; i < HOSTS; i++) {
+		h = &w->hosts[i];
+		note_step(w, h);
+		if (!h->live)
+			continue;
+		if ((raised || move_is_final(to)) && h->ever < from->step)
+			w->violation = "a host had not confirmed the last step";
+		if (to->state == MOVE_DONE && h->synced && h->step > 0 &&
+		    share_given(w, h) != to->goal)
+			w->violation = "done, but not in force on a host";
+		if (to->state == MOVE_TAKEN_BACK && share_given(w, h) != 0)
+			w->violation = "taken back, but a host still gives";
+	}
+	if (!raised)
+		return;
+	if (!w->room.known || w->now - w->room.measured_at > 5000)
+		w->violation = "a step without a measurement";
+	if (added * w->room.demand * COLD_PERCENT / 100 / SHARE_ONE >
+	    (usable > w->room.busy ? usable - w->room.busy : 0))
+		w->violation = "a step without room";
+}
+
+static void
+check_hosts(world_t *w)
+{
+	share_t share;
+	host_t *h;
+	int i;
+
+	for (i = 0; i < HOSTS; i++) {
+		h = &w->hosts[i];
+		share = share_given(w, h);
+		note_step(w, h);
+		if (h->step < STEPS && share != 0 &&
+		    share != w->shares[h->step])
+			w->violation = "a share that no step has";
+		if (share > w->row.goal ||
+		    (!w->any_proven && share > w->row.cap))
+			w->violation = "over the cap";
+		if (w->row.kind == MOVE_ROLLOUT && share > 0 &&
+		    w->back_step != 0 && h->step >= w->back_step)
+			w->violation = "a share after it was taken back";
+		if (h->had_stopped && share > 0 && w->row.state != MOVE_DONE)
+			w->violation = "a share after it was stopped";
+		h->had_stopped |= w->row.kind == MOVE_ROLLOUT &&
+		    move_host_stopped(&h->moves, "m1");
+	}
+	if (w->reports > 1 || w->finals > 1 || w->reports > w->finals)
+		w->violation = "reported more than once, or untruly";
+}
+
+static void
+apply(world_t *w, host_t *h, const move_row_t *row)
+{
+	move_local_t *l;
+
+	if (w->broken == STEP_LOWERED && h->moves.moves->len > 0) {
+		l = &g_array_index(h->moves.moves, move_local_t, 0);
+		l->row = *row;
+		return;
+	}
+	move_host_apply(&h->moves, row);
+	if (w->broken == STOP_FORGOTTEN && h->moves.moves->len > 0)
+		g_array_index(h->moves.moves, move_local_t, 0).stopped = FALSE;
+}
+
+static void
+sync_store(world_t *w, int i)
+{
+	host_t *h = &w->hosts[i];
+
+	if (h->cut || h->paused)
+		return;
+	apply(w, h, &w->row);
+	move_host_word(&h->moves, w->now);
+	h->synced = TRUE;
+}
+
+static void
+sync_peer(world_t *w, int to, int from)
+{
+	const host_t *p = &w->hosts[from];
+
+	if (to == from || !w->hosts[to].synced || w->hosts[to].paused ||
+	    p->moves.moves->len == 0)
+		return;
+	apply(w, &w->hosts[to],
+	    &g_array_index(p->moves.moves, move_local_t, 0).row);
+	if (move_host_stopped(&p->moves, "m1"))
+		move_host_stop(&w->hosts[to].moves, "m1", MOVE_STOP_SEEN, 0);
+}
+
+static void
+send(world_t *w, const message_t *m)
+{
+	if (w->queued < QUEUE)
+		w->queue[w->queued++] = *m;
+}
+
+static void
+deliver(world_t *w, int at, gboolean again)
+{
+	message_t m;
+	word_t *word;
+
+	if (w->queued == 0)
+		return;
+	at %= w->queued;
+	m = w->queue[at];
+	if (!again)
+		w->queue[at] = w->queue[--w->queued];
+	if (m.order) {
+		if (!w->hosts[m.host].paused)
+			move_host_stop(&w->hosts[m.host].moves, "m1",
+			    MOVE_STOP_ORDERED, m.epoch);
+		return;
+	}
+	word = &w->candidates[w->holder].words[m.host];
+	if (m.word.seq <= word->seq)
+		return;
+	*word = m.word;
+	word->report.heard_at = w->now;
+}
+
+static void
+report(world_t *w, int i)
+{
+	host_t *h = &w->hosts[i];
+	message_t m = {.host = i};
+
+	if (h->paused)
+		return;
+	m.word.seq = ++h->seq;
+	m.word.report.confirmed = move_host_step(&h->moves, "m1");
+	m.word.report.stopped = move_host_stopped(&h->moves, "m1");
+	send(w, &m);
+}
+
+static void
+change_holder(world_t *w)
+{
+	candidate_t *c;
+
+	if (w->hosts[1 - w->holder].cut)
+		return;
+	w->holder = 1 - w->holder;
+	c = &w->candidates[w->holder];
+	memset(c, 0, sizeof(*c));
+	c->epoch = ++w->fence;
+	c->started = TRUE;
+	move_holder_init(&c->m, &w->row, w->version, w->now);
+}
+
+/* Inputs of the holder, as it knows them or as a broken rule makes them. */
+static move_input_t
+inputs(const world_t *w, const candidate_t *c, move_report_t *reports)
+{
+	move_input_t in = {.now = w->now,
+	    .wall_now = w->now,
+	    .held = TRUE,
+	    .epoch = c->epoch,
+	    .members_known = TRUE,
+	    .reports = reports,
+	    .room = w->room,
+	    .verdict = w->verdict,
+	    .cancelled = w->cancelled,
+	    .settle_ms = SETTLE_MS};
+	int i;
+
+	for (i = 0; i < HOSTS; i++) {
+		if (!w->hosts[i].live)
+			continue;
+		reports[in.n_reports] = c->words[i].report;
+		if (w->broken == STEP_UNAWAITED) {
+			reports[in.n_reports].confirmed = c->m.row.step;
+			reports[in.n_reports].heard_at = w->now;
+		}
+		in.n_reports++;
+	}
+	if (w->broken == MEASUREMENT_IGNORED) {
+		in.room.known = TRUE;
+		in.room.measured_at = w->now;
+	}
+	if (w->broken == ROOM_IGNORED)
+		in.room.busy = 0;
+	return in;
+}
+
+static void
+break_rule(const world_t *w, candidate_t *c)
+{
+	if (w->broken == REPORTED_TWICE && move_is_final(&c->m.row))
+		c->m.report_due = TRUE;
+	if (w->broken == CAP_PASSED)
+		c->m.row.cap = SHARE_ONE;
+}
+
+static void
+tick(world_t *w)
+{
+	candidate_t *c = &w->candidates[w->holder];
+	move_report_t reports[HOSTS];
+	move_input_t in;
+	move_action_t a;
+	int i;
+
+	if (!c->started || w->hosts[w->holder].paused)
+		return;
+	break_rule(w, c);
+	in = inputs(w, c, reports);
+	a = move_holder_tick(&c->m, &in);
+	switch (a.act) {
+	case MOVE_ACT_COMMIT:
+		check_decision(w, &c->m.row, &a.row);
+		c->pending = a;
+		break;
+	case MOVE_ACT_READ:
+		c->pending = a;
+		break;
+	case MOVE_ACT_STOP:
+		for (i = 0; i < HOSTS; i++)
+			send(w,
+			    &(message_t){.order = TRUE,
+				.host = i,
+				.epoch = a.row.epoch});
+		break;
+	case MOVE_ACT_REPORT:
+		w->reports++;
+		if (w->row.state != a.row.state || !move_is_final(&a.row))
+			w->violation = "reported what is not written";
+		break;
+	case MOVE_ACT_NONE:
+		break;
+	}
+}
+
+static void
+store_step(world_t *w, uint8_t pick)
+{
+	candidate_t *c = &w->candidates[w->holder];
+	gboolean down = w->hosts[w->holder].cut;
+	move_action_t a = c->pending;
+	move_result_t result;
+
+	c->pending.act = MOVE_ACT_NONE;
+	if (a.act == MOVE_ACT_READ) {
+		move_holder_read(&c->m,
+		    down || pick % 16 == 15 ? NULL : &w->row, w->version,
+		    w->now);
+		return;
+	}
+	if (a.act != MOVE_ACT_COMMIT)
+		return;
+	if (down || pick % 16 == 15) {
+		if (pick & 16)
+			w->late = a;
+		move_holder_answered(&c->m, &a, MOVE_LOST, 0, w->now);
+		return;
+	}
+	result = store_commit(w, &a) ? MOVE_WON : MOVE_CONFLICT;
+	if (pick % 16 == 14)
+		result = MOVE_LOST;
+	move_holder_answered(&c->m, &a, result, w->version, w->now);
+}
+
+static void
+measure(world_t *w, uint8_t arg)
+{
+	w->room.known = arg % 8 != 0;
+	w->room.measured_at = w->now;
+	w->room.slots = 60;
+	w->room.busy = arg % 8 == 1 ? 45 : 10;
+	w->room.demand = 40;
+	w->room.cold_percent = COLD_PERCENT;
+}
+
+static void
+ordinary_round(world_t *w)
+{
+	int i;
+
+	for (i = 0; i < HOSTS; i++) {
+		sync_store(w, i);
+		report(w, i);
+	}
+	while (w->queued > 0)
+		deliver(w, 0, FALSE);
+	if (w->room.known)
+		w->room.measured_at = w->now;
+	tick(w);
+	store_step(w, 0);
+	w->now += 600;
+}
+
+static void
+event(world_t *w, uint8_t op, uint8_t arg)
+{
+	host_t *h = &w->hosts[arg % HOSTS];
+
+	switch (op % 32) {
+	case 0:
+		h->cut = arg >= 160;
+		break;
+	case 1:
+		h->paused = arg >= 160;
+		break;
+	case 2:
+		if (arg >= 200)
+			host_start(h);
+		break;
+	case 3:
+		h->live = arg < 200;
+		break;
+	case 4:
+		if (arg >= 128)
+			change_holder(w);
+		break;
+	case 5:
+		if (w->late.act == MOVE_ACT_COMMIT)
+			store_commit(w, &w->late);
+		w->late.act = MOVE_ACT_NONE;
+		break;
+	case 6:
+		if (w->verdict != JUDGE_BAD)
+			w->verdict = arg < 8 ? JUDGE_BAD
+			    : arg < 180	     ? JUDGE_GOOD
+					     : JUDGE_WAIT;
+		break;
+	case 7:
+		if (arg < 8)
+			move_host_stop(&h->moves, "m1", MOVE_STOP_SEEN, 0);
+		break;
+	case 8:
+		w->cancelled |= arg < 24;
+		break;
+	case 9:
+		measure(w, arg);
+		break;
+	case 10:
+		w->now += 20 * arg;
+		break;
+	case 11:
+		sync_store(w, arg % HOSTS);
+		break;
+	case 12:
+		sync_peer(w, arg % HOSTS, arg / HOSTS % HOSTS);
+		break;
+	case 13:
+		report(w, arg % HOSTS);
+		break;
+	case 14:
+		deliver(w, arg, arg >= 200);
+		break;
+	case 15:
+		tick(w);
+		break;
+	case 16:
+		store_step(w, arg);
+		break;
+	default:
+		ordinary_round(w);
+		break;
+	}
+}
+
+static void
+start(world_t *w, uint8_t pick)
+{
+	static const move_request_t requests[] = {
+	    {"m1", MOVE_SHIFT, MOVE_REGION, "till", "a", "b", 2500, 30},
+	    {"m1", MOVE_DRAIN, MOVE_DOMAIN, "*", "a", NULL, 0, 40},
+	    {"m1", MOVE_ROLLOUT, MOVE_VERSION, "till", "1", "2", 0, 60},
+	};
+	caps_t caps = {.shift_cap = 0.3, .rollout_cap = 0.05};
+	GArray *rows = g_array_new(FALSE, FALSE, sizeof(move_row_t));
+	gboolean again;
+	int i;
+
+	if (!move_admit(rows, &requests[pick % 4 == 3 ? 2 : pick % 4], &caps, 0,
+		&w->row, &again, NULL))
+		abort();
+	g_array_free(rows, TRUE);
+	w->version = 1;
+	measure(w, 2);
+	w->verdict = JUDGE_GOOD;
+	for (i = 0; i < HOSTS; i++) {
+		host_start(&w->hosts[i]);
+		w->hosts[i].live = TRUE;
+	}
+	change_holder(w);
+}
+
+/* Moves that reached each final state, so that no test is empty. */
+static int finished[MOVE_ROLLOUT + 1][MOVE_TAKEN_BACK + 1];
+
+static const char *
+run(byte_feed_t *f, int broken)
+{
+	world_t *w = g_new0(world_t, 1);
+	const char *violation;
+	uint8_t op;
+	int i;
+
+	w->broken = (broken_t)broken;
+	start(w, feed_next(f));
+	while (!feed_done(f) && w->violation == NULL) {
+		op = feed_next(f);
+		event(w, op, feed_next(f));
+		check_hosts(w);
+	}
+	violation = w->violation;
+	if (broken == RULES_KEPT)
+		finished[w->row.kind][w->row.state]++;
+	for (i = 0; i < HOSTS; i++)
+		move_host_finish(&w->hosts[i].moves);
+	g_free(w);
+	return violation;
+}
+
+static void
+run_random(int runs)
+{
+	GRand *rand = g_rand_new_with_seed(2);
+	uint8_t data[512];
+	size_t i;
+
+	while (runs-- > 0) {
+		for (i = 0; i < sizeof(data); i++)
+			data[i] = (uint8_t)g_rand_int_range(rand, 0, 256);
+		run(&(byte_feed_t){data, sizeof(data), 0}, RULES_KEPT);
+	}
+	g_rand_free(rand);
+}
+
+/* NOLINTNEXTLINE(readability-identifier-naming) */
+int
+LLVMFuzzerInitialize(int *argc, char ***argv)
+{
+	int kind;
+
+	(void)argc;
+	(void)argv;
+	feed_self_test("step unawaited", STEP_UNAWAITED, 2000, run);
+	feed_self_test("measurement ignored", MEASUREMENT_IGNORED, 2000, run);
+	feed_self_test("room ignored", ROOM_IGNORED, 2000, run);
+	feed_self_test("step lowered", STEP_LOWERED, 2000, run);
+	feed_self_test("stop forgotten", STOP_FORGOTTEN, 2000, run);
+	feed_self_test("reported twice", REPORTED_TWICE, 2000, run);
+	feed_self_test("cap passed", CAP_PASSED, 2000, run);
+	run_random(500);
+	for (kind = MOVE_SHIFT; kind <= MOVE_ROLLOUT; kind++) {
+		if (finished[kind][MOVE_DONE] == 0 ||
+		    finished[kind][MOVE_TAKEN_BACK] == 0) {
+			fprintf(stderr, "self-test: %s: %d done, %d back\n",
+			    move_kind_name((move_kind_t)kind),
+			    finished[kind][MOVE_DONE],
+			    finished[kind][MOVE_TAKEN_BACK]);
+			abort();
+		}
+	}
+	return 0;
+}
+
+/* NOLINTNEXTLINE(readability-identifier-naming) */
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	byte_feed_t f = {data, size, 0};
+	const char *violation = run(&f, RULES_KEPT);
+
+	if (violation != NULL) {
+		fprintf(stderr, "fuzz_moves: %s\n", violation);
+		abort();
+	}
+	return 0;
+}
--- /dev/null
+++ b/tests/test_move.c
@@ -0,0 +1,389 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "coordination/move_admit.h"
+#include "coordination/move_holder.h"
+#include "coordination/move_host.h"
+#include "protocol/move_json.h"
+#include "suite.h"
+
+static const caps_t caps = {
+    .shift_cap = 0.3, .rollout_cap = 0.05, .rollout_sec = 100};
+
+static const move_request_t rollout = {
+    "m1", MOVE_ROLLOUT, MOVE_VERSION, "till", "1", "2", 0, 100};
+
+static move_row_t
+admitted(const move_request_t *request)
+{
+	GArray *rows = g_array_new(FALSE, FALSE, sizeof(move_row_t));
+	gboolean again;
+	move_row_t row;
+
+	ck_assert(move_admit(rows, request, &caps, 0, &row, &again, NULL));
+	g_array_free(rows, TRUE);
+	return row;
+}
+
+static void
+admits_or_names_what_is_in_the_way(void)
+{
+	static const struct {
+		move_request_t request;
+		int code; /* -1: admitted */
+		const char *message;
+	} rows[] = {
+	    {{"m2", MOVE_SHIFT, MOVE_REGION, "till", "a", "b", 3000, 0},
+		ERROR_CONFLICT, "move m1 of till is under way"},
+	    {{"m2", MOVE_DRAIN, MOVE_REGION, "*", "a", NULL, 0, 0},
+		ERROR_CONFLICT, "move m1 of till"},
+	    {{"m2", MOVE_DRAIN, MOVE_HOST, "*", "h1", NULL, 0, 0}, -1, ""},
+	    {{"m2", MOVE_SHIFT, MOVE_REGION, "shop", "a", "b", 3000, 0}, -1,
+		""},
+	    {{"m2", MOVE_SHIFT, MOVE_REGION, "shop", "a", "b", 3001, 0},
+		ERROR_INVALID, "cap 3000"},
+	    {{"m2", MOVE_SHIFT, MOVE_REGION, "shop", "a", "a", 10, 0},
+		ERROR_INVALID, "two different ends"},
+	    {{"m2", MOVE_SHIFT, MOVE_REGION, "*", "a", "b", 10, 0},
+		ERROR_INVALID, "one service"},
+	    {{"m2", MOVE_ROLLOUT, MOVE_VERSION, "shop", "1", "", 0, 0},
+		ERROR_INVALID, "characters"},
+	    {{"m1", MOVE_ROLLOUT, MOVE_VERSION, "till", "1", "2", 0, 100}, -1,
+		""},
+	};
+	GArray *known = g_array_new(FALSE, FALSE, sizeof(move_row_t));
+	move_row_t first = admitted(&rollout), row;
+	GError *err = NULL;
+	gboolean again, ok;
+	size_t i;
+
+	g_array_append_val(known, first);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		ok = move_admit(
+		    known, &rows[i].request, &caps, 0, &row, &again, &err);
+		ck_assert_int_eq(ok, rows[i].code < 0);
+		ck_assert_int_eq(ok && again, i == 8);
+		if (ok)
+			continue;
+		ck_assert_int_eq(err->code, rows[i].code);
+		ck_assert_msg(strstr(err->message, rows[i].message) != NULL,
+		    "%s", err->message);
+		g_clear_error(&err);
+	}
+	g_array_free(known, TRUE);
+}
+
+static void
+room_counts_what_is_on_its_way(void)
+{
+	static const struct {
+		move_room_t room;
+		share_t share;
+	} rows[] = {
+	    {{.slots = 100, .busy = 40, .demand = 100}, 4000},
+	    {{.slots = 100, .busy = 40, .on_way = 30, .demand = 100}, 1000},
+	    {{.slots = 100, .busy = 40, .demand = 100, .cold_percent = 200},
+		2000},
+	    {{.slots = 100, .busy = 90, .demand = 100}, 0},
+	    {{.slots = 100, .busy = 0, .demand = 0}, SHARE_ONE},
+	    {{.slots = 0, .busy = 0, .demand = 100}, 0},
+	    {{.slots = 100,
+		 .demand = 10,
+		 .link_free = 1000,
+		 .link_demand = 8000},
+		1000},
+	    {{.slots = 100, .demand = 10, .link_demand = 8000}, 0},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		ck_assert_uint_eq(
+		    move_room_share(&rows[i].room), rows[i].share);
+}
+
+static void
+plan_spreads_steps_over_the_time_left(void)
+{
+	static const struct {
+		share_t share;
+		gboolean proven;
+		int64_t wall;
+		judge_verdict_t verdict;
+		share_t next;
+	} rows[] = {
+	    {0, FALSE, 0, JUDGE_WAIT, 100},
+	    {100, FALSE, 5000, JUDGE_WAIT, 500},
+	    {500, FALSE, 20000, JUDGE_GOOD, 500}, /* soaks half the time */
+	    {500, FALSE, 50000, JUDGE_WAIT, 500},
+	    {500, FALSE, 50000, JUDGE_GOOD, 1556}, /* 9 steps left */
+	    {5000, TRUE, 90000, JUDGE_WAIT, 5000},
+	    {5000, TRUE, 90000, JUDGE_GOOD, 8000}, /* no more than a step */
+	    {9900, TRUE, 50000, JUDGE_GOOD, 10000},
+	};
+	move_row_t row = admitted(&rollout);
+	move_pace_t pace = {.step_ms = 5000};
+	gboolean proven;
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		row.share = rows[i].share;
+		row.proven = rows[i].proven;
+		pace.wall_now = rows[i].wall;
+		pace.verdict = rows[i].verdict;
+		ck_assert_uint_eq(
+		    move_plan_next(&row, &pace, &proven), rows[i].next);
+		ck_assert_int_eq(
+		    proven, rows[i].proven || rows[i].next > row.cap);
+	}
+}
+
+static share_t
+weight(const move_host_t *h, msec_t now)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(move_weight_t));
+	share_t share = 0;
+
+	move_weights(h, "till", now, out);
+	if (out->len > 0)
+		share = g_array_index(out, move_weight_t, 0).share;
+	g_array_free(out, TRUE);
+	return share;
+}
+
+static void
+host_gives_nothing_without_word_or_after_a_stop(void)
+{
+	move_row_t row = admitted(&rollout), old;
+	move_host_t h;
+
+	move_host_init(&h);
+	row.share = 500;
+	row.step = 3;
+	old = row;
+	move_host_apply(&h, &row);
+	ck_assert_uint_eq(weight(&h, 0), 0);
+	move_host_word(&h, 1000);
+	ck_assert_uint_eq(weight(&h, 3999), 500);
+	ck_assert_uint_eq(weight(&h, 4000), 0);
+	row.step = 4;
+	row.proven = TRUE;
+	move_host_apply(&h, &row);
+	ck_assert(!move_host_apply(&h, &old));
+	ck_assert_uint_eq(weight(&h, 4000), 500);
+	move_host_stop(&h, "m1", MOVE_STOP_SEEN, 0);
+	row.step = 5;
+	row.share = 900;
+	move_host_apply(&h, &row);
+	ck_assert_uint_eq(weight(&h, 4000), 0);
+	ck_assert_uint_eq(move_host_step(&h, "m1"), 5);
+	move_host_finish(&h);
+	/* A stop that comes before the row. */
+	move_host_init(&h);
+	move_host_stop(&h, "m1", MOVE_STOP_ORDERED, 1);
+	move_host_apply(&h, &row);
+	ck_assert_uint_eq(weight(&h, 4000), 0);
+	move_host_finish(&h);
+}
+
+typedef struct {
+	move_holder_t m;
+	move_report_t report;
+	move_input_t in;
+	int reports, stops;
+	share_t largest;
+} drive_t;
+
+/* One host that confirms at once, and a store that always answers. */
+static void
+drive(drive_t *d, msec_t until)
+{
+	move_action_t a;
+
+	d->in.held = d->in.members_known = TRUE;
+	d->in.epoch = 1;
+	d->in.reports = &d->report;
+	d->in.n_reports = 1;
+	d->in.settle_ms = 500;
+	for (; d->in.now < until; d->in.now += 100) {
+		d->in.wall_now = d->in.now;
+		d->report.confirmed = d->m.row.step;
+		d->report.heard_at = d->in.now;
+		d->in.room.measured_at = d->in.now;
+		a = move_holder_tick(&d->m, &d->in);
+		if (a.act == MOVE_ACT_COMMIT)
+			move_holder_answered(
+			    &d->m, &a, MOVE_WON, d->m.version + 1, d->in.now);
+		d->reports += a.act == MOVE_ACT_REPORT;
+		d->stops += a.act == MOVE_ACT_STOP;
+		d->largest = MAX(d->largest, d->m.row.share);
+	}
+}
+
+static void
+drive_init(drive_t *d, const move_request_t *request)
+{
+	move_row_t row = admitted(request);
+
+	memset(d, 0, sizeof(*d));
+	move_holder_init(&d->m, &row, 1, 0);
+	d->in.room = (move_room_t){.known = TRUE, .slots = 100, .demand = 50};
+	d->in.verdict = JUDGE_GOOD;
+}
+
+static void
+good_rollout_ends_on_time(void)
+{
+	drive_t d;
+
+	drive_init(&d, &rollout);
+	drive(&d, 49000);
+	ck_assert_uint_eq(d.largest, 500);
+	drive(&d, 101000);
+	ck_assert_int_eq(d.m.row.state, MOVE_DONE);
+	ck_assert(!d.m.row.late);
+	ck_assert_int_eq(d.reports, 1);
+}
+
+static void
+bad_rollout_is_taken_back(void)
+{
+	drive_t d;
+
+	drive_init(&d, &rollout);
+	drive(&d, 20000);
+	d.in.verdict = JUDGE_BAD;
+	drive(&d, 23000);
+	ck_assert_int_eq(d.m.row.state, MOVE_TAKEN_BACK);
+	ck_assert_int_eq(d.m.row.reason, MOVE_REASON_BAD);
+	ck_assert_uint_eq(d.largest, 500);
+	ck_assert_int_eq(d.stops, 1);
+	ck_assert_int_eq(d.reports, 1);
+	d.in.verdict = JUDGE_GOOD;
+	drive(&d, 200000);
+	ck_assert_int_eq(d.m.row.state, MOVE_TAKEN_BACK);
+	ck_assert_int_eq(d.reports, 1);
+}
+
+static void
+unproven_at_the_deadline_is_taken_back(void)
+{
+	drive_t d;
+
+	drive_init(&d, &rollout);
+	d.in.verdict = JUDGE_WAIT;
+	drive(&d, 103000);
+	ck_assert_int_eq(d.m.row.state, MOVE_TAKEN_BACK);
+	ck_assert_int_eq(d.m.row.reason, MOVE_REASON_LATE);
+	ck_assert_uint_eq(d.largest, 500);
+}
+
+static void
+drain_without_room_waits_and_says_late(void)
+{
+	static const move_request_t drain = {
+	    "m1", MOVE_DRAIN, MOVE_REGION, "*", "a", NULL, 0, 30};
+	drive_t d;
+
+	drive_init(&d, &drain);
+	d.in.room.slots = 50; /* 80 % of them hold 0.8 of the demand */
+	d.in.room.busy = 40;
+	drive(&d, 31000);
+	ck_assert_uint_eq(d.largest, 0);
+	ck_assert(d.m.row.late);
+	ck_assert_int_eq(d.m.wait, MOVE_WAITS_FOR_ROOM);
+	d.in.room.busy = 0;
+	d.in.room.known = FALSE;
+	drive(&d, 40000);
+	ck_assert_uint_eq(d.largest, 0);
+	ck_assert_int_eq(d.m.wait, MOVE_WAITS_FOR_MEASUREMENT);
+	d.in.room.known = TRUE;
+	drive(&d, 60000);
+	ck_assert_int_eq(d.m.row.state, MOVE_DONE);
+	ck_assert(d.m.row.late);
+	ck_assert_int_eq(d.reports, 1);
+}
+
+static void
+rows_survive_json(void)
+{
+	static const struct {
+		const char *cut, *with, *field;
+	} rows[] = {
+	    {"\"step\":1", "\"step\":-1", "step"},
+	    {"\"share\":0", "\"share\":10001", "share"},
+	    {"\"kind\":\"rollout\"", "\"kind\":\"rollup\"", "kind"},
+	    {"\"late\":false", "\"late\":0", "late"},
+	    {"\"service\":\"till\"", "\"x\":1", "service"},
+	};
+	move_row_t row = admitted(&rollout), back;
+	char *text = move_json_encode(&row), *again;
+	GError *err = NULL;
+	GString *wrong;
+	size_t i;
+
+	ck_assert(move_json_decode(text, &back, NULL));
+	again = move_json_encode(&back);
+	ck_assert_str_eq(again, text);
+	free(again);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		wrong = g_string_new(text);
+		ck_assert_uint_eq(
+		    g_string_replace(wrong, rows[i].cut, rows[i].with, 0), 1);
+		ck_assert(!move_json_decode(wrong->str, &back, &err));
+		ck_assert_msg(strstr(err->message, rows[i].field) != NULL, "%s",
+		    err->message);
+		g_clear_error(&err);
+		g_string_free(wrong, TRUE);
+	}
+	ck_assert(!move_json_decode("[1", &back, &err));
+	g_clear_error(&err);
+	free(text);
+}
+
+static void
+lease_rows_survive_json(void)
+{
+	lease_row_t row = {
+	    .holder = "h1", .incarnation = 3, .epoch = 4, .token = 5};
+	lease_row_t back;
+	char *fence = lease_json_fence(&row);
+	char *renewal = lease_json_renewal(&row);
+
+	ck_assert(lease_json_decode(fence, renewal, &back, NULL));
+	ck_assert_str_eq(back.holder, row.holder);
+	ck_assert_uint_eq(back.incarnation, row.incarnation);
+	ck_assert_uint_eq(back.epoch, row.epoch);
+	ck_assert_uint_eq(back.token, row.token);
+	ck_assert(!back.released);
+	/* A renewal of another epoch proves nothing. */
+	free(renewal);
+	row.epoch = 3;
+	renewal = lease_json_renewal(&row);
+	ck_assert(lease_json_decode(fence, renewal, &back, NULL));
+	ck_assert_uint_eq(back.token, 0);
+	free(renewal);
+	free(fence);
+}
+
+int
+main(void)
+{
+	static const suite_case_t cases[] = {
+	    {"admits or names", admits_or_names_what_is_in_the_way},
+	    {"room counts what is on its way", room_counts_what_is_on_its_way},
+	    {"plan spreads steps", plan_spreads_steps_over_the_time_left},
+	    {"host gives nothing without word",
+		host_gives_nothing_without_word_or_after_a_stop},
+	    {"good rollout ends on time", good_rollout_ends_on_time},
+	    {"bad rollout is taken back", bad_rollout_is_taken_back},
+	    {"unproven at the deadline",
+		unproven_at_the_deadline_is_taken_back},
+	    {"drain without room waits",
+		drain_without_room_waits_and_says_late},
+	    {"rows survive JSON", rows_survive_json},
+	    {"lease rows survive JSON", lease_rows_survive_json},
+	};
+
+	return suite_run("move", cases, sizeof(cases) / sizeof(cases[0]));
+}
