--- a/src/cmd/cli_settings.c
+++ b/src/cmd/cli_settings.c
@@ -52,7 +52,8 @@
 		return;
 	}
 	ini_init(&ini, path, text, errors);
-	read_operator(&ini, hosts, secret_file);
+	if (ini.readable)
+		read_operator(&ini, hosts, secret_file);
 	ini_finish(&ini);
 	g_free(text);
 }
