--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -269,6 +269,63 @@
 	g_free(path);
 }
 
+/* What needs no host: exit code and a part of what is printed. */
+static void
+commands_without_hosts_exit_truly(void)
+{
+	static const struct {
+		const char *line, *file, *input;
+		cli_exit_t code;
+		const char *printed;
+	} rows[] = {
+	    {"g check FILE", "[region milano]\nlatency=1\n", "", CLI_EXIT_USAGE,
+		":2: "},
+	    {"g check FILE --json", "[nonsense]\n", "", CLI_EXIT_USAGE,
+		"{\"errors\":[\""},
+	    {"g check /nowhere", "", "", CLI_EXIT_USAGE, "/nowhere"},
+	    {"g apply FILE -H 127.0.0.1:1 -s FILE", "[nonsense] ......\n", "",
+		CLI_EXIT_USAGE, ":1: "},
+	    {"g status -H 127.0.0.1:1 -s FILE", "too short\n", "",
+		CLI_EXIT_USAGE, "needs 16"},
+	    {"g status -H 127.0.0.1:1 -s FILE", "the fleet's secret\n", "",
+		CLI_EXIT_UNREACHABLE, "unreachable: "},
+	    {"g key withdraw - -H 127.0.0.1:1 -s FILE", "the fleet's secret\n",
+		"ggl_short\n", CLI_EXIT_USAGE, "expected a key"},
+	    {"g key issue w1 -H 127.0.0.1:1 -s FILE", "the fleet's secret\n",
+		"", CLI_EXIT_UNREACHABLE, "digest "},
+	    {"g --version", "", "", CLI_EXIT_DONE, "greengageloom "},
+	    {"g rollout --help", "", "", CLI_EXIT_DONE, "--within SEC"},
+	};
+	char *path = NULL, *line, *printed = NULL;
+	cli_options_t o;
+	FILE *in, *out;
+	size_t i, size;
+
+	close(g_file_open_tmp("textXXXXXX", &path, NULL));
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char **parts = g_strsplit(rows[i].line, "FILE", -1);
+
+		line = g_strjoinv(path, parts);
+		g_strfreev(parts);
+		g_file_set_contents(path, rows[i].file, -1, NULL);
+		in = fmemopen(
+		    (char *)rows[i].input, strlen(rows[i].input) + 1, "r");
+		out = open_memstream(&printed, &size);
+		ck_assert(parse(&o, line, NULL));
+		ck_assert_int_eq(cli_run(&o, in, out, out), rows[i].code);
+		fclose(out);
+		fclose(in);
+		ck_assert_msg(strstr(printed, rows[i].printed) != NULL,
+		    "%s: %s", line, printed);
+		ck_assert_ptr_null(strstr(printed, "ggl_"));
+		free(printed);
+		g_free(line);
+		cli_options_finish(&o);
+	}
+	g_unlink(path);
+	g_free(path);
+}
+
 static void
 settings_mistakes_are_told(void)
 {
@@ -315,6 +372,8 @@
 	static const suite_case_t cases[] = {
 	    {"good lines are read", good_lines_are_read},
 	    {"bad lines are refused", bad_lines_are_refused},
+	    {"commands without hosts exit truly",
+		commands_without_hosts_exit_truly},
 	    {"settings' mistakes are told", settings_mistakes_are_told},
 	    {"the answer never says more than is known",
 		the_answer_never_says_more_than_is_known},
--- a/tests/test_rpc_path.c
+++ b/tests/test_rpc_path.c
@@ -10,11 +10,13 @@
  */
 
 #define DEADLINE_MS 100
+#define HELLO_REPLY_BYTES 76
 #define PLACES_MAX 2000 /* more than the bytes of either direction */
 
 typedef enum {
 	FLIP,
 	CUT,
+	FORGE, /* a denial in place of what comes */
 } fault_t;
 
 typedef struct {
@@ -38,6 +40,20 @@
 	to_server.in = NULL;
 }
 
+/* Denies the first call after the hello. */
+static void
+forge_denial(struct bufferevent *out)
+{
+	GByteArray *record = g_byte_array_new();
+	rpc_reply_t reply = {0};
+
+	reply.xid = 2;
+	reply.status = RPC_STATUS_VERIFIER;
+	rpc_reply_encode(record, &reply);
+	rpc_stream_send(out, record);
+	g_byte_array_free(record, TRUE);
+}
+
 static void
 pass(struct bufferevent *bev, void *arg)
 {
@@ -55,6 +71,8 @@
 	if (fault == FLIP) {
 		buf[at] ^= 1;
 		bufferevent_write(side->out, buf, n);
+	} else if (fault == FORGE) {
+		forge_denial(side->out);
 	} else {
 		hang_up();
 	}
@@ -187,6 +205,14 @@
 	every_place(CUT, &to_client);
 }
 
+static void
+a_forged_denial_proves_nothing(void)
+{
+	call_through(FORGE, &to_client, HELLO_REPLY_BYTES);
+	ck_assert_int_eq(handled, 1);
+	ck_assert_int_eq(failures[ERROR_UNKNOWN], 1);
+}
+
 int
 main(void)
 {
@@ -196,6 +222,7 @@
 		replies_may_be_altered_anywhere},
 	    {"calls may be cut anywhere", calls_may_be_cut_anywhere},
 	    {"replies may be cut anywhere", replies_may_be_cut_anywhere},
+	    {"a forged denial proves nothing", a_forged_denial_proves_nothing},
 	};
 
 	return fixture_run("rpc path", cases, sizeof(cases) / sizeof(cases[0]));
