--- a/src/host/carry.c
+++ b/src/host/carry.c
@@ -218,6 +218,8 @@
 	switch (reason) {
 	case REFUSED_NO_ROOM:
 		return REFUSAL_NO_ROOM;
+	case REFUSED_CRASHES:
+		return REFUSAL_HARMFUL;
 	case REFUSED_NO_SERVER:
 	case REFUSED_UNREACHABLE:
 		return REFUSAL_NO_SERVER;
