Rate and burst across the fleet: slots, leases, lending wired in

Cause: requests were carried without a limit. Each host holds a numbered slot with a fixed part; the rest is lent by the holder of the workspace's lease.

--- a/src/host/carry.c
+++ b/src/host/carry.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "host/carry.h"
+#include "host/limits.h"
 
 /* A caller that names no deadline gets the service's timeout, no more. */
 #define NO_DEADLINE INT64_MAX
@@ -31,6 +32,7 @@
 	if (c->call != NULL)
 		http_call_cancel(c->call);
 	carry_unbook(c, OUTCOME_CANCELLED);
+	limits_forget(c);
 	if (c->timer != NULL)
 		event_free(c->timer);
 	g_ptr_array_remove_fast(c->host->carries, c);
@@ -347,6 +349,27 @@
 	return TRUE;
 }
 
+void
+carry_admitted(carry_t *c, admit_kind_t kind, msec_t retry_ms)
+{
+	host_t *h = c->host;
+
+	switch (kind) {
+	case ADMIT:
+		begin_attempt(c);
+		break;
+	case ADMIT_WAIT:
+		break;
+	case ADMIT_REFUSE:
+		metrics_count(&h->metrics, h->m.rate_refused, 1);
+		carry_refuse(c, REFUSAL_OVER_RATE, RUN_NOT, retry_ms);
+		break;
+	case ADMIT_STALE:
+		refuse_key(c, REFUSAL_NOT_FRESH);
+		break;
+	}
+}
+
 static gboolean
 may_take(const host_t *h, refusal_t *why)
 {
@@ -364,6 +387,8 @@
 void
 carry_begin(host_t *h, http_exchange_t *x)
 {
+	msec_t retry_ms = 0;
+	admit_kind_t kind;
 	carry_t *c;
 	refusal_t why;
 
@@ -392,5 +417,11 @@
 			carry_refuse(c, why, RUN_NOT, 0);
 		return;
 	}
-	begin_attempt(c);
+	if (c->workspace == NULL) {
+		begin_attempt(c);
+		return;
+	}
+	kind = limits_admit(c, &retry_ms);
+	if (kind != ADMIT_WAIT)
+		carry_admitted(c, kind, retry_ms);
 }
--- a/src/host/carry.h
+++ b/src/host/carry.h
@@ -2,6 +2,7 @@
 #define HOST_CARRY_H
 
 #include "coordination/attempt.h"
+#include "coordination/borrower.h"
 #include "host/host.h"
 #include "host/request.h"
 
@@ -17,6 +18,7 @@
 	request_t request;
 	char *workspace; /* NULL on an open route */
 	char id[96];
+	struct limit_share *share; /* awaits tokens of it; NULL: it doesn't */
 	gboolean idempotent;
 	uint32_t timeout_ms; /* of the service */
 	attempt_t attempt;
@@ -41,6 +43,14 @@
  */
 void carry_begin(host_t *h, http_exchange_t *x);
 
+/**
+ * carry_admitted() - A request that waited for its workspace's tokens goes on.
+ * @c: the carry, which may be freed by this
+ * @kind: what was decided; not ADMIT_WAIT
+ * @retry_ms: after which trying again may help, for ADMIT_REFUSE
+ */
+void carry_admitted(carry_t *c, admit_kind_t kind, msec_t retry_ms);
+
 /**
  * carry_free() - Forget a carry whose exchange has ended.
  * @c: the carry; a try in flight is cancelled
--- a/src/host/control.c
+++ b/src/host/control.c
@@ -5,6 +5,7 @@
 #include "host/control.h"
 #include "host/join.h"
 #include "host/keyops.h"
+#include "host/limits.h"
 #include "host/operate.h"
 #include "host/peers.h"
 #include "host/probe.h"
@@ -55,6 +56,7 @@
 		peers_scanned(h, sent_at);
 	take_keys(h, rows, sent_at);
 	confops_scanned(h);
+	limits_scanned(h, sent_at);
 }
 
 static void
@@ -63,6 +65,7 @@
 	if (now < h->scan_at)
 		return;
 	h->scan_at = now + MIRROR_PERIOD_MS;
+	host_place_routes(h);
 	mirror_scan(&h->mirror);
 }
 
@@ -100,6 +103,7 @@
 		keyops_tick(h, now);
 		confops_tick(h, now);
 		operate_tick(h, now);
+		limits_tick(h, now);
 	}
 	check_place(h);
 	if (h->phase == HOST_STARTING && h->incarnation != 0 &&
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -12,12 +12,13 @@
 #include "host/host.h"
 #include "host/join.h"
 #include "host/keyops.h"
+#include "host/limits.h"
 #include "host/lookups.h"
 #include "host/operate.h"
 #include "host/peers.h"
 #include "protocol/text.h"
 
-#define TICK_MS 50
+#define TICK_MS 20
 #define IDLE_CONNECTIONS 32
 #define HEAD_MAX_BYTES 32768
 #define RECEIVE_MS 30000
@@ -75,13 +76,52 @@
 	return b;
 }
 
-static void
-place_routes(host_t *h)
+static gint
+by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+/* Counts the live hosts and finds this one's position among them. */
+static uint16_t
+position(const host_t *h, const char *region, uint16_t *n)
+{
+	GPtrArray *names = g_ptr_array_new();
+	const roster_host_t *row;
+	msec_t now = clock_now();
+	uint16_t at = 0;
+	guint i;
+
+	for (i = 0; i < h->roster.hosts->len; i++) {
+		row = roster_host(&h->roster, (host_id_t)i);
+		if ((i == h->roster.self ||
+			roster_live(&h->roster, (host_id_t)i, now)) &&
+		    (region == NULL || strcmp(row->region, region) == 0))
+			g_ptr_array_add(names, row->name);
+	}
+	g_ptr_array_sort(names, by_name);
+	for (i = 0; i < names->len; i++) {
+		if (strcmp(g_ptr_array_index(names, i), h->settings.id) == 0)
+			at = (uint16_t)i;
+	}
+	*n = (uint16_t)names->len;
+	g_ptr_array_free(names, TRUE);
+	return at;
+}
+
+void
+host_place_routes(host_t *h)
 {
 	domain_id_t domain =
 	    catalog_find_domain(&h->catalog, h->settings.domain);
+	uint16_t index, hosts, near_index, near_hosts;
 
-	route_choice_place(&h->routes, domain, 0, 1, 0, 1);
+	if (h->incarnation == 0)
+		return;
+	index = position(h, NULL, &hosts);
+	near_index = position(h, h->settings.region, &near_hosts);
+	route_choice_place(
+	    &h->routes, domain, index, hosts, near_index, near_hosts);
 }
 
 gboolean
@@ -101,7 +141,8 @@
 		g_free(h->catalog_text);
 		h->catalog_text = g_strdup(text);
 		endpoint_stats_bind(&h->stats, &h->catalog, clock_now());
-		place_routes(h);
+		host_place_routes(h);
+		limits_configure(h);
 	} else {
 		catalog_finish(&c);
 	}
@@ -206,6 +247,7 @@
 	h->row_version = version;
 	roster_init(&h->roster, &self);
 	freshness_joined(&h->fresh, version);
+	limits_configure(h);
 	log_event(LOG_INFO, "roster.joined", "host", s->id, "incarnation",
 	    log_num((long long)incarnation), NULL);
 }
@@ -237,6 +279,8 @@
 		operate_serve(h, id, &args->u.operate);
 		break;
 	case RPC_PROC_BORROW:
+		limits_serve_borrow(h, id, caller, &args->u.borrow);
+		break;
 	case RPC_PROC_SUSPECT:
 	case RPC_PROC_NULL:
 		rpc_server_refuse(&h->rpc_server, id);
@@ -336,6 +380,9 @@
 	roster_view_init(&h->view);
 	peers_init(h);
 	operate_init(h);
+	limits_init(h);
+	h->slot = SLOT_NONE;
+	h->slot_watched = SLOT_NONE;
 	endpoint_stats_init(&h->stats);
 	randombytes_buf(&h->token, sizeof(h->token));
 	h->token >>= 1; /* fits the store's signed numbers */
@@ -384,6 +431,7 @@
 	http_client_free(h->http);
 	store_finish(&h->store);
 	mirror_finish(&h->mirror);
+	limits_finish(h);
 	peers_finish(h);
 	if (h->incarnation != 0)
 		roster_finish(&h->roster);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -70,6 +70,12 @@
 	GHashTable *peers; /* name to peer_t */
 	msec_t exchange_at;
 	gboolean superseded;
+	/* Limits. */
+	GHashTable *shares; /* workspace to limit_share_t */
+	uint16_t slot;	    /* SLOT_NONE: none held */
+	uint16_t slot_wanted, slot_watched;
+	gboolean slot_claiming;
+	msec_t slot_at, slot_free_since;
 	/* Configuration in force; version 0: none yet. */
 	catalog_t catalog;
 	char *catalog_text;
@@ -118,6 +124,12 @@
  */
 void host_joined(host_t *h, uint64_t incarnation, uint64_t version);
 
+/**
+ * host_place_routes() - The set of live hosts may have changed.
+ * @h: the host
+ */
+void host_place_routes(host_t *h);
+
 /**
  * host_stop() - Begin a graceful stop.
  * @h: the host
--- a/src/host/keyops.c
+++ b/src/host/keyops.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "host/fenced.h"
 #include "host/keyops.h"
+#include "host/limits.h"
 
 #define TELL_TIMEOUT_MS 1000
 #define FETCH_TIMEOUT_MS 2000
@@ -133,7 +134,7 @@
 	};
 
 	return freshness_loaded(&h->fresh, &h->keys) &&
-	    replica.host != HOST_NONE &&
+	    !limits_withholds(h, for_host->id) && replica.host != HOST_NONE &&
 	    withdrawals_may_vouch(
 		&h->withdrawals, replica, keys_complete(&h->keys));
 }
--- /dev/null
+++ b/src/host/limits.c
@@ -0,0 +1,385 @@
+#include <string.h>
+
+#include "base/log.h"
+#include "host/carry.h"
+#include "host/limits.h"
+#include "host/peers.h"
+#include "host/slots.h"
+
+#define DUTY_PREFIX "lend/"
+#define BORROW_CALL_MS 400
+
+static void
+share_free(void *p)
+{
+	limit_share_t *s = p;
+
+	g_free(s->workspace);
+	duty_free(s->duty);
+	lender_finish(&s->lender);
+	g_queue_free(s->waiting);
+	g_free(s);
+}
+
+void
+limits_init(host_t *h)
+{
+	h->shares =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, share_free);
+}
+
+void
+limits_finish(host_t *h)
+{
+	g_hash_table_destroy(h->shares);
+}
+
+static limit_share_t *
+share_new(host_t *h, const char *workspace)
+{
+	limit_share_t *s = g_new0(limit_share_t, 1);
+	char *duty = g_strconcat(DUTY_PREFIX, workspace, NULL);
+
+	s->host = h;
+	s->workspace = g_strdup(workspace);
+	s->duty = duty_new(h, duty);
+	s->duty->wanted = TRUE;
+	s->waiting = g_queue_new();
+	borrower_init(&s->borrower, h->roster.self, h->incarnation,
+	    FLOOR_PERMILLE, clock_now());
+	lender_init(&s->lender);
+	g_hash_table_insert(h->shares, s->workspace, s);
+	g_free(duty);
+	return s;
+}
+
+/* All hosts have the configuration in force, as far as they have told. */
+static gboolean
+is_settled(const host_t *h, msec_t now)
+{
+	const roster_host_t *row;
+	const peer_t *peer;
+	guint i;
+
+	for (i = 0; i < h->roster.hosts->len; i++) {
+		row = roster_host(&h->roster, (host_id_t)i);
+		if (i == h->roster.self || row->state == HOST_GONE)
+			continue;
+		peer = peers_get(h, row->name);
+		if (peer == NULL ||
+		    peer->heard_incarnation != row->incarnation ||
+		    peer->config_version < h->catalog.version)
+			return FALSE;
+	}
+	return now != 0;
+}
+
+static limit_t
+lent_part(const limit_share_t *s)
+{
+	const catalog_t *c = &s->host->catalog;
+	const workspace_t *w =
+	    catalog_workspace(c, catalog_find_workspace(c, s->workspace));
+
+	return limit_lent(limit_make(w->rate, w->burst), FLOOR_PERMILLE,
+	    c->caps.hosts, s->settled == c->version);
+}
+
+static void
+configure_share(limit_share_t *s, const workspace_t *w, msec_t now)
+{
+	const host_t *h = s->host;
+	const borrower_config_t config = {
+	    .limit = limit_make(w->rate, w->burst),
+	    .slots = h->catalog.caps.hosts,
+	    .slot = h->slot,
+	};
+
+	s->present = TRUE;
+	s->duty->wanted = TRUE;
+	borrower_configure(&s->borrower, &config, now);
+	if (s->lending != 0)
+		lender_configure(&s->lender, lent_part(s), now);
+}
+
+void
+limits_configure(host_t *h)
+{
+	msec_t now = clock_now();
+	const workspace_t *w;
+	GHashTableIter iter;
+	limit_share_t *s;
+	gpointer value;
+	guint i;
+
+	if (h->incarnation == 0)
+		return;
+	g_hash_table_iter_init(&iter, h->shares);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		s = value;
+		s->present = FALSE;
+		s->duty->wanted = FALSE;
+	}
+	for (i = 0; i < h->catalog.workspaces->len; i++) {
+		w = catalog_workspace(&h->catalog, (workspace_id_t)i);
+		s = g_hash_table_lookup(h->shares, w->name);
+		if (s == NULL)
+			s = share_new(h, w->name);
+		configure_share(s, w, now);
+	}
+}
+
+/* Begins or stops to lend as the lease is won or lost. */
+static void
+follow_lease(limit_share_t *s, msec_t now)
+{
+	uint64_t epoch = lease_epoch(&s->duty->lease);
+	gboolean held = s->present && duty_held(s->duty, now);
+
+	if (held && s->lending != epoch) {
+		s->lending = epoch;
+		lender_start(&s->lender, epoch, lent_part(s), now);
+		log_event(LOG_INFO, "limit.lending", "workspace", s->workspace,
+		    "epoch", log_num((long long)epoch), NULL);
+	} else if (!held && s->lending != 0) {
+		s->lending = 0;
+		lender_stop(&s->lender);
+	}
+}
+
+static void
+follow_settling(limit_share_t *s, msec_t now)
+{
+	uint64_t version = s->host->catalog.version;
+
+	if (!s->present || s->settled == version || !is_settled(s->host, now))
+		return;
+	s->settled = version;
+	borrower_settled(&s->borrower, now);
+	if (s->lending != 0)
+		lender_configure(&s->lender, lent_part(s), now);
+}
+
+/* Lets waiting requests go, in the order in which they came. */
+static void
+pump(limit_share_t *s, msec_t now)
+{
+	gboolean fresh = freshness_ok(&s->host->fresh, now);
+	carry_t *c;
+	admit_t a;
+
+	while ((c = g_queue_peek_head(s->waiting)) != NULL) {
+		a = borrower_admit(
+		    &s->borrower, c->arrived_at, TRUE, fresh, clock_now());
+		if (a.kind == ADMIT_WAIT) {
+			s->pump_at = a.until;
+			return;
+		}
+		g_queue_pop_head(s->waiting);
+		c->share = NULL;
+		carry_admitted(c, a.kind, a.until - now);
+	}
+	s->pump_at = INT64_MAX;
+}
+
+static void
+take_answer(limit_share_t *s, const borrow_answer_t *answer)
+{
+	msec_t now = clock_now();
+
+	if (borrower_answered(&s->borrower, answer, now))
+		pump(s, now);
+}
+
+static void
+on_lent(void *arg, const rpc_result_t *result, const GError *err)
+{
+	char *workspace = ((gpointer *)arg)[1];
+	host_t *h = ((gpointer *)arg)[0];
+	limit_share_t *s = g_hash_table_lookup(h->shares, workspace);
+	const borrow_result_t *r;
+	borrow_answer_t answer;
+
+	if (err == NULL && s != NULL && result->u.borrow.answered) {
+		r = &result->u.borrow;
+		answer.sequence = r->sequence;
+		answer.epoch = r->epoch;
+		answer.granted = r->granted;
+		answer.excess = r->excess;
+		take_answer(s, &answer);
+	}
+	g_free(workspace);
+	g_free(arg);
+}
+
+static void
+ask_peer(limit_share_t *s, const char *lender, const borrow_request_t *q)
+{
+	host_t *h = s->host;
+	rpc_args_t args = {.proc = RPC_PROC_BORROW};
+	borrow_args_t *b = &args.u.borrow;
+	gpointer *arg = g_new0(gpointer, 2);
+
+	b->workspace = s->workspace;
+	b->borrower = h->settings.id;
+	b->incarnation = q->incarnation;
+	b->sequence = q->sequence;
+	b->epoch = q->epoch;
+	b->taken = q->taken;
+	b->used = q->used;
+	b->returned = q->returned;
+	b->demand = q->demand;
+	b->wanted = q->wanted;
+	arg[0] = h;
+	arg[1] = g_strdup(s->workspace);
+	if (peers_call(h, lender, &args, BORROW_CALL_MS, on_lent, arg))
+		return;
+	g_free(arg[1]);
+	g_free(arg);
+}
+
+static void
+ask_lender(limit_share_t *s, const borrow_request_t *q, msec_t now)
+{
+	host_t *h = s->host;
+	borrow_answer_t answer;
+	uint64_t epoch;
+	char *lender;
+
+	if (s->lending != 0) {
+		if (lender_borrow(&s->lender, q, s->duty->lease.until, now,
+			&answer) == LEND_ANSWERED)
+			take_answer(s, &answer);
+		return;
+	}
+	lender = duty_holder(h, s->duty->name, &epoch);
+	borrower_epoch(&s->borrower, epoch, now);
+	if (lender != NULL && strcmp(lender, h->settings.id) != 0)
+		ask_peer(s, lender, q);
+	g_free(lender);
+}
+
+static void
+tick_share(limit_share_t *s, msec_t now)
+{
+	borrow_request_t q;
+
+	duty_tick(s->duty, now);
+	follow_lease(s, now);
+	follow_settling(s, now);
+	if (s->present && borrower_ask(&s->borrower, now, &q))
+		ask_lender(s, &q, now);
+	if (s->waiting->length > 0 && now >= s->pump_at)
+		pump(s, now);
+}
+
+void
+limits_tick(host_t *h, msec_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	slots_tick(h, now);
+	g_hash_table_iter_init(&iter, h->shares);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		tick_share(value, now);
+}
+
+void
+limits_scanned(host_t *h, msec_t sent_at)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, h->shares);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		duty_scanned(((limit_share_t *)value)->duty, sent_at);
+}
+
+admit_kind_t
+limits_admit(carry_t *c, msec_t *retry_ms)
+{
+	host_t *h = c->host;
+	limit_share_t *s = g_hash_table_lookup(h->shares, c->workspace);
+	msec_t now = clock_now();
+	borrow_request_t q;
+	admit_t a;
+
+	if (s == NULL || !s->present)
+		return ADMIT_STALE;
+	a = borrower_admit(&s->borrower, c->arrived_at, FALSE,
+	    freshness_ok(&h->fresh, now), now);
+	*retry_ms = MAX(a.until - now, 1);
+	if (a.kind == ADMIT_WAIT) {
+		c->share = s;
+		g_queue_push_tail(s->waiting, c);
+		s->pump_at =
+		    s->waiting->length > 1 ? MIN(s->pump_at, a.until) : a.until;
+	}
+	if (borrower_ask(&s->borrower, now, &q))
+		ask_lender(s, &q, now);
+	return a.kind;
+}
+
+void
+limits_forget(carry_t *c)
+{
+	limit_share_t *s = c->share;
+
+	if (s == NULL)
+		return;
+	c->share = NULL;
+	g_queue_remove(s->waiting, c);
+	borrower_cancel(&s->borrower);
+}
+
+gboolean
+limits_withholds(const host_t *h, const char *name)
+{
+	GHashTableIter iter;
+	const char *holder;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, h->shares);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		holder =
+		    lease_withholds(&((limit_share_t *)value)->duty->lease);
+		if (holder != NULL && strcmp(holder, name) == 0)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+void
+limits_serve_borrow(host_t *h, rpc_call_id_t call, const char *caller,
+    const borrow_args_t *args)
+{
+	limit_share_t *s = g_hash_table_lookup(h->shares, args->workspace);
+	rpc_result_t result = {.proc = RPC_PROC_BORROW};
+	borrow_result_t *r = &result.u.borrow;
+	const borrow_request_t q = {
+	    .host = roster_find(&h->roster, args->borrower),
+	    .incarnation = args->incarnation,
+	    .sequence = args->sequence,
+	    .epoch = args->epoch,
+	    .taken = args->taken,
+	    .used = args->used,
+	    .returned = args->returned,
+	    .demand = args->demand,
+	    .wanted = args->wanted,
+	};
+	borrow_answer_t answer;
+	msec_t now = clock_now();
+
+	if (s != NULL && s->lending != 0 && q.host != HOST_NONE &&
+	    strcmp(caller, args->borrower) == 0 &&
+	    lender_borrow(&s->lender, &q, s->duty->lease.until, now, &answer) ==
+		LEND_ANSWERED) {
+		r->answered = TRUE;
+		r->sequence = answer.sequence;
+		r->epoch = answer.epoch;
+		r->granted = answer.granted;
+		r->excess = answer.excess;
+	}
+	rpc_server_answer(&h->rpc_server, call, &result);
+}
