Idempotency keys: claimed in the store before a request runs

A key's row is put only where there is none; a lost answer is read back by its token. A host that finds the row taken refuses with what the row tells. A row is removed only by its claimant and only with proof that nothing ran, and until the removal is confirmed the key is refused at that host: a late removal would otherwise free a key that runs again. With the store down nothing runs. Weighed: running on a host's own word while the store is down; two hosts would.

Three broken rules noticed.

--- /dev/null
+++ b/tests/fuzz/fuzz_once.c
@@ -0,0 +1,297 @@
+#include "coordination/once.h"
+#include "routing_fuzz.h"
+
+/*
+ * Two hosts, two Idempotency-Keys and a fake store. Writes may take effect
+ * late, or with their answer lost; the store may be down; hosts are killed
+ * with their writes still on the way. The oracle counts runs for each key and
+ * for each request.
+ */
+
+#define HOSTS 2
+#define KEYS 2
+#define OPS_MAX 32
+
+typedef struct {
+	gboolean open;
+	gboolean answered; /* its host no longer waits for it */
+	int host, key;
+	uint32_t life; /* of the host */
+	once_action_t action;
+} op_t;
+
+typedef struct {
+	gboolean present;
+	once_row_t row;
+} stored_t;
+
+typedef struct {
+	once_t hosts[HOSTS];
+	uint32_t lives[HOSTS];
+	stored_t rows[KEYS];
+	op_t ops[OPS_MAX];
+	unsigned int runs[KEYS];
+	gboolean running[HOSTS][KEYS];
+	once_id_t run_ids[HOSTS][KEYS];
+	gboolean ran_here[HOSTS][KEYS]; /* the request now at the host */
+	gboolean down;
+	uint64_t token;
+	msec_t now;
+} world_t;
+
+static fingerprint_t
+digest(int n)
+{
+	fingerprint_t f;
+
+	memset(&f, n + 1, sizeof(f));
+	return f;
+}
+
+static void
+carry_out(world_t *w, int host, int key, const once_action_t *a)
+{
+	once_action_t due = *a;
+	int i;
+
+	switch (a->kind) {
+	case ONCE_RUN:
+		w->running[host][key] = TRUE;
+		w->run_ids[host][key] = a->id;
+		return;
+	case ONCE_REFUSE:
+		ORACLE(a->ran != RAN_NO || !w->ran_here[host][key] ||
+		    a->id == ONCE_NONE);
+		ORACLE(a->ran != RAN_YES || w->runs[key] > 0);
+		if (!once_release_due(&w->hosts[host], a->id))
+			return;
+		due.kind = ONCE_RELEASE;
+		break;
+	case ONCE_REPLAY:
+		ORACLE(w->runs[key] == 1);
+		return;
+	case ONCE_NOTHING:
+		return;
+	case ONCE_CLAIM:
+	case ONCE_READ_BACK:
+	case ONCE_RECORD:
+	case ONCE_RELEASE:
+		break;
+	}
+	for (i = 0; i < OPS_MAX && w->ops[i].open; i++)
+		;
+	if (i < OPS_MAX)
+		w->ops[i] = (op_t){TRUE, FALSE, host, key, w->lives[host], due};
+}
+
+/* Takes effect in the store; TRUE if the condition of the write held. */
+static gboolean
+apply(world_t *w, const op_t *op)
+{
+	stored_t *s = &w->rows[op->key];
+	const once_row_t *row = &op->action.row;
+	gboolean own = s->present && s->row.token == row->token;
+
+	switch (op->action.kind) {
+	case ONCE_CLAIM:
+		if (s->present && !broken("absent"))
+			return FALSE;
+		*s = (stored_t){TRUE, *row};
+		return TRUE;
+	case ONCE_RECORD:
+		if (own)
+			s->row = *row;
+		return TRUE;
+	case ONCE_RELEASE:
+		if (own)
+			s->present = FALSE;
+		return TRUE;
+	default:
+		return TRUE;
+	}
+}
+
+static once_event_t
+answer(world_t *w, const op_t *op, gboolean held, gboolean lost)
+{
+	const stored_t *s = &w->rows[op->key];
+	once_event_t e = {.kind = ONCE_WRITE_DONE};
+
+	switch (op->action.kind) {
+	case ONCE_CLAIM:
+		e.kind = held ? ONCE_CLAIM_DONE : ONCE_CLAIM_TAKEN;
+		if (lost)
+			e.kind = ONCE_CLAIM_UNKNOWN;
+		break;
+	case ONCE_READ_BACK:
+		e.kind = s->present ? ONCE_READ_ROW : ONCE_READ_ABSENT;
+		e.u.row = s->row;
+		if (broken("token"))
+			e.u.row.token = op->action.row.token;
+		if (lost)
+			e.kind = ONCE_READ_FAILED;
+		break;
+	default:
+		if (lost)
+			e.kind = ONCE_WRITE_FAILED;
+	}
+	return e;
+}
+
+static void
+step(world_t *w, const op_t *op, const once_event_t *e)
+{
+	once_action_t a;
+
+	if (op->life != w->lives[op->host])
+		return;
+	a = once_step(&w->hosts[op->host], op->action.id, e, w->now);
+	carry_out(w, op->host, op->key, &a);
+}
+
+/* One operation: in time, answer lost, or not before its host gave it up. */
+static void
+do_op(world_t *w, input_t *in)
+{
+	op_t *slot = &w->ops[input_below(in, OPS_MAX)], op = *slot;
+	unsigned int fate = input_below(in, 8);
+	once_event_t e;
+	gboolean held;
+
+	if (!op.open)
+		return;
+	if (op.answered) {
+		slot->open = FALSE;
+		apply(w, &op);
+		return;
+	}
+	if (w->down && op.action.kind == ONCE_CLAIM && fate & 1) {
+		slot->open = FALSE;
+		e.kind = ONCE_CLAIM_FAILED;
+		step(w, &op, &e);
+		return;
+	}
+	if (w->down || fate == 0) { /* still on its way */
+		slot->answered = TRUE;
+		e = answer(w, &op, FALSE, TRUE);
+		step(w, &op, &e);
+		return;
+	}
+	slot->open = FALSE;
+	e = answer(w, &op, FALSE, FALSE);
+	held = apply(w, &op);
+	if (op.action.kind != ONCE_READ_BACK)
+		e = answer(w, &op, held, fate == 1);
+	step(w, &op, &e);
+}
+
+static void
+do_begin(world_t *w, int host, int key)
+{
+	fingerprint_t k = digest(key), request = digest(10 + key);
+	once_action_t a;
+
+	a = once_begin(&w->hosts[host], &k, &request, ++w->token, w->now);
+	if (a.kind == ONCE_CLAIM)
+		w->ran_here[host][key] = FALSE;
+	carry_out(w, host, key, &a);
+}
+
+static void
+do_run(world_t *w, int host, int key, unsigned int fate)
+{
+	once_event_t e = {.kind = ONCE_RUN_ENDED};
+	once_action_t a;
+
+	if (!w->running[host][key])
+		return;
+	w->running[host][key] = FALSE;
+	e.u.ended.status = 200;
+	e.u.ended.ran = fate % 3;
+	if (fate % 3 == RAN_YES || (fate % 3 == RAN_UNKNOWN && fate & 8) ||
+	    broken("release")) {
+		ORACLE(++w->runs[key] <= 1);
+		w->ran_here[host][key] = TRUE;
+	}
+	a = once_step(&w->hosts[host], w->run_ids[host][key], &e, w->now);
+	carry_out(w, host, key, &a);
+}
+
+static void
+do_kill(world_t *w, int host, unsigned int fate)
+{
+	int k;
+
+	for (k = 0; k < KEYS; k++) {
+		/* What it had sent may run all the same. */
+		if (w->running[host][k] && fate & 8)
+			ORACLE(++w->runs[k] <= 1);
+		w->running[host][k] = FALSE;
+		w->ran_here[host][k] = FALSE;
+	}
+	once_finish(&w->hosts[host]);
+	once_init(&w->hosts[host]);
+	w->lives[host]++;
+}
+
+static void
+do_give_up(world_t *w, int host, int key)
+{
+	once_event_t e = {.kind = ONCE_GIVEN_UP};
+	fingerprint_t k = digest(key);
+	const once_entry_t *entry;
+	once_action_t a;
+	once_id_t id;
+
+	for (id = 0; id < w->hosts[host].entries->len; id++) {
+		entry = once_entry(&w->hosts[host], id);
+		if (!entry->used || memcmp(&entry->key, &k, sizeof(k)) != 0)
+			continue;
+		a = once_step(&w->hosts[host], id, &e, w->now);
+		carry_out(w, host, key, &a);
+	}
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	input_t in = {data, size, 0};
+	int i, host, key;
+	uint8_t event;
+	world_t w;
+
+	memset(&w, 0, sizeof(w));
+	for (i = 0; i < HOSTS; i++)
+		once_init(&w.hosts[i]);
+	while (input_left(&in)) {
+		event = input_byte(&in);
+		host = (event >> 3) % HOSTS;
+		key = (event >> 4) % KEYS;
+		switch (event % 8) {
+		case 0:
+		case 1:
+			do_begin(&w, host, key);
+			break;
+		case 2:
+		case 3:
+		case 4:
+			do_op(&w, &in);
+			break;
+		case 5:
+			do_run(&w, host, key, input_byte(&in));
+			break;
+		case 6:
+			if (event & 128)
+				do_kill(&w, host, event >> 3);
+			else
+				do_give_up(&w, host, key);
+			break;
+		default:
+			w.down = (event >> 3) & 1;
+			w.now += (msec_t)(event >> 4) * 100000;
+		}
+	}
+	for (i = 0; i < HOSTS; i++)
+		once_finish(&w.hosts[i]);
+	return 0;
+}
--- a/tests/process/test_routing_oracles.sh
+++ b/tests/process/test_routing_oracles.sh
@@ -33,6 +33,9 @@
 fuzz_poison apart
 fuzz_poison death
 fuzz_poison news
+fuzz_once absent
+fuzz_once token
+fuzz_once release
 END
 echo "$missed broken rules not noticed"
 [ "$missed" -eq 0 ]
