--- a/tests/process/test_routing_oracles.sh
+++ b/tests/process/test_routing_oracles.sh
@@ -36,6 +36,8 @@
 fuzz_once absent
 fuzz_once token
 fuzz_once release
+fuzz_fair_queue charge
+fuzz_fair_queue cancel
 END
 echo "$missed broken rules not noticed"
 [ "$missed" -eq 0 ]
