--- /dev/null
+++ b/tests/test_rpc_socket.c
@@ -0,0 +1,157 @@
+#include "rpc_fixture.h"
+
+static void
+answers_find_their_calls(void)
+{
+	unsigned int i;
+
+	start(ANSWER_HELD);
+	for (i = 0; i < 20; i++)
+		ck_assert(call(i, 10000, NULL));
+	run_until(&handled, 20);
+	for (i = 20; i-- > 0;)
+		answer(g_array_index(held, rpc_call_id_t, i),
+		    g_array_index(epochs, uint64_t, i));
+	answer(g_array_index(held, rpc_call_id_t, 0), 99);
+	run_until(&answered, 20);
+	ck_assert_int_eq(failures[ERROR_UNKNOWN], 0);
+	ck_assert_int_eq(counted("rpc_connects_total"), 1);
+	finish();
+}
+
+static void
+late_answers_are_dropped(void)
+{
+	start(ANSWER_HELD);
+	ck_assert(call(1, 50, NULL));
+	run_until(&answered, 1);
+	ck_assert_int_eq(failures[ERROR_UNKNOWN], 1);
+	answer(g_array_index(held, rpc_call_id_t, 0), 1);
+	policy = ANSWER_NOW;
+	ck_assert(call(2, 10000, NULL));
+	run_until(&answered, 2);
+	ck_assert_int_eq(counted("rpc_late_answers_total"), 1);
+	finish();
+}
+
+static void
+failures_say_whether_it_ran(void)
+{
+	start(ANSWER_REFUSED);
+	ck_assert(call(1, 10000, NULL));
+	run_until(&answered, 1);
+	ck_assert_int_eq(failures[ERROR_UNAVAILABLE], 1);
+	/* The server goes with a call in its hands. */
+	policy = ANSWER_HELD;
+	ck_assert(call(2, 10000, NULL));
+	run_until(&handled, 2);
+	rpc_server_finish(&server);
+	run_until(&answered, 2);
+	ck_assert_int_eq(failures[ERROR_UNKNOWN], 1);
+	/* Nobody listens. */
+	ck_assert(call(3, 10000, NULL));
+	run_until(&answered, 3);
+	ck_assert_int_eq(failures[ERROR_UNAVAILABLE], 2);
+	/* A new one listens at the same address. */
+	policy = ANSWER_NOW;
+	server_start(address);
+	ck_assert(call(4, 10000, NULL));
+	run_until(&answered, 4);
+	ck_assert_int_eq(failures[ERROR_UNAVAILABLE], 2);
+	finish();
+}
+
+static void
+strangers_reach_no_handler(void)
+{
+	static const struct {
+		const rpc_key_t *key;
+		uint32_t version;
+		error_code_t code;
+		const char *metric;
+	} rows[] = {
+	    {&other_key, HOST_VERSION, ERROR_DENIED,
+		"rpc_refused_verifier_total"},
+	    {&key, HOST_VERSION + 1, ERROR_INVALID,
+		"rpc_refused_version_total"},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		start(ANSWER_NOW);
+		rpc_client_finish(&client);
+		client_start(rows[i].key, rows[i].version);
+		ck_assert(call(1, 10000, NULL));
+		run_until(&answered, 1);
+		ck_assert_int_eq(failures[rows[i].code], 1);
+		ck_assert_int_eq(handled, 0);
+		ck_assert_int_eq(counted(rows[i].metric), 1);
+		finish();
+	}
+}
+
+static void
+outstanding_calls_are_bounded(void)
+{
+	GError *err = NULL;
+	unsigned int i;
+
+	start(ANSWER_HELD);
+	for (i = 0; i < RPC_CALLS_MAX; i++)
+		ck_assert(call(i, 10000, NULL));
+	ck_assert(!call(i, 10000, &err));
+	ck_assert_int_eq(err->code, ERROR_LIMIT);
+	g_clear_error(&err);
+	run_until(&handled, RPC_CALLS_MAX);
+	/* Each outstanding call is told once when the peer is forgotten. */
+	rpc_client_forget(&client, peer);
+	ck_assert_int_eq(answered, RPC_CALLS_MAX);
+	ck_assert_int_eq(failures[ERROR_UNKNOWN], RPC_CALLS_MAX);
+	ck_assert(!call(i, 10000, &err));
+	g_error_free(err);
+	finish();
+}
+
+static void
+forget_on_answer(void *arg, const rpc_result_t *result, const GError *err)
+{
+	(void)arg;
+	(void)result;
+	(void)err;
+	answered++;
+	rpc_client_forget(&client, peer);
+}
+
+static void
+peers_may_be_forgotten_by_an_answer(void)
+{
+	rpc_args_t args;
+	int i;
+
+	start(ANSWER_NOW);
+	sample_args(RPC_PROC_BORROW, &args);
+	for (i = 0; i < 3; i++)
+		ck_assert(rpc_client_call(
+		    &client, peer, &args, 10000, forget_on_answer, NULL, NULL));
+	run_until(&answered, 3);
+	event_base_loop(base, EVLOOP_NONBLOCK);
+	ck_assert_int_eq(answered, 3);
+	finish();
+}
+
+int
+main(void)
+{
+	static const suite_case_t cases[] = {
+	    {"answers find their calls", answers_find_their_calls},
+	    {"late answers are dropped", late_answers_are_dropped},
+	    {"failures say whether it ran", failures_say_whether_it_ran},
+	    {"strangers reach no handler", strangers_reach_no_handler},
+	    {"outstanding calls are bounded", outstanding_calls_are_bounded},
+	    {"peers may be forgotten by an answer",
+		peers_may_be_forgotten_by_an_answer},
+	};
+
+	return fixture_run(
+	    "rpc socket", cases, sizeof(cases) / sizeof(cases[0]));
+}
