--- a/src/host/carry.c
+++ b/src/host/carry.c
@@ -4,15 +4,37 @@
 
 #include "base/log.h"
 #include "host/carry.h"
+#include "host/harm.h"
 #include "host/limits.h"
+#include "host/room.h"
 
 /* A caller that names no deadline gets the service's timeout, no more. */
 #define NO_DEADLINE INT64_MAX
-/* Between looks for a free slot. */
-#define PLACE_RETRY_MS 5
 /* What a refusal for want of room advises. */
 #define RETRY_ROOM_MS 1000
 
+static poison_end_t
+poison_end_of(const carry_t *c, outcome_t outcome)
+{
+	if (c->claimed)
+		return POISON_NOT_RUN; /* it was never sent */
+	switch (outcome) {
+	case OUTCOME_OK:
+	case OUTCOME_ERROR:
+		return POISON_ANSWERED;
+	case OUTCOME_SHED:
+	case OUTCOME_REFUSED:
+		return POISON_NOT_RUN;
+	case OUTCOME_BROKEN:
+		return POISON_BROKEN;
+	case OUTCOME_TIMEOUT:
+	case OUTCOME_CANCELLED:
+	case OUTCOME_KINDS:
+		break;
+	}
+	return POISON_LEFT;
+}
+
 void
 carry_unbook(carry_t *c, outcome_t outcome)
 {
@@ -24,6 +46,19 @@
 	c->booked = FALSE;
 	route_end(&h->routes, &h->stats, &c->ticket, outcome,
 	    (uint32_t)(now - c->sent_at), c->answer_bytes * 8, now);
+	if (c->begun) {
+		poison_end(&h->poison, c->run, poison_end_of(c, outcome), now);
+		c->begun = FALSE;
+		c->claimed = FALSE;
+		harm_spread(h);
+	}
+	room_pump_later(h);
+}
+
+run_state_t
+carry_run_state(const carry_t *c)
+{
+	return c->started && c->attempt.may_have_run ? RUN_UNKNOWN : RUN_NOT;
 }
 
 void
@@ -33,6 +68,7 @@
 		http_call_cancel(c->call);
 	carry_unbook(c, OUTCOME_CANCELLED);
 	limits_forget(c);
+	room_forget(c);
 	if (c->timer != NULL)
 		event_free(c->timer);
 	g_ptr_array_remove_fast(c->host->carries, c);
@@ -118,99 +154,10 @@
 
 	metrics_count(&h->metrics, h->m.key_refused, 1);
 	/* Another host may know what this one can't tell. */
-	carry_refuse(c, why, c->attempt.may_have_run ? RUN_UNKNOWN : RUN_NOT,
+	carry_refuse(c, why, carry_run_state(c),
 	    why == REFUSAL_NOT_FRESH ? RETRY_ROOM_MS : 0);
 }
 
-static gboolean
-was_tried(const carry_t *c, const char *name)
-{
-	guint i;
-
-	for (i = 0; i < c->tried->len; i++) {
-		if (g_array_index(c->tried, GQuark, i) ==
-		    g_quark_try_string(name))
-			return TRUE;
-	}
-	return FALSE;
-}
-
-static guint
-tried_ids(const carry_t *c, endpoint_id_t *ids, guint max)
-{
-	const catalog_t *catalog = &c->host->catalog;
-	guint i, n = 0;
-
-	for (i = 0; i < catalog->endpoints->len && n < max; i++) {
-		if (was_tried(
-			c, catalog_endpoint(catalog, (endpoint_id_t)i)->name))
-			ids[n++] = (endpoint_id_t)i;
-	}
-	return n;
-}
-
-static attempt_event_kind_t
-place(carry_t *c)
-{
-	host_t *h = c->host;
-	endpoint_id_t tried[ATTEMPT_TRIES_MAX];
-	route_request_t want = {
-	    .service = catalog_find_service(&h->catalog, c->request.service),
-	    .tried = tried,
-	};
-	const endpoint_t *e;
-	route_result_t r;
-	GQuark name;
-
-	if (want.service == ID_NONE)
-		return ATTEMPT_NO_SERVER;
-	want.n_tried = tried_ids(c, tried, ATTEMPT_TRIES_MAX);
-	want.bits = evbuffer_get_length(c->request.body) * 8;
-	r = route_choose(
-	    &h->routes, &h->stats, &h->catalog, &want, clock_now());
-	switch (r.kind) {
-	case ROUTE_FULL:
-		return ATTEMPT_NO_ROOM;
-	case ROUTE_NONE:
-		return ATTEMPT_NO_SERVER;
-	case ROUTE_SENT:
-		break;
-	}
-	e = catalog_endpoint(&h->catalog, r.endpoint);
-	name = g_quark_from_string(e->name);
-	g_array_append_val(c->tried, name);
-	g_free(c->address);
-	c->address = g_strdup(e->address);
-	c->ticket = r.ticket;
-	c->booked = TRUE;
-	c->sent_at = clock_now();
-	c->answer_bytes = 0;
-	return ATTEMPT_PLACED;
-}
-
-static void
-on_wait_over(evutil_socket_t fd, short what, void *arg)
-{
-	carry_t *c = arg;
-
-	(void)fd;
-	(void)what;
-	if (clock_now() >= c->attempt.deadline)
-		carry_event(c, ATTEMPT_TIMED_OUT);
-	else
-		carry_event(c, place(c));
-}
-
-static void
-wait_for_room(carry_t *c)
-{
-	struct timeval tv = {0, PLACE_RETRY_MS * 1000};
-
-	if (c->timer == NULL)
-		c->timer = evtimer_new(c->host->base, on_wait_over, c);
-	event_add(c->timer, &tv);
-}
-
 static refusal_t
 refusal_of(refuse_reason_t reason, ran_t ran)
 {
@@ -265,10 +212,10 @@
 	case ATTEMPT_REPLY:
 		break;
 	case ATTEMPT_PLACE:
-		carry_event(c, place(c));
+		carry_place(c);
 		break;
 	case ATTEMPT_WAIT:
-		wait_for_room(c);
+		room_wait(c);
 		break;
 	case ATTEMPT_SEND:
 		if (may_run(c, &why))
@@ -309,9 +256,9 @@
 	attempt_action_t action;
 
 	c->started = TRUE;
-	action =
-	    attempt_init(&c->attempt, h->next_request, c->idempotent, deadline,
-		c->timeout_ms, host_retry_budget(h, c->request.service), now);
+	harm_fingerprint(c, &c->print);
+	action = attempt_init(&c->attempt, c->number, c->idempotent, deadline,
+	    c->timeout_ms, host_retry_budget(h, c->request.service), now);
 	carry_act(c, &action);
 }
 
@@ -402,13 +349,15 @@
 		return;
 	}
 	c->host = h;
+	c->queued = QUEUE_NONE;
+	c->number = ++h->next_request;
 	c->x = x;
 	c->arrived_at = clock_now();
 	c->tried = g_array_new(FALSE, FALSE, sizeof(GQuark));
 	g_ptr_array_add(h->carries, c);
 	g_snprintf(c->id, sizeof(c->id),
 	    "%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, h->settings.id,
-	    (guint64)h->incarnation, (guint64)++h->next_request);
+	    (guint64)h->incarnation, (guint64)c->number);
 	http_exchange_watch(x, on_gone, c);
 	if (!admit(c, &why)) {
 		if (why >= REFUSAL_KEY_MISSING && why <= REFUSAL_NOT_FRESH)
--- a/src/host/carry.h
+++ b/src/host/carry.h
@@ -3,6 +3,7 @@
 
 #include "coordination/attempt.h"
 #include "coordination/borrower.h"
+#include "coordination/poison.h"
 #include "host/host.h"
 #include "host/request.h"
 
@@ -30,10 +31,22 @@
 	route_ticket_t ticket;
 	gboolean booked;
 	char *address;
+	GQuark endpoint;   /* its name */
 	gboolean relaying; /* the head of the answer has been passed on */
 	gboolean bodyless; /* the answer has a head only */
 	uint64_t answer_bytes;
-	struct event *timer; /* while waiting for room */
+	struct event *timer; /* until the next look */
+	uint64_t number;     /* of this request on this host */
+	uint64_t queued;     /* its place in the queue, or QUEUE_NONE */
+	fingerprint_t print; /* by which it is known again */
+	gboolean begun;	     /* counted as running by the poison module */
+	gboolean claimed;    /* waits for peers to object */
+	poison_run_id_t run;
+	/* Its idempotency key's entry; ONCE_NONE: none. */
+	uint32_t once;
+	gboolean once_done; /* the entry knows how it ended */
+	GByteArray *kept;   /* answer so far, to be replayed; NULL: not kept */
+	int status;	    /* of the answer */
 };
 
 /**
@@ -80,6 +93,28 @@
  */
 void carry_refuse(carry_t *c, refusal_t why, run_state_t run, msec_t retry_ms);
 
+/**
+ * carry_place() - Find an endpoint and claim a place on it.
+ * @c: the carry, which may be freed by this
+ *
+ * Ends in an event of the attempt, now or later.
+ */
+void carry_place(carry_t *c);
+
+/**
+ * carry_try_place() - Try again to place a request that waits for room.
+ * @c: the carry, which may be freed by this
+ *
+ * Return: FALSE if there is still no room for it.
+ */
+gboolean carry_try_place(carry_t *c);
+
+/**
+ * carry_run_state() - Whether the request may have run.
+ * @c: the carry
+ */
+run_state_t carry_run_state(const carry_t *c);
+
 /**
  * carry_send() - Send the try that the attempt has decided on.
  * @c: the carry, with a booked endpoint
--- /dev/null
+++ b/src/host/carry_place.c
@@ -0,0 +1,199 @@
+#include <string.h>
+
+#include "host/carry.h"
+#include "host/harm.h"
+#include "host/room.h"
+
+/* Endpoints that one look can leave out. */
+#define EXCLUDED_MAX 64
+/* Before an endpoint is looked for again that has no other request. */
+#define ALONE_RETRY_MS 50
+#define HOLD_MAX_MS 1000
+
+static gboolean
+was_tried(const carry_t *c, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < c->tried->len; i++) {
+		if (g_array_index(c->tried, GQuark, i) ==
+		    g_quark_try_string(name))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* Endpoints tried before, those a suspect has to itself, and, for a suspect,
+ * those with other requests. */
+static guint
+excluded(const carry_t *c, gboolean alone, endpoint_id_t *ids, guint max)
+{
+	const host_t *h = c->host;
+	msec_t now = clock_now();
+	const char *name;
+	guint i, n = 0;
+
+	for (i = 0; i < h->catalog.endpoints->len && n < max; i++) {
+		name = catalog_endpoint(&h->catalog, (endpoint_id_t)i)->name;
+		if (was_tried(c, name) ||
+		    poison_endpoint_apart(&h->poison, name, now) ||
+		    (alone && poison_endpoint_busy(&h->poison, name)))
+			ids[n++] = (endpoint_id_t)i;
+	}
+	return n;
+}
+
+static route_kind_t
+book(carry_t *c, gboolean alone)
+{
+	host_t *h = c->host;
+	endpoint_id_t leave_out[EXCLUDED_MAX];
+	route_request_t want = {
+	    .service = catalog_find_service(&h->catalog, c->request.service),
+	    .tried = leave_out,
+	};
+	const endpoint_t *e;
+	route_result_t r;
+
+	if (want.service == ID_NONE)
+		return ROUTE_NONE;
+	want.n_tried = excluded(c, alone, leave_out, EXCLUDED_MAX);
+	want.bits = evbuffer_get_length(c->request.body) * 8;
+	r = route_choose(
+	    &h->routes, &h->stats, &h->catalog, &want, clock_now());
+	if (r.kind != ROUTE_SENT)
+		return r.kind;
+	e = catalog_endpoint(&h->catalog, r.endpoint);
+	g_free(c->address);
+	c->address = g_strdup(e->address);
+	c->endpoint = g_quark_from_string(e->name);
+	c->ticket = r.ticket;
+	c->booked = TRUE;
+	c->sent_at = clock_now();
+	c->answer_bytes = 0;
+	return ROUTE_SENT;
+}
+
+static void on_look(evutil_socket_t fd, short what, void *arg);
+
+static void
+look_again(carry_t *c, msec_t after_ms)
+{
+	struct timeval tv = {
+	    after_ms / MSEC_PER_SEC, (after_ms % MSEC_PER_SEC) * 1000};
+
+	if (c->timer == NULL)
+		c->timer = evtimer_new(c->host->base, on_look, c);
+	event_add(c->timer, &tv);
+}
+
+static void
+placed(carry_t *c)
+{
+	g_array_append_val(c->tried, c->endpoint);
+	c->sent_at = clock_now();
+	carry_event(c, ATTEMPT_PLACED);
+}
+
+/* A claim has stood long enough for peers to object, or has not. */
+static void
+confirm(carry_t *c)
+{
+	host_t *h = c->host;
+
+	if (poison_confirm(&h->poison, c->run, clock_now())) {
+		c->claimed = FALSE;
+		placed(c);
+		return;
+	}
+	c->begun = FALSE;
+	c->claimed = FALSE;
+	carry_unbook(c, OUTCOME_CANCELLED);
+	carry_place(c);
+}
+
+static void
+on_look(evutil_socket_t fd, short what, void *arg)
+{
+	carry_t *c = arg;
+
+	(void)fd;
+	(void)what;
+	if (clock_now() >= c->attempt.deadline)
+		carry_event(c, ATTEMPT_TIMED_OUT);
+	else if (c->claimed)
+		confirm(c);
+	else
+		carry_place(c);
+}
+
+/* A place is booked: claim it if the request is a suspect. */
+static void
+begin(carry_t *c, gboolean alone)
+{
+	host_t *h = c->host;
+
+	c->run = poison_begin(
+	    &h->poison, &c->print, g_quark_to_string(c->endpoint), clock_now());
+	c->begun = TRUE;
+	c->claimed = alone;
+	harm_spread(h);
+	if (alone)
+		look_again(c, POISON_LEAD_MS);
+	else
+		placed(c);
+}
+
+/* Return: whether the request has been dealt with, FALSE if there is no room
+ * for it. */
+static gboolean
+find_place(carry_t *c)
+{
+	poison_verdict_t v =
+	    poison_check(&c->host->poison, &c->print, clock_now());
+	gboolean alone = v.kind == POISON_RUN_ALONE;
+
+	if (v.kind == POISON_REFUSE) {
+		carry_refuse(c, REFUSAL_HARMFUL, carry_run_state(c), v.wait_ms);
+		return TRUE;
+	}
+	if (v.kind == POISON_HOLD) {
+		room_forget(c);
+		look_again(c, CLAMP(v.wait_ms, 1, HOLD_MAX_MS));
+		return TRUE;
+	}
+	switch (book(c, alone)) {
+	case ROUTE_SENT:
+		room_served(c);
+		begin(c, alone);
+		return TRUE;
+	case ROUTE_FULL:
+		return FALSE;
+	case ROUTE_NONE:
+		break;
+	}
+	room_forget(c);
+	if (alone)
+		look_again(c, ALONE_RETRY_MS);
+	else
+		carry_event(c, ATTEMPT_NO_SERVER);
+	return TRUE;
+}
+
+void
+carry_place(carry_t *c)
+{
+	/* Those who wait already go first. */
+	if (c->queued == QUEUE_NONE && room_busy(c)) {
+		carry_event(c, ATTEMPT_NO_ROOM);
+		return;
+	}
+	if (!find_place(c))
+		carry_event(c, ATTEMPT_NO_ROOM);
+}
+
+gboolean
+carry_try_place(carry_t *c)
+{
+	return find_place(c);
+}
--- a/src/host/control.c
+++ b/src/host/control.c
@@ -3,12 +3,14 @@
 #include "base/log.h"
 #include "host/confops.h"
 #include "host/control.h"
+#include "host/harm.h"
 #include "host/join.h"
 #include "host/keyops.h"
 #include "host/limits.h"
 #include "host/operate.h"
 #include "host/peers.h"
 #include "host/probe.h"
+#include "host/room.h"
 
 static void
 take_key(host_t *h, const char *name, const store_row_t *row)
@@ -76,6 +78,8 @@
 		return;
 	h->probe_at = now + PROBE_PERIOD_MS;
 	probe_all(h);
+	poison_tick(&h->poison, now);
+	harm_spread(h);
 }
 
 /* Another incarnation has this host's place: serve nothing, start anew. */
@@ -98,6 +102,7 @@
 	join_tick(h);
 	scan_when_due(h, now);
 	probe_when_due(h, now);
+	room_pump_later(h);
 	if (h->incarnation != 0) {
 		peers_tick(h, now);
 		keyops_tick(h, now);
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -9,6 +9,7 @@
 #include "host/confops.h"
 #include "host/control.h"
 #include "host/dump.h"
+#include "host/harm.h"
 #include "host/host.h"
 #include "host/join.h"
 #include "host/keyops.h"
@@ -16,6 +17,7 @@
 #include "host/lookups.h"
 #include "host/operate.h"
 #include "host/peers.h"
+#include "host/room.h"
 #include "protocol/text.h"
 
 #define TICK_MS 20
@@ -41,6 +43,8 @@
 		"Tries after the first of a request."},
 	    {&h->m.hang_ups, METRIC_COUNTER, "callers_gone_total",
 		"Callers that hung up before their answer."},
+	    {&h->m.queued, METRIC_COUNTER, "requests_queued_total",
+		"Requests that had to wait for a slot."},
 	    {&h->m.lookups, METRIC_COUNTER, "lookups_total",
 		"Look-ups answered."},
 	    {&h->m.key_refused, METRIC_COUNTER, "key_refused_total",
@@ -282,6 +286,8 @@
 		limits_serve_borrow(h, id, caller, &args->u.borrow);
 		break;
 	case RPC_PROC_SUSPECT:
+		harm_serve(h, id, caller, &args->u.suspect);
+		break;
 	case RPC_PROC_NULL:
 		rpc_server_refuse(&h->rpc_server, id);
 		break;
@@ -381,6 +387,8 @@
 	peers_init(h);
 	operate_init(h);
 	limits_init(h);
+	room_init(h);
+	poison_init(&h->poison, harm_peer_id(h->settings.id));
 	h->slot = SLOT_NONE;
 	h->slot_watched = SLOT_NONE;
 	endpoint_stats_init(&h->stats);
@@ -432,6 +440,8 @@
 	store_finish(&h->store);
 	mirror_finish(&h->mirror);
 	limits_finish(h);
+	room_finish(h);
+	poison_finish(&h->poison);
 	peers_finish(h);
 	if (h->incarnation != 0)
 		roster_finish(&h->roster);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -6,6 +6,7 @@
 #include "base/metrics.h"
 #include "coordination/confspread.h"
 #include "coordination/freshness.h"
+#include "coordination/poison.h"
 #include "coordination/retry_budget.h"
 #include "coordination/roster.h"
 #include "coordination/roster_view.h"
@@ -87,6 +88,10 @@
 	GPtrArray *operations; /* operation_t of operators */
 	endpoint_stats_t stats;
 	route_choice_t routes;
+	GHashTable *rooms;   /* service name to room_t */
+	GHashTable *waiting; /* request number to carry_t */
+	struct event *pumper;
+	poison_t poison;
 	GHashTable *budgets; /* service name to retry_budget_t */
 	GPtrArray *carries;  /* carry_t under way */
 	uint64_t next_request;
--- a/src/host/probe.c
+++ b/src/host/probe.c
@@ -3,6 +3,7 @@
 #include <jansson.h>
 
 #include "base/log.h"
+#include "host/harm.h"
 #include "host/probe.h"
 
 #define PROBE_PATH "/health"
@@ -55,6 +56,11 @@
 		take_report(p, root);
 	else
 		metrics_count(&h->metrics, h->m.probes_failed, 1);
+	if (outcome == HTTP_ANSWERED || outcome == HTTP_NOT_SENT) {
+		poison_endpoint_seen(&h->poison, p->endpoint,
+		    outcome == HTTP_ANSWERED, clock_now());
+		harm_spread(h);
+	}
 	json_decref(root);
 	g_free(p->endpoint);
 	g_free(p);
@@ -91,3 +97,12 @@
 	for (i = 0; i < h->catalog.endpoints->len; i++)
 		probe_one(h, catalog_endpoint(&h->catalog, (endpoint_id_t)i));
 }
+
+void
+probe_endpoint(host_t *h, const char *name)
+{
+	endpoint_id_t id = catalog_find_endpoint(&h->catalog, name);
+
+	if (id != ID_NONE)
+		probe_one(h, catalog_endpoint(&h->catalog, id));
+}
--- a/src/host/probe.h
+++ b/src/host/probe.h
@@ -13,4 +13,11 @@
  */
 void probe_all(host_t *h);
 
+/**
+ * probe_endpoint() - Ask one endpoint at once.
+ * @h: the host
+ * @name: its name; one that is not in the catalog is ignored
+ */
+void probe_endpoint(host_t *h, const char *name);
+
 #endif
--- a/src/protocol/gen/host_rpc.h
+++ b/src/protocol/gen/host_rpc.h
@@ -205,9 +205,11 @@
 
 struct rpc_suspect_t {
 	rpc_digest_t fingerprint;
-	u_int deaths;
-	u_int ttl_ms;
-	bool_t refused;
+	u_int kind;
+	rpc_name_t endpoint;
+	u_int age_ms;
+	u_int run_age_ms;
+	u_int left_ms;
 };
 typedef struct rpc_suspect_t rpc_suspect_t;
 
--- a/src/protocol/gen/host_rpc_xdr.c
+++ b/src/protocol/gen/host_rpc_xdr.c
@@ -418,11 +418,15 @@
 
 	 if (!xdr_rpc_digest_t (xdrs, objp->fingerprint))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->deaths))
+	 if (!xdr_u_int (xdrs, &objp->kind))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->ttl_ms))
+	 if (!xdr_rpc_name_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run_age_ms))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->refused))
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/protocol/host_rpc.x
+++ b/src/protocol/host_rpc.x
@@ -167,11 +167,14 @@
 	unsigned hyper excess;
 };
 
+/* News of a request that may crash backend servers; endpoint may be empty. */
 struct rpc_suspect_t {
 	rpc_digest_t fingerprint;
-	unsigned int deaths;
-	unsigned int ttl_ms;
-	bool refused;
+	unsigned int kind;
+	rpc_name_t endpoint;
+	unsigned int age_ms;
+	unsigned int run_age_ms;
+	unsigned int left_ms;
 };
 
 struct suspect_args_t {
--- a/tests/rpc_samples.h
+++ b/tests/rpc_samples.h
@@ -10,7 +10,8 @@
 static rpc_load_t sample_loads[] = {{"lettore-1", 2}, {"lettore-2", 1}};
 static rpc_withdrawal_t sample_withdrawals[] = {{"digest one", 7}, {"d2", 0}};
 static rpc_key_row_t sample_keys[] = {{"digest one", "w1", TRUE, 7}};
-static rpc_suspect_t sample_suspects[] = {{"fingerprint", 2, 60000, TRUE}};
+static rpc_suspect_t sample_suspects[] = {
+    {"fingerprint", 2, "till-1", 5, 6, 60000}};
 
 static inline rpc_heartbeat_t
 sample_heartbeat(void)
