--- /dev/null
+++ b/tests/bench/bench_rpc.c
@@ -0,0 +1,202 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <popt.h>
+
+#include "protocol/record_mark.h"
+#include "transport/rpc_client.h"
+#include "transport/rpc_server.h"
+
+/*
+ * What one heartbeat costs, by the endpoints that it names: bytes of call and
+ * reply with their marks, and processor time of both ends together, which are
+ * one process here, over a loopback socket.
+ */
+
+#define USEC_PER_SEC 1000000
+
+static const int sizes[] = {0, 38, 100, 1000};
+
+static struct event_base *base;
+static rpc_server_t server;
+static rpc_client_t client;
+static rpc_peer_id_t peer;
+static rpc_load_t loads[RPC_LOADS_MAX];
+static rpc_heartbeat_t heartbeat;
+static char address[32];
+static int calls = 20000, json, left;
+
+static void
+fill_heartbeat(int n)
+{
+	static char names[RPC_LOADS_MAX][RPC_NAME_MAX];
+	rpc_heartbeat_t h = {
+	    {"host-a", 1, "milano", "milano-a", "192.0.2.10:7401",
+		"192.0.2.10:8080", RPC_HOST_LIVE, "0.1.0"},
+	    1, 1, 0, {0, NULL}, {0, NULL}, {(u_int)n, loads}};
+	int i;
+
+	for (i = 0; i < n; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "lettore-%d", i);
+		loads[i].endpoint = names[i];
+		loads[i].in_flight = 2;
+	}
+	heartbeat = h;
+}
+
+static void
+fill_call(rpc_args_t *args)
+{
+	memset(args, 0, sizeof(*args));
+	args->proc = RPC_PROC_EXCHANGE;
+	args->u.exchange.heartbeat = heartbeat;
+}
+
+static void
+handle(void *arg, rpc_call_id_t id, const char *caller, const rpc_args_t *args)
+{
+	rpc_result_t result = {.proc = RPC_PROC_EXCHANGE};
+
+	(void)arg;
+	(void)caller;
+	result.u.exchange.sequence = args->u.exchange.sequence;
+	result.u.exchange.heartbeat = heartbeat;
+	rpc_server_answer(&server, id, &result);
+}
+
+static void
+next_call(void *arg, const rpc_result_t *result, const GError *err)
+{
+	rpc_args_t args;
+
+	(void)arg;
+	if (err != NULL) {
+		fprintf(stderr, "bench_rpc: %s\n", err->message);
+		exit(1);
+	}
+	(void)result;
+	if (left-- <= 0) {
+		event_base_loopbreak(base);
+		return;
+	}
+	fill_call(&args);
+	rpc_client_call(&client, peer, &args, 10000, next_call, NULL, NULL);
+}
+
+static double
+cpu_usec(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec * USEC_PER_SEC + (double)ts.tv_nsec / 1000;
+}
+
+static guint
+call_bytes(const rpc_key_t *key)
+{
+	rpc_cred_t cred = {"", "", "host-a", address, 0};
+	GByteArray *body = g_byte_array_new();
+	GByteArray *record = g_byte_array_new();
+	rpc_call_t call = {0};
+	rpc_args_t args;
+	guint len;
+
+	fill_call(&args);
+	rpc_args_encode(body, &args, NULL);
+	call.body = body->data;
+	call.body_len = body->len;
+	rpc_call_sign(&call, &cred, key, NULL);
+	rpc_call_encode(record, &call);
+	len = record->len + RECORD_MARK_SIZE;
+	g_byte_array_free(body, TRUE);
+	g_byte_array_free(record, TRUE);
+	return len;
+}
+
+static guint
+reply_bytes(void)
+{
+	GByteArray *body = g_byte_array_new();
+	GByteArray *record = g_byte_array_new();
+	rpc_result_t result = {.proc = RPC_PROC_EXCHANGE};
+	rpc_reply_t reply = {0};
+	guint len;
+
+	result.u.exchange.heartbeat = heartbeat;
+	rpc_result_encode(body, &result, NULL);
+	reply.body = body->data;
+	reply.body_len = body->len;
+	rpc_reply_encode(record, &reply);
+	len = record->len + RECORD_MARK_SIZE;
+	g_byte_array_free(body, TRUE);
+	g_byte_array_free(record, TRUE);
+	return len;
+}
+
+static void
+measure(int n, const rpc_key_t *key)
+{
+	double before;
+
+	fill_heartbeat(n);
+	left = 1;
+	next_call(NULL, NULL, NULL);
+	event_base_dispatch(base);
+	left = calls;
+	before = cpu_usec();
+	next_call(NULL, NULL, NULL);
+	event_base_dispatch(base);
+	printf(json ? "{\"endpoints\":%d,\"call_bytes\":%u,"
+		      "\"reply_bytes\":%u,\"cpu_us\":%.1f}\n"
+		    : "%9d %10u %11u %8.1f\n",
+	    n, call_bytes(key), reply_bytes(), (cpu_usec() - before) / calls);
+}
+
+int
+main(int argc, const char **argv)
+{
+	const struct poptOption options[] = {
+	    {"json", 0, POPT_ARG_NONE, &json, 0, "one JSON object a line",
+		NULL},
+	    {"calls", 0, POPT_ARG_INT, &calls, 0, "calls of each size", "N"},
+	    POPT_AUTOHELP POPT_TABLEEND};
+	poptContext ctx = poptGetContext(NULL, argc, argv, options, 0);
+	rpc_server_config_t at = {0};
+	rpc_client_config_t from = {0};
+	metrics_t metrics;
+	rpc_key_t key;
+	size_t i;
+
+	poptGetNextOpt(ctx);
+	poptFreeContext(ctx);
+	signal(SIGPIPE, SIG_IGN);
+	rpc_key_init(&key, "the fleet's secret", 18, NULL);
+	metrics_init(&metrics);
+	base = event_base_new();
+	at.base = from.base = base;
+	at.key = from.key = &key;
+	at.metrics = from.metrics = &metrics;
+	at.self.id = at.self.address = address;
+	at.handler = handle;
+	from.id = "host-a";
+	from.version = HOST_VERSION;
+	if (!rpc_server_init(&server, &at, "127.0.0.1:0", NULL))
+		return 1;
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+	    (unsigned int)rpc_server_port(&server));
+	rpc_client_init(&client, &from);
+	rpc_client_peer(&client, address, &peer, NULL);
+	if (!json)
+		printf("endpoints call_bytes reply_bytes   cpu_us\n");
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++)
+		measure(sizes[i], &key);
+	rpc_client_finish(&client);
+	rpc_server_finish(&server);
+	metrics_finish(&metrics);
+	event_base_free(base);
+	return 0;
+}
