--- a/tests/bench/bench_rpc.c
+++ b/tests/bench/bench_rpc.c
@@ -34,9 +34,18 @@
 {
 	static char names[RPC_LOADS_MAX][RPC_NAME_MAX];
 	rpc_heartbeat_t h = {
-	    {"host-a", 1, "milano", "milano-a", "192.0.2.10:7401",
-		"192.0.2.10:8080", RPC_HOST_LIVE, "0.1.0"},
-	    1, 1, 0, {0, NULL}, {0, NULL}, {(u_int)n, loads}};
+	    .host = {.id = "host-a",
+		.incarnation = 1,
+		.region = "milano",
+		.domain = "milano-a",
+		.rpc_address = "192.0.2.10:7401",
+		.callers_address = "192.0.2.10:8080",
+		.state = RPC_HOST_LIVE,
+		.build = "0.1.0"},
+	    .config_version = 1,
+	    .keys_version = 1,
+	    .loads = {(u_int)n, loads},
+	};
 	int i;
 
 	for (i = 0; i < n; i++) {
