Reserves: slots' parts pledged to the lender while it is in reach

With no lender only the floors were left. The pledge counts for the lender from its own answer before the question, for the host from the send, plus the life of a loan.

--- a/src/coordination/borrower.c
+++ b/src/coordination/borrower.c
@@ -2,17 +2,27 @@
 
 #include "coordination/borrower.h"
 
+shares_t
+borrower_shares(void)
+{
+	shares_t shares = {FLOOR_PERMILLE, RESERVE_PERMILLE};
+
+	return shares;
+}
+
 void
 borrower_init(borrower_t *b, host_id_t host, uint64_t incarnation,
-    unsigned floor_permille, msec_t now)
+    shares_t shares, msec_t now)
 {
 	memset(b, 0, sizeof(*b));
 	b->host = host;
 	b->incarnation = incarnation;
-	b->floor_permille = floor_permille;
+	b->shares = shares;
 	b->config.slot = SLOT_NONE;
 	b->settle_at = INT64_MAX;
 	bucket_init(&b->floor, b->config.limit, now);
+	bucket_init(&b->reserve, b->config.limit, now);
+	b->reserve_from = now;
 	b->asked_at = now - BORROW_PERIOD_MS;
 	b->round_trip = WAIT_MAX_MS;
 	b->demand_at = now;
@@ -26,21 +36,35 @@
 	return s;
 }
 
-static void
-floor_update(borrower_t *b, msec_t now)
+/* A slot's part: the least of what is in force here and everywhere. */
+static limit_t
+slot_part(const borrower_t *b, unsigned permille)
 {
 	slots_t latest = slots_of(&b->config);
-	limit_t part = {0, 0};
-
-	if (b->config.slot < MIN(latest.slots, b->settled.slots))
-		part = limit_min(
-		    limit_floor(latest.limit, b->floor_permille, latest.parts),
-		    limit_floor(
-			b->settled.limit, b->floor_permille, b->settled.parts));
-	bucket_set_limit(&b->floor, part, now);
+	limit_t none = {0, 0};
+
+	if (b->config.slot >= MIN(latest.slots, b->settled.slots))
+		return none;
+	return limit_min(limit_slot(latest.limit, permille, latest.parts),
+	    limit_slot(b->settled.limit, permille, b->settled.parts));
+}
+
+static void
+slot_update(borrower_t *b, msec_t now)
+{
+	bucket_set_limit(&b->floor, slot_part(b, b->shares.floor), now);
+	bucket_set_limit(&b->reserve, slot_part(b, b->shares.reserve), now);
+}
+
+/* Keeps the reserve empty for as long as it may count for the lender. */
+static void
+reserve_pledge(borrower_t *b, msec_t now)
+{
+	b->reserve_from = now + PLEDGE_MS + GRANT_TTL_MS + 2 * GRANT_DRIFT_MS;
+	bucket_init(&b->reserve, b->reserve.limit, b->reserve_from);
 }
 
-/* Lets the floor grow when its time has come. */
+/* Lets the buckets grow when its time has come. */
 static void
 borrower_tick(borrower_t *b, msec_t now)
 {
@@ -48,7 +72,7 @@
 		return;
 	b->settle_at = INT64_MAX;
 	b->settled = slots_of(&b->config);
-	floor_update(b, now);
+	slot_update(b, now);
 }
 
 static gboolean
@@ -65,15 +89,18 @@
 	borrower_tick(b, now);
 	if (config_equal(config, &b->config))
 		return;
-	if (config->slot != b->config.slot)
+	if (config->slot != b->config.slot) {
+		/* The slot's last holder may have pledged its reserve. */
 		bucket_init(&b->floor, b->floor.limit, now);
+		reserve_pledge(b, now);
+	}
 	/* Another host may have settled on what was not yet settled here. */
 	b->settled.limit = limit_min(b->settled.limit, b->config.limit);
 	b->settled.parts = MAX(b->settled.parts, b->config.slots);
 	b->settled.slots = MIN(b->settled.slots, b->config.slots);
 	b->settle_at = INT64_MAX;
 	b->config = *config;
-	floor_update(b, now);
+	slot_update(b, now);
 }
 
 void
@@ -133,7 +160,8 @@
 token_take(borrower_t *b, msec_t now)
 {
 	bucket_refill(&b->floor, 0, now);
-	if (bucket_take(&b->floor, UTOKEN))
+	bucket_refill(&b->reserve, 0, now);
+	if (bucket_take(&b->floor, UTOKEN) || bucket_take(&b->reserve, UTOKEN))
 		return TRUE;
 	if (holding_take(&b->prior, now))
 		return TRUE;
@@ -157,7 +185,8 @@
 admit_later(const borrower_t *b, msec_t arrived_at, msec_t now)
 {
 	msec_t deadline = arrived_at + wait_limit(b);
-	msec_t ready_at = bucket_ready_at(&b->floor, UTOKEN);
+	msec_t ready_at = MIN(bucket_ready_at(&b->floor, UTOKEN),
+	    bucket_ready_at(&b->reserve, UTOKEN));
 	admit_t verdict = {ADMIT_REFUSE, MIN(ready_at, now + MSEC_PER_SEC)};
 	gboolean hopeless = b->lost >= BORROW_LOST_MAX && ready_at > deadline;
 
@@ -224,14 +253,26 @@
 	/* Being low asks sooner than the period, but not in a storm. */
 	if (holding_low(b))
 		return elapsed >= BORROW_PERIOD_MS / 4;
-	if (elapsed < BORROW_PERIOD_MS)
-		return FALSE;
-	return b->unreported || b->demand > 0 || b->holding.tokens > 0;
+	if (b->unreported || b->demand > 0 || b->holding.tokens > 0)
+		return elapsed >= BORROW_PERIOD_MS;
+	return b->reserve.limit.burst > 0 && elapsed >= PLEDGE_PERIOD_MS;
+}
+
+static void
+ask_pledge(borrower_t *b, msec_t now, borrow_request_t *request)
+{
+	request->echo = b->holding.stamp;
+	if (b->lost > 0 || request->echo == 0)
+		return;
+	request->pledge = b->reserve.limit;
+	reserve_pledge(b, now);
 }
 
 gboolean
-borrower_ask(borrower_t *b, msec_t now, borrow_request_t *request)
+borrower_ask(
+    borrower_t *b, gboolean fresh, msec_t now, borrow_request_t *request)
 {
+	borrower_tick(b, now);
 	demand_fade(b, now);
 	holding_expire(&b->holding, now);
 	if (!ask_is_due(b, now))
@@ -251,6 +292,8 @@
 	request->returned = b->holding.returned;
 	request->demand = b->demand;
 	request->wanted = b->waiting;
+	if (fresh)
+		ask_pledge(b, now, request);
 	return TRUE;
 }
 
@@ -263,6 +306,8 @@
 		return b->asked_at + BORROW_PERIOD_MS / 4;
 	if (b->unreported || b->demand > 0 || b->holding.tokens > 0)
 		return b->asked_at + BORROW_PERIOD_MS;
+	if (b->reserve.limit.burst > 0)
+		return b->asked_at + PLEDGE_PERIOD_MS;
 	return INT64_MAX;
 }
 
@@ -285,6 +330,7 @@
 	holding_expire(h, now);
 	h->tokens += answer->granted;
 	h->taken += answer->granted;
+	h->stamp = answer->stamp;
 	h->expires_at = asked_at + GRANT_TTL_MS;
 	holding_expire(h, now);
 	excess = MIN(answer->excess, h->tokens);
@@ -297,9 +343,12 @@
 uint64_t
 borrower_tokens(borrower_t *b, msec_t now)
 {
+	borrower_tick(b, now);
 	bucket_refill(&b->floor, 0, now);
+	bucket_refill(&b->reserve, 0, now);
 	holding_expire(&b->holding, now);
 	holding_expire(&b->prior, now);
-	return (uint64_t)(b->floor.level / UTOKEN) + b->holding.tokens +
+	return (uint64_t)(b->floor.level / UTOKEN) +
+	    (uint64_t)(b->reserve.level / UTOKEN) + b->holding.tokens +
 	    b->prior.tokens;
 }
--- a/src/coordination/borrower.h
+++ b/src/coordination/borrower.h
@@ -10,15 +10,19 @@
 #include "state/bucket.h"
 
 /*
- * A host's side of one workspace's rate and burst: a bucket of its own, if it
- * holds a slot, and tokens borrowed from the workspace's lender. See
+ * A host's side of one workspace's rate and burst: tokens borrowed from the
+ * workspace's lender and, if it holds a slot, two buckets of its own: a floor,
+ * and a reserve that is pledged to the lender while that one is in reach. See
  * docs/LIMITS.md.
  */
 
-/* Share of rate and burst that the slots hold for good. */
+/* Shares of rate and burst that belong to the slots. */
 #define FLOOR_PERMILLE 200
+#define RESERVE_PERMILLE 600
 /* Period of questions to the lender while requests come. */
 #define BORROW_PERIOD_MS 100
+/* The same while none come, for the sake of the pledge. */
+#define PLEDGE_PERIOD_MS 500
 /* Without an answer for this long, a question is given up. */
 #define BORROW_TIMEOUT_MS 400
 /* After that many in a row, requests don't wait for the lender. */
@@ -66,16 +70,19 @@
 	uint64_t tokens;
 	msec_t expires_at;
 	uint64_t taken, used, returned; /* totals of the epoch */
+	msec_t stamp;			/* of the newest answer; 0: none */
 } holding_t;
 
 typedef struct {
 	host_id_t host;
 	uint64_t incarnation;
-	unsigned floor_permille;
+	shares_t shares;
 	borrower_config_t config; /* in force here */
 	slots_t settled;
 	msec_t settle_at; /* when @config counts as settled */
 	bucket_t floor;
+	bucket_t reserve;
+	msec_t reserve_from; /* it may have been pledged until then */
 	holding_t holding;
 	holding_t prior; /* of the epoch before, until it expires */
 	uint64_t sequence;
@@ -89,16 +96,19 @@
 	gboolean unreported; /* tokens used or to return since the question */
 } borrower_t;
 
+/* The shares that all hosts use. */
+shares_t borrower_shares(void);
+
 /**
  * borrower_init() - Start with nothing.
  * @b: memory of the caller
  * @host: this host
  * @incarnation: its incarnation
- * @floor_permille: share held by slots, FLOOR_PERMILLE but for measurements
+ * @shares: shares of the slots, borrower_shares() but for measurements
  * @now: present time
  */
 void borrower_init(borrower_t *b, host_id_t host, uint64_t incarnation,
-    unsigned floor_permille, msec_t now);
+    shares_t shares, msec_t now);
 
 /**
  * borrower_configure() - Put a configuration or a changed slot in force.
@@ -142,10 +152,12 @@
 /**
  * borrower_ask() - Is a question to the lender due?
  * @b: the borrower
- * @now: present time
+ * @fresh: as for borrower_admit(); without it no reserve is pledged
+ * @now: present time, read at this moment
  * @request: set if so, to be sent at once
  */
-gboolean borrower_ask(borrower_t *b, msec_t now, borrow_request_t *request);
+gboolean borrower_ask(
+    borrower_t *b, gboolean fresh, msec_t now, borrow_request_t *request);
 
 /**
  * borrower_ask_at() - When is borrower_ask() worth the next call?
--- a/src/coordination/lender.c
+++ b/src/coordination/lender.c
@@ -26,8 +26,8 @@
 {
 	lender_stop(l);
 	l->epoch = epoch;
+	l->base = limit;
 	bucket_init(&l->bucket, limit, now);
-	l->prior = limit.burst;
 	l->prior_until = now + GRANT_TTL_MS + GRANT_DRIFT_MS;
 }
 
@@ -39,29 +39,56 @@
 	g_array_set_size(l->loans, 0);
 }
 
-/* What counts against the burst besides the level. */
-static utoken_t
-reserved(const lender_t *l)
+/* Refills up to a moment; until then nothing else has changed. */
+static void
+refill(lender_t *l, msec_t at)
 {
-	return (utoken_t)l->lent * UTOKEN + l->prior;
+	utoken_t reserved = (utoken_t)l->lent * UTOKEN;
+
+	if (at <= l->prior_until)
+		reserved = l->bucket.limit.burst;
+	bucket_refill(&l->bucket, reserved, at);
 }
 
-static void
-loan_expire(lender_t *l, guint i)
+/* When does the next part of a loan end? */
+static msec_t
+loan_ends_at(const loan_t *loan)
+{
+	msec_t at = INT64_MAX;
+
+	if (loan->lent > 0)
+		at = loan->expires_at;
+	if (loan->pledge.burst > 0)
+		at = MIN(at, loan->pledged_until);
+	/* An empty row is kept for its sequence until it has expired. */
+	return at == INT64_MAX ? loan->expires_at : at;
+}
+
+/* Ends what ends at a moment; true if the row can go. */
+static gboolean
+loan_end(lender_t *l, loan_t *loan, msec_t at)
 {
-	l->lent -= loan_at(l, i)->lent;
-	g_array_remove_index_fast(l->loans, i);
+	if (loan->expires_at <= at) {
+		l->lent -= loan->lent;
+		loan->lent = 0;
+	}
+	if (loan->pledged_until <= at) {
+		l->bucket.limit = limit_sub(l->bucket.limit, loan->pledge);
+		memset(&loan->pledge, 0, sizeof(loan->pledge));
+	}
+	return loan->expires_at <= at && loan->pledge.burst == 0;
 }
 
-/* Index of the loan that expires first; the table's length if there is none. */
+/* Index of the loan that ends first; the table's length if there is none. */
 static guint
-first_to_expire(const lender_t *l)
+first_to_end(const lender_t *l)
 {
 	guint i, first = l->loans->len;
 
 	for (i = 0; i < l->loans->len; i++) {
 		if (first == l->loans->len ||
-		    loan_at(l, i)->expires_at < loan_at(l, first)->expires_at)
+		    loan_ends_at(loan_at(l, i)) <
+			loan_ends_at(loan_at(l, first)))
 			first = i;
 	}
 	return first;
@@ -69,7 +96,7 @@
 
 /*
  * Brings the state to the present. Room that an expiry makes is refilled only
- * from that moment on, so expiries are taken in their order.
+ * from that moment on, so they are taken in their order.
  */
 static void
 advance(lender_t *l, msec_t now)
@@ -78,19 +105,21 @@
 	guint i;
 
 	for (;;) {
-		i = first_to_expire(l);
-		next = l->prior > 0 ? l->prior_until : INT64_MAX;
+		i = first_to_end(l);
+		next = now;
+		if (l->prior_until > l->bucket.at)
+			next = MIN(next, l->prior_until);
 		if (i < l->loans->len)
-			next = MIN(next, loan_at(l, i)->expires_at);
-		if (next > now)
+			next = MIN(next, loan_ends_at(loan_at(l, i)));
+		refill(l, next);
+		if (i < l->loans->len && loan_ends_at(loan_at(l, i)) <= next) {
+			if (loan_end(l, loan_at(l, i), next))
+				g_array_remove_index_fast(l->loans, i);
+		} else if (next == now) {
 			break;
-		bucket_refill(&l->bucket, reserved(l), next);
-		if (l->prior > 0 && l->prior_until == next)
-			l->prior = 0;
-		else
-			loan_expire(l, i);
+		}
 	}
-	bucket_refill(&l->bucket, reserved(l), now);
+	refill(l, now);
 }
 
 void
@@ -99,9 +128,9 @@
 	if (l->epoch == 0)
 		return;
 	advance(l, now);
-	l->prior = l->prior > 0 ? MAX(l->prior, limit.burst) : 0;
-	l->bucket.limit = limit;
-	bucket_refill(&l->bucket, reserved(l), now);
+	l->bucket.limit = limit_add(limit_sub(l->bucket.limit, l->base), limit);
+	l->base = limit;
+	refill(l, now);
 }
 
 static loan_t *
@@ -146,6 +175,23 @@
 		l->bucket.level += (utoken_t)(freed - spent) * UTOKEN;
 }
 
+/* Adds what the borrower leaves to us, from our own last answer to it on. */
+static void
+loan_pledge(
+    lender_t *l, loan_t *loan, const borrow_request_t *request, msec_t now)
+{
+	msec_t until = request->echo + PLEDGE_MS;
+	limit_t pledge = {0, 0};
+
+	if (request->epoch == l->epoch && request->echo <= now && until > now &&
+	    request->pledge.rate >= 0 && request->pledge.burst > 0)
+		pledge = request->pledge;
+	l->bucket.limit =
+	    limit_add(limit_sub(l->bucket.limit, loan->pledge), pledge);
+	loan->pledge = pledge;
+	loan->pledged_until = until;
+}
+
 /* A borrower's part of the burst, by its part of the demand. */
 static uint64_t
 loan_target(const lender_t *l, const loan_t *loan)
@@ -196,11 +242,13 @@
 	loan->demand = request->demand;
 	loan->expires_at = now + GRANT_TTL_MS + GRANT_DRIFT_MS;
 	loan_settle(l, loan, request);
+	loan_pledge(l, loan, request, now);
 	/* Cuts the level where the burst has been lowered meanwhile. */
-	bucket_refill(&l->bucket, reserved(l), now);
+	refill(l, now);
 	memset(answer, 0, sizeof(*answer));
 	answer->sequence = request->sequence;
 	answer->epoch = l->epoch;
+	answer->stamp = now;
 	loan_grant(l, loan, request, answer);
 	return LEND_ANSWERED;
 }
--- a/src/coordination/lender.h
+++ b/src/coordination/lender.h
@@ -20,6 +20,11 @@
 #define GRANT_TTL_MS 1000
 /* Difference that two clocks may gather over GRANT_TTL_MS, and rounding. */
 #define GRANT_DRIFT_MS 20
+/*
+ * How long a host leaves its slot's reserve to the lender: from the send of
+ * its question, and for the lender from its own answer before that.
+ */
+#define PLEDGE_MS 1500
 /* Share of the burst that is lent by demand; the rest awaits newcomers. */
 #define LEND_PERMILLE 800
 
@@ -38,6 +43,8 @@
 	uint64_t returned;
 	uint64_t demand; /* requests per second, admitted or not */
 	uint64_t wanted; /* tokens that requests are waiting for */
+	limit_t pledge;	 /* reserve left to the lender */
+	msec_t echo;	 /* stamp of the newest answer of the epoch */
 } borrow_request_t;
 
 typedef struct {
@@ -45,6 +52,7 @@
 	uint64_t epoch;	   /* of the lender */
 	uint64_t granted;
 	uint64_t excess; /* to be returned with the next question */
+	msec_t stamp;	 /* the lender's clock; echoed, not read */
 } borrow_answer_t;
 
 typedef enum {
@@ -63,15 +71,17 @@
 	uint64_t used;
 	uint64_t demand;
 	msec_t expires_at;
+	limit_t pledge;
+	msec_t pledged_until;
 } loan_t;
 
 typedef struct {
-	uint64_t epoch; /* 0: not the lender */
-	bucket_t bucket;
-	GArray *loans;	/* loan_t */
-	uint64_t lent;	/* sum over the loans */
-	utoken_t prior; /* may still be held from earlier lenders */
-	msec_t prior_until;
+	uint64_t epoch;	    /* 0: not the lender */
+	limit_t base;	    /* without pledges */
+	bucket_t bucket;    /* its limit includes them */
+	GArray *loans;	    /* loan_t */
+	uint64_t lent;	    /* sum over the loans */
+	msec_t prior_until; /* loans of earlier lenders may last */
 } lender_t;
 
 void lender_init(lender_t *l);
--- a/src/state/bucket.c
+++ b/src/state/bucket.c
@@ -21,7 +21,7 @@
 }
 
 limit_t
-limit_floor(limit_t limit, unsigned permille, unsigned slots)
+limit_slot(limit_t limit, unsigned permille, unsigned slots)
 {
 	limit_t part = {0, 0};
 
@@ -34,19 +34,45 @@
 	return part;
 }
 
-limit_t
-limit_lent(limit_t limit, unsigned permille, unsigned slots, gboolean settled)
+/* What all slots hold together. */
+static limit_t
+slots_hold(limit_t limit, unsigned permille, unsigned slots, gboolean settled)
 {
-	limit_t part = limit_floor(limit, permille, slots);
+	limit_t part = limit_slot(limit, permille, slots);
 
 	if (settled) {
-		limit.rate -= part.rate * slots;
-		limit.burst -= part.burst * slots;
-		return limit;
+		part.rate *= slots;
+		part.burst *= slots;
+		return part;
 	}
-	limit.rate -= limit.rate * permille / 1000;
-	limit.burst -= limit.burst / 1000 * permille;
-	return limit;
+	part.rate = limit.rate * permille / 1000;
+	part.burst = limit.burst / 1000 * permille;
+	return part;
+}
+
+limit_t
+limit_lent(limit_t limit, shares_t shares, unsigned slots, gboolean settled)
+{
+	limit_t floor = slots_hold(limit, shares.floor, slots, settled);
+	limit_t reserve = slots_hold(limit, shares.reserve, slots, settled);
+
+	return limit_sub(limit_sub(limit, floor), reserve);
+}
+
+limit_t
+limit_add(limit_t a, limit_t b)
+{
+	a.rate += b.rate;
+	a.burst += b.burst;
+	return a;
+}
+
+limit_t
+limit_sub(limit_t a, limit_t b)
+{
+	a.rate -= b.rate;
+	a.burst -= b.burst;
+	return a;
 }
 
 limit_t
--- a/src/state/bucket.h
+++ b/src/state/bucket.h
@@ -38,26 +38,35 @@
  */
 limit_t limit_make(double rate, double burst);
 
+/* Shares of the whole that all slots hold together, in thousandths. */
+typedef struct {
+	unsigned floor;	  /* used by the slot's host only */
+	unsigned reserve; /* pledged to the lender while it is in reach */
+} shares_t;
+
 /**
- * limit_floor() - The part of a limit that one slot holds for good.
+ * limit_slot() - The part of a limit that belongs to one slot.
  * @limit: the whole
  * @permille: share of the whole that all slots hold together
  * @slots: number of slots
  *
  * Return: the slot's part; nothing where it would not hold a single token.
  */
-limit_t limit_floor(limit_t limit, unsigned permille, unsigned slots);
+limit_t limit_slot(limit_t limit, unsigned permille, unsigned slots);
 
 /**
  * limit_lent() - What the slots leave of a limit.
  * @limit: the whole
- * @permille: share of the whole that all slots hold together
+ * @shares: shares of the slots
  * @slots: number of slots
  * @settled: every host has this configuration in force; until then slots of
  *	another one may hold their full share, so that is left out
  */
 limit_t limit_lent(
-    limit_t limit, unsigned permille, unsigned slots, gboolean settled);
+    limit_t limit, shares_t shares, unsigned slots, gboolean settled);
+
+limit_t limit_add(limit_t a, limit_t b);
+limit_t limit_sub(limit_t a, limit_t b);
 
 /* The lesser rate and the lesser burst of two limits. */
 limit_t limit_min(limit_t a, limit_t b);
--- a/tests/bench/bench_limits.c
+++ b/tests/bench/bench_limits.c
@@ -21,6 +21,7 @@
 #define MESSAGES_MAX 256
 #define QUEUE_MAX 128
 #define WAITS (WAIT_MAX_MS + 2)
+#define FREE_SLOTS 2
 #define LENDER 0  /* the host with the lease */
 #define BUSIEST 1 /* the host that lopsided callers prefer */
 #define DEAD 2
@@ -29,6 +30,7 @@
 	FAULT_NONE,
 	FAULT_LENDER, /* no host holds the lease */
 	FAULT_REGION, /* some hosts don't reach the lender */
+	FAULT_FREE,   /* two slots are held by no host, all along */
 	FAULT_HOST,   /* one host is dead; its callers go to the others */
 } fault_t;
 
@@ -44,7 +46,7 @@
 typedef struct {
 	const char *name;
 	gboolean fixed;
-	unsigned floor_permille;
+	shares_t shares;
 } policy_t;
 
 typedef struct {
@@ -105,6 +107,8 @@
 static gboolean
 host_dead(const sim_t *s, int host)
 {
+	if (s->scene->fault == FAULT_FREE && host >= HOSTS - FREE_SLOTS)
+		return TRUE;
 	return host == DEAD && fault_now(s, FAULT_HOST);
 }
 
@@ -126,14 +130,17 @@
 next_arrival(sim_t *s, int host, double after)
 {
 	double u = g_rand_double_range(s->rand, 1e-12, 1);
-	double sum = 0, term, x;
-	int i;
+	double sum = 0, term;
+	int i, halvings = 0;
 
-	/* -log(u) without libm: halve until near one, then the series. */
-	for (x = u; x < 0.5; x *= 2)
-		sum += 0.69314718055994531;
-	for (i = 1, term = 1 - x; i < 60; i++, term *= 1 - x)
+	/* -log(u) without libm: brought near one, then the series. */
+	while (u < 0.5) {
+		u *= 2;
+		halvings++;
+	}
+	for (i = 1, term = 1 - u; i < 60; i++, term *= 1 - u)
 		sum += term / i;
+	sum += halvings * 0.69314718055994531;
 	return after + sum / MAX(host_rate(s, host), 1e-9);
 }
 
@@ -157,12 +164,11 @@
 	lender_init(&s->lender);
 	for (i = 0; i < HOSTS; i++) {
 		h = &s->hosts[i];
-		borrower_init(
-		    &h->borrower, (host_id_t)i, 1, policy->floor_permille, 0);
+		borrower_init(&h->borrower, (host_id_t)i, 1, policy->shares, 0);
 		config.slot = (uint16_t)i;
 		borrower_configure(&h->borrower, &config, 0);
 		borrower_settled(&h->borrower, 0);
-		bucket_init(&h->split, limit_floor(limit, 1000, HOSTS), 0);
+		bucket_init(&h->split, limit_slot(limit, 1000, HOSTS), 0);
 		h->next_at = next_arrival(s, i, 0);
 	}
 }
@@ -176,7 +182,7 @@
 		return;
 	lender_start(&s->lender, ++s->epoch,
 	    limit_lent(limit_make(s->scene->rate, s->scene->burst),
-		s->policy->floor_permille, HOSTS, TRUE),
+		s->policy->shares, HOSTS, TRUE),
 	    s->now);
 }
 
@@ -285,7 +291,7 @@
 	message_t m = {.host = host};
 
 	if (s->policy->fixed || host_dead(s, host) ||
-	    !borrower_ask(&s->hosts[host].borrower, s->now, &m.request))
+	    !borrower_ask(&s->hosts[host].borrower, TRUE, s->now, &m.request))
 		return;
 	s->result->questions++;
 	if (reaches_lender(s, host))
@@ -398,16 +404,19 @@
 	    {"light lopsided 55 ms", 100, 50, 0.3, 0.5, 55, FAULT_NONE},
 	    {"five times, 20 ms", 100, 50, 5, 0.5, 20, FAULT_NONE},
 	    {"one host dead, 20 ms", 100, 50, 0.8, 0.5, 20, FAULT_HOST},
+	    {"two slots free, 20 ms", 100, 50, 0.8, 0.5, 20, FAULT_FREE},
 	    {"region cut, 20 ms", 100, 50, 0.8, 0, 20, FAULT_REGION},
 	    {"lender away, even", 100, 50, 0.8, 0, 20, FAULT_LENDER},
 	    {"lender away, lopsided", 100, 50, 0.8, 0.5, 20, FAULT_LENDER},
 	    {"lender away, light", 100, 50, 0.3, 0, 20, FAULT_LENDER},
 	};
 	static const policy_t policies[] = {
-	    {"fixed split", TRUE, 1000},
-	    {"lend f=0", FALSE, 0},
-	    {"lend f=0.2", FALSE, 200},
-	    {"lend f=0.5", FALSE, 500},
+	    {"fixed split", TRUE, {1000, 0}},
+	    {"floor 0", FALSE, {0, 0}},
+	    {"floor .2", FALSE, {200, 0}},
+	    {"floor .5", FALSE, {500, 0}},
+	    {"floor .2+.6", FALSE, {200, 600}},
+	    {"floor .2+.8", FALSE, {200, 800}},
 	};
 	int seed = 1, seeds = 5, json = 0, k;
 	long over = 0;
--- a/tests/fuzz/limits_model.h
+++ b/tests/fuzz/limits_model.h
@@ -32,6 +32,8 @@
 	BREAK_LEASE,   /* the lender doesn't look at its lease */
 	BREAK_FRESH,   /* tokens are used while not fresh */
 	BREAK_SETTLED, /* what grows doesn't wait for the others */
+	BREAK_ECHO,    /* a pledge counts from its receipt */
+	BREAK_PLEDGED, /* a host uses what it has pledged */
 } model_break_t;
 
 /* Events; their argument picks a process, a message or an amount. */
@@ -77,6 +79,7 @@
 typedef struct {
 	msec_t now;
 	model_break_t broken;
+	shares_t shares;
 	uint32_t rand; /* of the requests' pattern in calm times */
 	borrower_config_t configs[8];
 	int n_configs;
@@ -167,7 +170,7 @@
 		double rate, burst;
 		uint16_t slots;
 	} rows[] = {{100, 20, 3}, {100, 20, 30}, {50, 60, 3}, {400, 9, 4},
-	    {10, 100, 6}, {200, 40, 3}, {50, 60, 100}};
+	    {10, 100, 3}, {200, 40, 3}, {50, 60, 100}};
 	borrower_config_t *c = &m->configs[m->n_configs];
 
 	if (m->n_configs == (int)G_N_ELEMENTS(m->configs))
@@ -186,7 +189,7 @@
 {
 	const borrower_config_t *c = &m->configs[p->config];
 
-	return limit_lent(c->limit, FLOOR_PERMILLE, c->slots, p->settled);
+	return limit_lent(c->limit, m->shares, c->slots, p->settled);
 }
 
 /* May the host's slot be used by this process yet? */
@@ -275,7 +278,7 @@
 	p->fresh_until = m->now + FRESH_MS;
 	p->config = m->n_configs - 1;
 	borrower_init(&p->borrower, (host_id_t)name, (uint64_t)m->n_procs,
-	    FLOOR_PERMILLE, model_clock(m, p));
+	    m->shares, model_clock(m, p));
 	lender_init(&p->lender);
 	proc_configure(m, p);
 }
@@ -294,7 +297,7 @@
 	p->valid_until = model_clock(m, p) + LEASE_MS;
 	lender_start(&p->lender, m->epoch, proc_lent(m, p), model_clock(m, p));
 	if (m->broken == BREAK_WAIT)
-		p->lender.prior = 0;
+		p->lender.prior_until = 0;
 }
 
 static void
@@ -354,8 +357,13 @@
 	msg_t msg = {.from = i, .to = former ? m->former : m->holder};
 
 	if (msg.to < 0 || m->n_messages == MESSAGES ||
-	    !borrower_ask(&p->borrower, model_clock(m, p), &msg.request))
+	    !borrower_ask(&p->borrower,
+		p->fresh_until > m->now || m->broken == BREAK_FRESH,
+		model_clock(m, p), &msg.request))
 		return;
+	if (m->broken == BREAK_PLEDGED && msg.request.pledge.burst > 0)
+		bucket_init(&p->borrower.reserve, msg.request.pledge,
+		    model_clock(m, p));
 	m->messages[m->n_messages++] = msg;
 }
 
@@ -370,6 +378,8 @@
 	if (m->broken == BREAK_LEASE)
 		valid = INT64_MAX;
 	proc_advance(m, p);
+	if (m->broken == BREAK_ECHO)
+		msg->request.echo = now;
 	msg->answer = TRUE;
 	return lender_borrow(&p->lender, &msg->request, valid, now,
 		   &msg->reply) == LEND_ANSWERED;
@@ -505,6 +515,7 @@
 
 	memset(m, 0, sizeof(*m));
 	m->broken = broken;
+	m->shares = borrower_shares();
 	m->now = 1000;
 	m->holder = m->former = -1;
 	model_config(m, config);
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -75,9 +75,11 @@
 static void
 exchange(model_t *m, int arg)
 {
+	int before = m->n_messages;
+
 	model_event(m, EV_ASK, arg);
-	model_event(m, EV_DELIVER, 0);
-	model_event(m, EV_DELIVER, 0);
+	while (m->n_messages > before)
+		model_event(m, EV_DELIVER, m->n_messages - 1);
 }
 
 static void
@@ -119,11 +121,15 @@
 	}
 	model_event(m, EV_TIME, 20);
 	model_event(m, EV_TAKE_LEASE, 1);
-	model_event(m, EV_TIME, 255);
-	model_event(m, EV_TIME, 150);
-	model_event(m, EV_REQUESTS, MANY(0));
-	exchange(m, 0);
+	for (i = 0; i < 24; i++) {
+		model_event(m, EV_TIME, 17);
+		exchange(m, i % NAMES);
+	}
 	many_requests(m);
+	for (i = 0; i < 2 * NAMES; i++) {
+		model_event(m, EV_TIME, 13);
+		exchange(m, i % NAMES);
+	}
 }
 
 static void
@@ -143,20 +149,19 @@
 	many_requests(m);
 }
 
-/* A host goes on asking the lender whose lease has ended. */
+/* Hosts go on asking the lender whose lease has ended. */
 static void
 the_lease_ends_unnoticed(model_t *m)
 {
 	int i;
 
-	for (i = 0; i < 40; i++) {
-		model_event(m, EV_TIME, 60);
+	for (i = 0; i < 120; i++) {
+		model_event(m, EV_TIME, 20);
 		model_event(m, EV_TAKE_LEASE, 1);
-		model_event(m, EV_FRESHEN, 1);
-		model_event(m, EV_FRESHEN, 2);
-		model_event(m, EV_REQUESTS, MANY(1));
-		model_event(m, EV_REQUESTS, MANY(2));
+		model_event(m, EV_FRESHEN, i % NAMES);
+		model_event(m, EV_REQUESTS, MANY(i % NAMES));
 		exchange(m, 1);
+		exchange(m, 192);
 		exchange(m, 192 + 2);
 	}
 }
@@ -174,6 +179,44 @@
 	}
 }
 
+/* A pledge reaches the lender only when its host has the reserve back. */
+static void
+a_pledge_is_late(model_t *m)
+{
+	int i;
+
+	model_event(m, EV_TIME, 255);
+	model_event(m, EV_ASK, 2);
+	for (i = 0; i < 65; i++) {
+		model_event(m, EV_TIME, 30);
+		model_event(m, EV_RENEW_LEASE, 0);
+		model_event(m, EV_FRESHEN, i % NAMES);
+		exchange(m, i % 2);
+		if (i == 44)
+			model_event(m, EV_DELIVER, 0);
+	}
+	many_requests(m);
+	exchange(m, 0);
+	exchange(m, 1);
+	many_requests(m);
+}
+
+static void
+many_come_after_none(model_t *m)
+{
+	int i;
+
+	for (i = 0; i < 20; i++)
+		model_event(m, EV_CALM, IDLE);
+	for (i = 0; i < NAMES; i++)
+		exchange(m, i);
+	model_event(m, EV_TIME, 250);
+	many_requests(m);
+	for (i = 0; i < NAMES; i++)
+		exchange(m, i);
+	many_requests(m);
+}
+
 /* The number of slots falls, and one host has not heard of it. */
 static void
 one_keeps_the_old_configuration(model_t *m)
@@ -206,6 +249,8 @@
 	    {BREAK_LEASE, FAST, the_lease_ends_unnoticed},
 	    {BREAK_FRESH, STEADY, two_hold_a_slot},
 	    {BREAK_SETTLED, STEADY, one_keeps_the_old_configuration},
+	    {BREAK_ECHO, STEADY, a_pledge_is_late},
+	    {BREAK_PLEDGED, STEADY, many_come_after_none},
 	};
 	static model_t m;
 	size_t i;
@@ -282,18 +327,19 @@
 	    {100, 50, 0, 0, 50 * UTOKEN},
 	    {7, 50.5, 3, 3366666, 40400002},
 	};
+	const shares_t shares = {200, 0};
 	limit_t whole, part, lent;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
 		whole = limit_make(rows[i].rate, rows[i].burst);
-		part = limit_floor(whole, 200, rows[i].slots);
-		lent = limit_lent(whole, 200, rows[i].slots, TRUE);
+		part = limit_slot(whole, 200, rows[i].slots);
+		lent = limit_lent(whole, shares, rows[i].slots, TRUE);
 		ck_assert_int_eq(part.burst, rows[i].floor);
 		ck_assert_int_eq(lent.burst, rows[i].lent);
 		ck_assert_int_eq(
 		    part.rate * rows[i].slots + lent.rate, whole.rate);
-		lent = limit_lent(whole, 200, rows[i].slots, FALSE);
+		lent = limit_lent(whole, shares, rows[i].slots, FALSE);
 		ck_assert_int_le(lent.burst, whole.burst * 8 / 10);
 	}
 }
@@ -370,12 +416,12 @@
 requests_wait_about_an_exchange(void)
 {
 	borrow_request_t request;
-	borrow_answer_t answer = {1, 1, 1, 0};
+	borrow_answer_t answer = {1, 1, 1, 0, 5};
 	borrower_t b;
 	admit_t v;
 
-	borrower_init(&b, 1, 1, FLOOR_PERMILLE, 0);
-	ck_assert(!borrower_ask(&b, 0, &request));
+	borrower_init(&b, 1, 1, borrower_shares(), 0);
+	ck_assert(!borrower_ask(&b, TRUE, 0, &request));
 	v = borrower_admit(&b, 0, FALSE, FALSE, 0);
 	ck_assert_int_eq(v.kind, ADMIT_STALE);
 	v = borrower_admit(&b, 0, FALSE, TRUE, 0);
@@ -383,9 +429,9 @@
 	ck_assert_int_eq(v.until, WAIT_MAX_MS);
 	v = borrower_admit(&b, 0, FALSE, TRUE, 0);
 	ck_assert_int_eq(v.kind, ADMIT_WAIT);
-	ck_assert(borrower_ask(&b, 0, &request));
+	ck_assert(borrower_ask(&b, TRUE, 0, &request));
 	ck_assert_int_eq(request.wanted, 2);
-	ck_assert(!borrower_ask(&b, 10, &request));
+	ck_assert(!borrower_ask(&b, TRUE, 10, &request));
 	ck_assert(borrower_answered(&b, &answer, 20));
 	/* A newcomer doesn't overtake, one of the two that wait is served. */
 	v = borrower_admit(&b, 20, FALSE, TRUE, 20);
@@ -408,11 +454,11 @@
 	msec_t now = 0;
 	int i;
 
-	borrower_init(&b, 1, 1, FLOOR_PERMILLE, 0);
+	borrower_init(&b, 1, 1, borrower_shares(), 0);
 	for (i = 0; i <= BORROW_LOST_MAX; i++) {
 		v = borrower_admit(&b, now, FALSE, TRUE, now);
 		ck_assert_int_eq(v.kind, ADMIT_WAIT);
-		ck_assert(borrower_ask(&b, now, &request));
+		ck_assert(borrower_ask(&b, TRUE, now, &request));
 		now += BORROW_TIMEOUT_MS;
 		v = borrower_admit(
 		    &b, now - BORROW_TIMEOUT_MS, TRUE, TRUE, now);
@@ -426,12 +472,13 @@
 static void
 a_floor_grows_late_and_shrinks_at_once(void)
 {
+	const shares_t shares = {200, 0};
 	borrower_config_t wide = {limit_make(100, 100), 10, 3},
 			  narrow = {limit_make(100, 100), 20, 3},
 			  none = {limit_make(100, 100), 10, SLOT_NONE};
 	borrower_t b;
 
-	borrower_init(&b, 1, 1, FLOOR_PERMILLE, 0);
+	borrower_init(&b, 1, 1, shares, 0);
 	borrower_configure(&b, &wide, 0);
 	ck_assert_int_eq(borrower_tokens(&b, 10000), 0);
 	borrower_settled(&b, 10000);
@@ -448,6 +495,77 @@
 	ck_assert_int_eq(borrower_tokens(&b, 60000), 0);
 }
 
+/* A host whose slot holds the whole limit as its reserve, and its lender. */
+static void
+reserve_init(borrower_t *b, lender_t *l)
+{
+	const limit_t whole = limit_make(100, 100);
+	const shares_t shares = {0, 1000};
+	const borrower_config_t config = {whole, 1, 0};
+
+	borrower_init(b, 1, 1, shares, 0);
+	borrower_configure(b, &config, 0);
+	borrower_settled(b, 0);
+	lender_init(l);
+	lender_start(l, 1, limit_lent(whole, shares, 1, TRUE), 0);
+	ck_assert_int_eq(borrower_tokens(b, 10000), 0);
+}
+
+static void
+a_reserve_is_pledged_to_a_lender_in_reach(void)
+{
+	borrow_request_t request;
+	borrow_answer_t answer;
+	borrower_t b;
+	lender_t l;
+	msec_t at = 20000;
+
+	reserve_init(&b, &l);
+	/* Not before the lender has ever answered. */
+	ck_assert(borrower_ask(&b, TRUE, at, &request));
+	ck_assert_int_eq(request.pledge.burst, 0);
+	ck_assert_int_eq(borrower_tokens(&b, at), 100);
+	lender_borrow(&l, &request, INT64_MAX, at, &answer);
+	borrower_answered(&b, &answer, at);
+	/* Nor by a host that may not use its slot. */
+	at += PLEDGE_PERIOD_MS;
+	ck_assert(borrower_ask(&b, FALSE, at, &request));
+	ck_assert_int_eq(request.pledge.burst, 0);
+	lender_borrow(&l, &request, INT64_MAX, at, &answer);
+	borrower_answered(&b, &answer, at);
+	at += PLEDGE_PERIOD_MS;
+	ck_assert(borrower_ask(&b, TRUE, at, &request));
+	ck_assert_int_eq(request.pledge.burst, 100 * UTOKEN);
+	ck_assert_int_eq(borrower_tokens(&b, at), 0);
+	lender_finish(&l);
+}
+
+static void
+a_pledge_ends_before_the_host_counts_on_it(void)
+{
+	const msec_t bar = PLEDGE_MS + GRANT_TTL_MS + 2 * GRANT_DRIFT_MS;
+	const msec_t first = 20000, at = first + PLEDGE_PERIOD_MS;
+	borrow_request_t request;
+	borrow_answer_t answer;
+	borrower_t b;
+	lender_t l;
+
+	reserve_init(&b, &l);
+	borrower_ask(&b, TRUE, first, &request);
+	lender_borrow(&l, &request, INT64_MAX, first, &answer);
+	borrower_answered(&b, &answer, first);
+	borrower_ask(&b, TRUE, at, &request);
+	/* It comes late: counts from the answer before, for PLEDGE_MS. */
+	lender_borrow(&l, &request, INT64_MAX, at + 100, &answer);
+	ck_assert_int_eq(lender_level(&l, at + 600) / UTOKEN, 50);
+	ck_assert_int_eq(lender_level(&l, first + PLEDGE_MS), 0);
+	ck_assert_int_eq(l.bucket.limit.burst, 0);
+	/* The host has it back, empty, once all loans on it are over. */
+	ck_assert_int_eq(borrower_tokens(&b, at + bar + 9), 0);
+	ck_assert_int_eq(borrower_tokens(&b, at + bar + 10), 1);
+	lender_finish(&l);
+}
+
 int
 main(void)
 {
@@ -461,6 +579,10 @@
 		a_lost_lender_is_not_waited_for},
 	    {"a floor grows late and shrinks at once",
 		a_floor_grows_late_and_shrinks_at_once},
+	    {"a reserve is pledged to a lender in reach",
+		a_reserve_is_pledged_to_a_lender_in_reach},
+	    {"a pledge ends before the host counts on it",
+		a_pledge_ends_before_the_host_counts_on_it},
 	    {"the oracle notices each broken rule",
 		the_oracle_notices_each_broken_rule},
 	    {"random runs hold and do something",
