--- a/src/coordination/move_holder.c
+++ b/src/coordination/move_holder.c
@@ -170,14 +170,17 @@
 	share_t next;
 
 	if (pace.step_ms == 0)
-		pace.step_ms = in->settle_ms + MOVE_CONFIRM_MS;
+		pace.step_ms = in->settle_ms + MOVE_CONFIRM_MS + in->sample_ms;
 	next = move_plan_next(&m->row, &pace, &proven);
 	if (next <= m->row.share)
 		return hold(m, MOVE_WAITS_FOR_JUDGEMENT);
 	next = clamp_to_room(in, m->row.share, next);
 	if (next <= m->row.share)
 		return hold(m, MOVE_WAITS_FOR_ROOM);
-	m->step_ms = in->now - m->began_at;
+	/* The time for which a version stays unproven says nothing of a step.
+	 */
+	if (m->row.kind != MOVE_ROLLOUT || m->row.proven)
+		m->step_ms = in->now - m->began_at;
 	a = commit(m, in);
 	a.row.share = next;
 	a.row.proven = proven;
--- a/src/coordination/move_host.h
+++ b/src/coordination/move_host.h
@@ -10,7 +10,7 @@
 
 /*
  * Longest that an unproven version is served without word, direct or relayed,
- * of the holder or the store: it might have been taken back meanwhile.
+ * of a holder that judges it.
  */
 #define MOVE_FRESH_MS (3 * MSEC_PER_SEC)
 
@@ -74,11 +74,13 @@
 uint32_t move_host_step(const move_host_t *h, const char *id);
 
 /**
- * move_host_word() - Note how recent the host's knowledge of moves is.
+ * move_host_word() - Note how recent the word of the holder is.
  * @h: the host's moves
- * @basis: when the answered question to the store or the holder was sent; for
- *	word of another peer, when that was asked, less the age of the peer's
- *	own basis
+ * @basis: when the answered question to the holder of the lease was sent; for
+ *	its word relayed by a peer, when that peer was asked, less the age of
+ *	the peer's own basis. The holder's own basis is the present moment.
+ *
+ * Word of the store does not count: it does not tell that anybody judges.
  */
 void move_host_word(move_host_t *h, msec_t basis);
 
--- a/src/coordination/move_plan.h
+++ b/src/coordination/move_plan.h
@@ -9,7 +9,7 @@
 /* Least step, so that a move with much time ends before its deadline. */
 #define MOVE_LEAST_STEP (SHARE_ONE / 50)
 /* Part of a rollout's time in which it stays unproven, below its cap. */
-#define MOVE_SOAK_PERCENT 50
+#define MOVE_SOAK_PERCENT 80
 
 typedef struct {
 	int64_t wall_now;
--- /dev/null
+++ b/src/state/judge_feed.c
@@ -0,0 +1,79 @@
+#include <string.h>
+
+#include "state/judge_feed.h"
+
+void
+judge_feed_init(judge_feed_t *f, unsigned int routes)
+{
+	memset(f, 0, sizeof(*f));
+	f->routes = MIN(routes, JUDGE_ROUTES_MAX);
+	f->sources =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+judge_feed_finish(judge_feed_t *f)
+{
+	g_hash_table_destroy(f->sources);
+	f->sources = NULL;
+}
+
+static judge_source_t *
+source_of(judge_feed_t *f, const char *host, uint64_t incarnation)
+{
+	judge_source_t *s = g_hash_table_lookup(f->sources, host);
+
+	if (s == NULL) {
+		s = g_new0(judge_source_t, 1);
+		s->incarnation = incarnation;
+		g_hash_table_insert(f->sources, g_strdup(host), s);
+	}
+	if (incarnation > s->incarnation) {
+		memset(s, 0, sizeof(*s));
+		s->incarnation = incarnation;
+	}
+	return s;
+}
+
+static void
+add_growth(
+    judge_count_t *window, judge_count_t *known, const judge_count_t *total)
+{
+	int m;
+
+	if (total->requests <= known->requests)
+		return;
+	window->requests += total->requests - known->requests;
+	for (m = 0; m < JUDGE_METRICS; m++) {
+		if (total->bad[m] > known->bad[m])
+			window->bad[m] += total->bad[m] - known->bad[m];
+	}
+	*known = *total;
+}
+
+void
+judge_feed_report(judge_feed_t *f, const char *host, uint64_t incarnation,
+    const judge_sample_t (*total)[JUDGE_BANDS])
+{
+	judge_source_t *s = source_of(f, host, incarnation);
+	unsigned int r;
+	int b;
+
+	if (incarnation < s->incarnation)
+		return;
+	for (r = 0; r < f->routes; r++) {
+		for (b = 0; b < JUDGE_BANDS; b++) {
+			add_growth(&f->window[r][b].fresh,
+			    &s->total[r][b].fresh, &total[r][b].fresh);
+			add_growth(&f->window[r][b].peer, &s->total[r][b].peer,
+			    &total[r][b].peer);
+		}
+	}
+}
+
+void
+judge_feed_window(judge_feed_t *f, judge_t *j)
+{
+	judge_window(j, (const judge_sample_t(*)[JUDGE_BANDS])f->window);
+	memset(f->window, 0, sizeof(f->window));
+}
--- a/tests/test_judge.c
+++ b/tests/test_judge.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "state/judge.h"
+#include "state/judge_feed.h"
 #include "suite.h"
 
 #define ROUTES 4
@@ -156,6 +156,43 @@
 	ck_assert_int_eq(judge_verdict(&j), JUDGE_WAIT);
 }
 
+/* Reports lost, doubled, old, and of a host started anew. */
+static void
+feed_counts_each_request_once(void)
+{
+	static const struct {
+		const char *host;
+		uint64_t incarnation;
+		uint32_t requests; /* total of that process */
+		uint32_t counted;  /* by all reports up to here */
+	} rows[] = {
+	    {"a", 1, 10, 10},
+	    {"a", 1, 10, 10},
+	    {"a", 1, 25, 25},
+	    {"a", 1, 20, 25},
+	    {"b", 7, 5, 30},
+	    {"a", 2, 3, 33},
+	    {"a", 1, 40, 33},
+	    {"a", 2, 4, 34},
+	};
+	judge_sample_t total[ROUTES][JUDGE_BANDS] = {0};
+	judge_feed_t f;
+	judge_t j;
+	size_t i;
+
+	judge_init(&j, ROUTES, WINDOWS, ALPHA);
+	judge_feed_init(&f, ROUTES);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		total[1][2].fresh.requests = rows[i].requests;
+		judge_feed_report(&f, rows[i].host, rows[i].incarnation,
+		    (const judge_sample_t(*)[JUDGE_BANDS])total);
+		judge_feed_window(&f, &j);
+		ck_assert_uint_eq(j.step_requests, rows[i].counted);
+		ck_assert_uint_eq(j.band_fresh[2], rows[i].counted);
+	}
+	judge_feed_finish(&f);
+}
+
 int
 main(void)
 {
@@ -163,6 +200,7 @@
 	    {"good ones stay", good_ones_stay},
 	    {"bad ones are found", bad_ones_are_found},
 	    {"unseen is not good", unseen_is_not_good},
+	    {"feed counts each request once", feed_counts_each_request_once},
 	};
 
 	return suite_run("judge", cases, sizeof(cases) / sizeof(cases[0]));
