--- a/src/host/limits.c
+++ b/src/host/limits.c
@@ -46,7 +46,7 @@
 	s->duty->wanted = TRUE;
 	s->waiting = g_queue_new();
 	borrower_init(&s->borrower, h->roster.self, h->incarnation,
-	    FLOOR_PERMILLE, clock_now());
+	    borrower_shares(), clock_now());
 	lender_init(&s->lender);
 	g_hash_table_insert(h->shares, s->workspace, s);
 	g_free(duty);
@@ -74,14 +74,14 @@
 	return now != 0;
 }
 
-static limit_t
+static lendable_t
 lent_part(const limit_share_t *s)
 {
 	const catalog_t *c = &s->host->catalog;
 	const workspace_t *w =
 	    catalog_workspace(c, catalog_find_workspace(c, s->workspace));
 
-	return limit_lent(limit_make(w->rate, w->burst), FLOOR_PERMILLE,
+	return limit_lent(limit_make(w->rate, w->burst), borrower_shares(),
 	    c->caps.hosts, s->settled == c->version);
 }
 
@@ -206,6 +206,7 @@
 		answer.epoch = r->epoch;
 		answer.granted = r->granted;
 		answer.excess = r->excess;
+		answer.stamp = r->stamp;
 		take_answer(s, &answer);
 	}
 	g_free(workspace);
@@ -230,6 +231,9 @@
 	b->returned = q->returned;
 	b->demand = q->demand;
 	b->wanted = q->wanted;
+	b->pledge_rate = q->pledge.rate;
+	b->pledge_burst = q->pledge.burst;
+	b->echo = q->echo;
 	arg[0] = h;
 	arg[1] = g_strdup(s->workspace);
 	if (peers_call(h, lender, &args, BORROW_CALL_MS, on_lent, arg))
@@ -267,7 +271,9 @@
 	duty_tick(s->duty, now);
 	follow_lease(s, now);
 	follow_settling(s, now);
-	if (s->present && borrower_ask(&s->borrower, now, &q))
+	if (s->present &&
+	    borrower_ask(
+		&s->borrower, freshness_ok(&s->host->fresh, now), now, &q))
 		ask_lender(s, &q, now);
 	if (s->waiting->length > 0 && now >= s->pump_at)
 		pump(s, now);
@@ -316,7 +322,8 @@
 		s->pump_at =
 		    s->waiting->length > 1 ? MIN(s->pump_at, a.until) : a.until;
 	}
-	if (borrower_ask(&s->borrower, now, &q))
+	if (borrower_ask(
+		&s->borrower, freshness_ok(&s->host->fresh, now), now, &q))
 		ask_lender(s, &q, now);
 	return a.kind;
 }
@@ -367,6 +374,8 @@
 	    .returned = args->returned,
 	    .demand = args->demand,
 	    .wanted = args->wanted,
+	    .pledge = {args->pledge_rate, args->pledge_burst},
+	    .echo = args->echo,
 	};
 	borrow_answer_t answer;
 	msec_t now = clock_now();
@@ -380,6 +389,7 @@
 		r->epoch = answer.epoch;
 		r->granted = answer.granted;
 		r->excess = answer.excess;
+		r->stamp = answer.stamp;
 	}
 	rpc_server_answer(&h->rpc_server, call, &result);
 }
--- a/src/protocol/gen/host_rpc.h
+++ b/src/protocol/gen/host_rpc.h
@@ -191,6 +191,9 @@
 	u_quad_t returned;
 	u_quad_t demand;
 	u_quad_t wanted;
+	quad_t pledge_rate;
+	quad_t pledge_burst;
+	quad_t echo;
 };
 typedef struct borrow_args_t borrow_args_t;
 
@@ -200,6 +203,7 @@
 	u_quad_t sequence;
 	u_quad_t granted;
 	u_quad_t excess;
+	quad_t stamp;
 };
 typedef struct borrow_result_t borrow_result_t;
 
--- a/src/protocol/gen/host_rpc_xdr.c
+++ b/src/protocol/gen/host_rpc_xdr.c
@@ -390,6 +390,12 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->wanted))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->pledge_rate))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->pledge_burst))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->echo))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -408,6 +414,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->excess))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->stamp))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/protocol/host_rpc.x
+++ b/src/protocol/host_rpc.x
@@ -156,6 +156,9 @@
 	unsigned hyper returned;
 	unsigned hyper demand;
 	unsigned hyper wanted;
+	hyper pledge_rate;
+	hyper pledge_burst;
+	hyper echo;
 };
 
 /* answered is false where this host is not the lender or the question stale. */
@@ -165,6 +168,7 @@
 	unsigned hyper sequence;
 	unsigned hyper granted;
 	unsigned hyper excess;
+	hyper stamp;
 };
 
 /* News of a request that may crash backend servers; endpoint may be empty. */
--- a/tests/rpc_samples.h
+++ b/tests/rpc_samples.h
@@ -58,7 +58,7 @@
 sample_args(size_t i, rpc_args_t *a)
 {
 	static const borrow_args_t borrow = {
-	    "w1", "host-a", 12, 99, 3, 150, 20, 5, 70, 2};
+	    "w1", "host-a", 12, 99, 3, 150, 20, 5, 70, 2, 8, 9, 10};
 
 	memset(a, 0, sizeof(*a));
 	a->proc = i < RPC_PROC_OPERATE ? (rpc_proc_t)i : RPC_PROC_OPERATE;
@@ -102,7 +102,7 @@
 		r->u.fetch_config = (fetch_config_result_t){
 		    TRUE, {{4, "digest", "[region milano]\n"}}};
 	else if (i == RPC_PROC_BORROW)
-		r->u.borrow = (borrow_result_t){TRUE, 3, 99, 500, 4};
+		r->u.borrow = (borrow_result_t){TRUE, 3, 99, 500, 4, 11};
 	else if (i == RPC_PROC_OPERATE)
 		r->u.operate =
 		    (operate_result_t){OPERATE_IN_FORCE, 42, 3, 3, "{}"};
