--- a/src/host/carry.c
+++ b/src/host/carry.c
@@ -6,6 +6,7 @@
 #include "host/carry.h"
 #include "host/harm.h"
 #include "host/limits.h"
+#include "host/once_calls.h"
 #include "host/room.h"
 
 /* A caller that names no deadline gets the service's timeout, no more. */
@@ -64,9 +65,13 @@
 void
 carry_free(carry_t *c)
 {
+	gboolean ran = c->sent || carry_run_state(c) != RUN_NOT;
+
 	if (c->call != NULL)
 		http_call_cancel(c->call);
 	carry_unbook(c, OUTCOME_CANCELLED);
+	/* An end that nobody has told of: the caller is gone. */
+	once_calls_ended(c, ran ? RAN_UNKNOWN : RAN_NO);
 	limits_forget(c);
 	room_forget(c);
 	if (c->timer != NULL)
@@ -74,6 +79,9 @@
 	g_ptr_array_remove_fast(c->host->carries, c);
 	request_finish(&c->request);
 	g_array_free(c->tried, TRUE);
+	if (c->kept != NULL)
+		g_byte_array_unref(c->kept);
+	g_free(c->kept_type);
 	g_free(c->workspace);
 	g_free(c->address);
 	g_free(c);
@@ -95,6 +103,7 @@
 
 	metrics_count(&h->metrics, h->m.refused, 1);
 	log_refusal(c, why, run);
+	once_calls_ended(c, run == RUN_NOT ? RAN_NO : RAN_UNKNOWN);
 	refusal_send(c->x, why, run, retry_ms);
 	carry_free(c);
 }
@@ -245,8 +254,8 @@
 	carry_act(c, &action);
 }
 
-static void
-begin_attempt(carry_t *c)
+void
+carry_run(carry_t *c)
 {
 	host_t *h = c->host;
 	msec_t now = clock_now();
@@ -256,7 +265,6 @@
 	attempt_action_t action;
 
 	c->started = TRUE;
-	harm_fingerprint(c, &c->print);
 	action = attempt_init(&c->attempt, c->number, c->idempotent, deadline,
 	    c->timeout_ms, host_retry_budget(h, c->request.service), now);
 	carry_act(c, &action);
@@ -303,7 +311,10 @@
 
 	switch (kind) {
 	case ADMIT:
-		begin_attempt(c);
+		if (once_calls_wanted(c))
+			once_calls_begin(c);
+		else
+			carry_run(c);
 		break;
 	case ADMIT_WAIT:
 		break;
@@ -350,6 +361,7 @@
 	}
 	c->host = h;
 	c->queued = QUEUE_NONE;
+	c->once = ONCE_NONE;
 	c->number = ++h->next_request;
 	c->x = x;
 	c->arrived_at = clock_now();
@@ -366,8 +378,9 @@
 			carry_refuse(c, why, RUN_NOT, 0);
 		return;
 	}
+	harm_fingerprint(c, &c->print);
 	if (c->workspace == NULL) {
-		begin_attempt(c);
+		carry_admitted(c, ADMIT, 0);
 		return;
 	}
 	kind = limits_admit(c, &retry_ms);
--- a/src/host/carry.h
+++ b/src/host/carry.h
@@ -28,6 +28,7 @@
 	GArray *tried; /* endpoint names, char * */
 	/* The try in flight. */
 	http_call_t *call;
+	gboolean sent; /* a try is under way that may run */
 	route_ticket_t ticket;
 	gboolean booked;
 	char *address;
@@ -43,10 +44,10 @@
 	gboolean claimed;    /* waits for peers to object */
 	poison_run_id_t run;
 	/* Its idempotency key's entry; ONCE_NONE: none. */
-	uint32_t once;
-	gboolean once_done; /* the entry knows how it ended */
-	GByteArray *kept;   /* answer so far, to be replayed; NULL: not kept */
-	int status;	    /* of the answer */
+	once_id_t once;
+	GByteArray *kept; /* answer so far, to be replayed; NULL: not kept */
+	char *kept_type;
+	int status; /* of the answer */
 };
 
 /**
@@ -64,6 +65,12 @@
  */
 void carry_admitted(carry_t *c, admit_kind_t kind, msec_t retry_ms);
 
+/**
+ * carry_run() - Begin the tries of a request that may run.
+ * @c: the carry, which may be freed by this
+ */
+void carry_run(carry_t *c);
+
 /**
  * carry_free() - Forget a carry whose exchange has ended.
  * @c: the carry; a try in flight is cancelled
--- a/src/host/carry_send.c
+++ b/src/host/carry_send.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "host/carry.h"
+#include "host/once_calls.h"
 #include "transport/http_check.h"
 
 /* Unsent bytes of an answer at which reading more of it pauses. */
@@ -70,6 +71,7 @@
 	evhttp_add_header(&headers, REQUEST_ID_HEADER, c->id);
 	if (length != NULL)
 		evhttp_add_header(&headers, "Content-Length", length);
+	once_calls_head(c, status, from);
 	c->relaying = TRUE;
 	c->bodyless = !has_body(c, status);
 	if (c->bodyless) {
@@ -143,6 +145,8 @@
 	/* Another try follows: this answer is read to its end and dropped. */
 	http_call_rehandle(call, &rest);
 	c->call = NULL;
+	if (not_run)
+		c->sent = FALSE;
 	carry_unbook(c, outcome_of_status(status, not_run));
 	metrics_count(&c->host->metrics, c->host->m.retries, 1);
 	carry_act(c, &action);
@@ -163,6 +167,7 @@
 	carry_t *c = arg;
 
 	c->answer_bytes += evbuffer_get_length(piece);
+	once_calls_piece(c, piece);
 	if (c->x == NULL) {
 		evbuffer_drain(piece, evbuffer_get_length(piece));
 		return;
@@ -185,6 +190,7 @@
 	} else {
 		metrics_count(&h->metrics, h->m.answered, 1);
 		carry_unbook(c, outcome_of_status(status, FALSE));
+		once_calls_ended(c, RAN_YES);
 		if (c->x != NULL)
 			http_reply_end(c->x);
 	}
@@ -206,6 +212,7 @@
 	}
 	switch (outcome) {
 	case HTTP_NOT_SENT:
+		c->sent = FALSE;
 		carry_unbook(c, OUTCOME_REFUSED);
 		carry_event(c, ATTEMPT_REFUSED);
 		break;
@@ -249,11 +256,13 @@
 	evhttp_add_header(&headers, REQUEST_DEADLINE_HEADER, left);
 	evbuffer_add_buffer_reference(body, c->request.body);
 	c->relaying = FALSE;
+	c->sent = TRUE;
 	mine.arg = c;
 	c->call = http_call(c->host->http, &request, &mine);
 	evbuffer_free(body);
 	evhttp_clear_headers(&headers);
 	if (c->call == NULL) {
+		c->sent = FALSE;
 		carry_unbook(c, OUTCOME_REFUSED);
 		carry_event(c, ATTEMPT_REFUSED);
 	}
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -15,6 +15,7 @@
 #include "host/keyops.h"
 #include "host/limits.h"
 #include "host/lookups.h"
+#include "host/once_calls.h"
 #include "host/operate.h"
 #include "host/peers.h"
 #include "host/room.h"
@@ -388,6 +389,7 @@
 	operate_init(h);
 	limits_init(h);
 	room_init(h);
+	once_calls_init(h);
 	poison_init(&h->poison, harm_peer_id(h->settings.id));
 	h->slot = SLOT_NONE;
 	h->slot_watched = SLOT_NONE;
@@ -441,6 +443,7 @@
 	mirror_finish(&h->mirror);
 	limits_finish(h);
 	room_finish(h);
+	once_calls_finish(h);
 	poison_finish(&h->poison);
 	peers_finish(h);
 	if (h->incarnation != 0)
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -6,6 +6,7 @@
 #include "base/metrics.h"
 #include "coordination/confspread.h"
 #include "coordination/freshness.h"
+#include "coordination/once.h"
 #include "coordination/poison.h"
 #include "coordination/retry_budget.h"
 #include "coordination/roster.h"
@@ -92,6 +93,10 @@
 	GHashTable *waiting; /* request number to carry_t */
 	struct event *pumper;
 	poison_t poison;
+	once_t once;
+	GHashTable *once_carries; /* entry to carry_t */
+	GHashTable *once_kept;	  /* entry to an answer to be replayed */
+	size_t once_kept_bytes;
 	GHashTable *budgets; /* service name to retry_budget_t */
 	GPtrArray *carries;  /* carry_t under way */
 	uint64_t next_request;
--- a/src/host/refusal.c
+++ b/src/host/refusal.c
@@ -25,6 +25,8 @@
     [REFUSAL_HARMFUL] = {403, "harmful-request"},
     [REFUSAL_ONCE_RUNNING] = {409, "idempotency-key-running"},
     [REFUSAL_ONCE_DONE] = {409, "idempotency-key-done"},
+    [REFUSAL_ONCE_SENT] = {409, "idempotency-key-sent"},
+    [REFUSAL_ONCE_REUSED] = {422, "idempotency-key-reused"},
     [REFUSAL_ONCE_UNAVAILABLE] = {503, "idempotency-record-away"},
     [REFUSAL_BROKEN] = {502, "server-broke-off"},
     [REFUSAL_TIMEOUT] = {504, "server-timeout"},
--- a/src/host/refusal.h
+++ b/src/host/refusal.h
@@ -23,6 +23,8 @@
 	REFUSAL_HARMFUL,	  /* this request stops backend servers */
 	REFUSAL_ONCE_RUNNING,	  /* its idempotency key is in use */
 	REFUSAL_ONCE_DONE,	  /* its idempotency key was used */
+	REFUSAL_ONCE_SENT,	  /* the same, and nobody knows if it ran */
+	REFUSAL_ONCE_REUSED,	  /* it came with another request */
 	REFUSAL_ONCE_UNAVAILABLE, /* the record of such keys is away */
 	REFUSAL_BROKEN,		  /* sent, no whole answer */
 	REFUSAL_TIMEOUT,	  /* sent, no answer in time */
--- a/src/protocol/rows.c
+++ b/src/protocol/rows.c
@@ -42,6 +42,13 @@
     ROW_FIELD(slot_row_t, incarnation, ROW_NUMBER),
 };
 
+static const row_field_t once_fields[] = {
+    ROW_FIELD(once_store_row_t, token, ROW_NUMBER),
+    ROW_FIELD(once_store_row_t, request, ROW_DIGEST),
+    ROW_FIELD(once_store_row_t, state, ROW_NUMBER),
+    ROW_FIELD(once_store_row_t, status, ROW_NUMBER),
+};
+
 #define ROW_TYPE(fields) \
 	{ \
 		fields, G_N_ELEMENTS(fields) \
@@ -54,6 +61,7 @@
 const row_type_t row_fence = ROW_TYPE(fence_fields);
 const row_type_t row_renewal = ROW_TYPE(renewal_fields);
 const row_type_t row_slot = ROW_TYPE(slot_fields);
+const row_type_t row_once = ROW_TYPE(once_fields);
 
 char *
 rows_encode(const row_type_t *type, const void *row)
--- a/src/protocol/rows.h
+++ b/src/protocol/rows.h
@@ -74,13 +74,21 @@
 	uint64_t incarnation;
 } slot_row_t;
 
+/* once/DIGEST: what became of the request with an idempotency key. */
+typedef struct {
+	uint64_t token; /* of the claim */
+	digest_t request;
+	uint64_t state; /* once_row_state_t */
+	uint64_t status;
+} once_store_row_t;
+
 typedef struct {
 	const row_field_t *fields;
 	size_t n;
 } row_type_t;
 
 extern const row_type_t row_host, row_incarnation, row_key, row_config,
-    row_fence, row_renewal, row_slot;
+    row_fence, row_renewal, row_slot, row_once;
 
 /* Encoding and decoding by type; see row_codec.h. */
 char *rows_encode(const row_type_t *type, const void *row);
