--- a/tests/fuzz/fuzz_moves.c
+++ b/tests/fuzz/fuzz_moves.c
@@ -17,6 +17,10 @@
 #define STEPS 512
 #define SETTLE_MS 1000
 #define COLD_PERCENT 150
+/* Of 600 ms; the longest deadline is 60 s. */
+#define HEAL_ROUNDS 200
+/* In which nothing more may be written or reported. */
+#define AFTER_ROUNDS 5
 
 typedef enum {
 	RULES_KEPT,
@@ -27,6 +31,7 @@
 	STOP_FORGOTTEN,
 	REPORTED_TWICE,
 	CAP_PASSED,
+	NEVER_CONFIRMED,
 } broken_t;
 
 typedef struct {
@@ -337,6 +342,8 @@
 			reports[in.n_reports].confirmed = c->m.row.step;
 			reports[in.n_reports].heard_at = w->now;
 		}
+		if (w->broken == NEVER_CONFIRMED)
+			reports[in.n_reports].confirmed = 0;
 		in.n_reports++;
 	}
 	if (w->broken == MEASUREMENT_IGNORED) {
@@ -552,6 +559,31 @@
 	change_holder(w);
 }
 
+/* Once all faults are over the move must come to an end. */
+static void
+heal(world_t *w)
+{
+	int i, after = 0;
+
+	w->late.act = MOVE_ACT_NONE;
+	measure(w, 2);
+	if (w->verdict == JUDGE_WAIT)
+		w->verdict = JUDGE_GOOD;
+	for (i = 0; i < HOSTS; i++) {
+		w->hosts[i].cut = w->hosts[i].paused = FALSE;
+		w->hosts[i].live = TRUE;
+	}
+	for (i = 0;
+	     i < HEAL_ROUNDS && after < AFTER_ROUNDS && w->violation == NULL;
+	     i++) {
+		ordinary_round(w);
+		check_hosts(w);
+		after += move_is_final(&w->row);
+	}
+	if (w->violation == NULL && !move_is_final(&w->row))
+		w->violation = "not ended after the faults were over";
+}
+
 /* Moves that reached each final state, so that no test is empty. */
 static int finished[MOVE_ROLLOUT + 1][MOVE_TAKEN_BACK + 1];
 
@@ -570,6 +602,7 @@
 		event(w, op, feed_next(f));
 		check_hosts(w);
 	}
+	heal(w);
 	violation = w->violation;
 	if (broken == RULES_KEPT)
 		finished[w->row.kind][w->row.state]++;
@@ -609,6 +642,7 @@
 	feed_self_test("stop forgotten", STOP_FORGOTTEN, 2000, run);
 	feed_self_test("reported twice", REPORTED_TWICE, 2000, run);
 	feed_self_test("cap passed", CAP_PASSED, 2000, run);
+	feed_self_test("never confirmed", NEVER_CONFIRMED, 2000, run);
 	run_random(500);
 	for (kind = MOVE_SHIFT; kind <= MOVE_ROLLOUT; kind++) {
 		if (finished[kind][MOVE_DONE] == 0 ||
