--- a/src/host/control.c
+++ b/src/host/control.c
@@ -3,11 +3,14 @@
 #include "base/log.h"
 #include "host/confops.h"
 #include "host/control.h"
+#include "host/harm.h"
 #include "host/join.h"
 #include "host/keyops.h"
+#include "host/limits.h"
 #include "host/operate.h"
 #include "host/peers.h"
 #include "host/probe.h"
+#include "host/room.h"
 
 static void
 take_key(host_t *h, const char *name, const store_row_t *row)
@@ -55,6 +58,7 @@
 		peers_scanned(h, sent_at);
 	take_keys(h, rows, sent_at);
 	confops_scanned(h);
+	limits_scanned(h, sent_at);
 }
 
 static void
@@ -63,6 +67,7 @@
 	if (now < h->scan_at)
 		return;
 	h->scan_at = now + MIRROR_PERIOD_MS;
+	host_place_routes(h);
 	mirror_scan(&h->mirror);
 }
 
@@ -73,6 +78,8 @@
 		return;
 	h->probe_at = now + PROBE_PERIOD_MS;
 	probe_all(h);
+	poison_tick(&h->poison, now);
+	harm_spread(h);
 }
 
 /* Another incarnation has this host's place: serve nothing, start anew. */
@@ -95,11 +102,13 @@
 	join_tick(h);
 	scan_when_due(h, now);
 	probe_when_due(h, now);
+	room_pump_later(h);
 	if (h->incarnation != 0) {
 		peers_tick(h, now);
 		keyops_tick(h, now);
 		confops_tick(h, now);
 		operate_tick(h, now);
+		limits_tick(h, now);
 	}
 	check_place(h);
 	if (h->phase == HOST_STARTING && h->incarnation != 0 &&
--- a/tests/process/test_routing_oracles.sh
+++ b/tests/process/test_routing_oracles.sh
@@ -33,6 +33,11 @@
 fuzz_poison apart
 fuzz_poison death
 fuzz_poison news
+fuzz_once absent
+fuzz_once token
+fuzz_once release
+fuzz_fair_queue charge
+fuzz_fair_queue cancel
 END
 echo "$missed broken rules not noticed"
 [ "$missed" -eq 0 ]
