Operators' command stays with the host that took the operation

A host answers 'unknown' while it is writing. The command took this for a lost answer and sent the operation to every host in turn. The token made that harmless, but each host began the same work. Now it follows the first host's progress, and sends the operation elsewhere, with its token, only when that host does not answer or can't tell.

--- a/src/cmd/cli_commands.c
+++ b/src/cmd/cli_commands.c
@@ -77,7 +77,7 @@
 {
 	memset(a, 0, sizeof(*a));
 	cli_fleet_operate(&r->fleet, args, a);
-	cli_fleet_wait(&r->fleet, token, r->o->wait_sec, a);
+	cli_fleet_wait(&r->fleet, args, token, r->o->wait_sec, a);
 }
 
 static cli_exit_t
--- a/src/cmd/cli_fleet.c
+++ b/src/cmd/cli_fleet.c
@@ -7,10 +7,16 @@
 
 #define CLI_NAME "operator"
 
+typedef enum {
+	ATTEMPT_RUNNING,
+	ATTEMPT_FAILED,	 /* no answer */
+	ATTEMPT_REFUSED, /* which does not settle the matter */
+	ATTEMPT_TAKEN,
+} attempt_state_t;
+
 typedef struct {
 	cli_answer_t *answer;
-	gboolean answered;
-	gboolean settled;
+	attempt_state_t state;
 } attempt_t;
 
 gboolean
@@ -22,6 +28,7 @@
 	if (!rpc_key_load(&f->key, s->secret_file, err))
 		return FALSE;
 	f->hosts = s->hosts;
+	f->accept_ms = CLI_ACCEPT_MS;
 	f->base = event_base_new();
 	metrics_init(&f->metrics);
 	config.base = f->base;
@@ -60,10 +67,12 @@
 take_result(attempt_t *t, const operate_result_t *r)
 {
 	cli_answer_t *a = t->answer;
+	gboolean settled = cli_tally_answer(&a->tally, r->outcome);
 
-	t->settled = cli_tally_answer(&a->tally, r->outcome);
+	t->state = settled || r->outcome == OPERATE_UNKNOWN ? ATTEMPT_TAKEN
+							    : ATTEMPT_REFUSED;
 	set_text(a, r->text);
-	if (!t->settled)
+	if (!settled)
 		return;
 	a->version = r->result_version;
 	a->hosts_confirmed = r->hosts_confirmed;
@@ -75,22 +84,22 @@
 {
 	attempt_t *t = arg;
 
-	t->answered = TRUE;
 	if (result != NULL) {
 		take_result(t, &result->u.operate);
 		return;
 	}
+	t->state = ATTEMPT_FAILED;
 	cli_tally_failure(&t->answer->tally, (error_code_t)err->code);
 	/* What a host said is worth more than why another is silent. */
 	if (t->answer->text == NULL)
 		set_text(t->answer, err->message);
 }
 
-static gboolean
-ask_host(cli_fleet_t *f, const char *host, const operate_args_t *args,
-    cli_answer_t *a)
+static attempt_state_t
+ask_host(cli_fleet_t *f, const operate_args_t *args, cli_answer_t *a)
 {
-	attempt_t t = {a, FALSE, FALSE};
+	const char *host = f->hosts[f->at];
+	attempt_t t = {a, ATTEMPT_RUNNING};
 	rpc_args_t call = {.proc = RPC_PROC_OPERATE};
 	GError *err = NULL;
 	rpc_peer_id_t peer;
@@ -102,25 +111,23 @@
 		on_answer(&t, NULL, err);
 		g_error_free(err);
 	}
-	while (!t.answered)
+	while (t.state == ATTEMPT_RUNNING)
 		event_base_loop(f->base, EVLOOP_ONCE);
-	if (t.settled)
+	if (t.state == ATTEMPT_TAKEN)
 		a->host = host;
-	return t.settled;
+	return t.state;
 }
 
 void
 cli_fleet_operate(cli_fleet_t *f, const operate_args_t *args, cli_answer_t *a)
 {
 	guint n = g_strv_length(f->hosts);
-	guint i, at;
+	guint i;
 
 	for (i = 0; i < n; i++) {
-		at = (f->first + i) % n;
-		if (ask_host(f, f->hosts[at], args, a)) {
-			f->first = at;
+		if (ask_host(f, args, a) == ATTEMPT_TAKEN)
 			return;
-		}
+		f->at = (f->at + 1) % n;
 	}
 }
 
@@ -152,18 +159,41 @@
 	return ended;
 }
 
+static gboolean
+worth_waiting(const cli_fleet_t *f, const cli_answer_t *a, msec_t waited,
+    uint32_t wait_sec)
+{
+	switch (a->tally.state) {
+	case CLI_STATE_UNREACHABLE:
+		return FALSE;
+	case CLI_STATE_UNKNOWN:
+		if (waited < f->accept_ms)
+			return TRUE;
+		break;
+	case CLI_STATE_ANSWERED:
+		break;
+	}
+	return !cli_tally_settled(&a->tally) &&
+	    waited < (msec_t)wait_sec * MSEC_PER_SEC;
+}
+
 void
-cli_fleet_wait(
-    cli_fleet_t *f, const rpc_token_t token, uint32_t wait_sec, cli_answer_t *a)
+cli_fleet_wait(cli_fleet_t *f, const operate_args_t *args,
+    const rpc_token_t token, uint32_t wait_sec, cli_answer_t *a)
 {
-	msec_t until = clock_now() + (msec_t)wait_sec * MSEC_PER_SEC;
-	operate_args_t args = {.op = OPERATE_PROGRESS};
+	operate_args_t progress = {.op = OPERATE_PROGRESS};
+	msec_t began_at = clock_now();
+	attempt_state_t state;
 
-	memcpy(args.operate_args_t_u.progress.token, token, RPC_TOKEN_SIZE);
-	while (a->tally.state != CLI_STATE_UNREACHABLE &&
-	    !cli_tally_settled(&a->tally) && clock_now() < until) {
+	memcpy(progress.operate_args_t_u.progress.token, token, RPC_TOKEN_SIZE);
+	while (worth_waiting(f, a, clock_now() - began_at, wait_sec)) {
 		if (!cli_fleet_pause(f, CLI_PROGRESS_MS))
 			return;
-		cli_fleet_operate(f, &args, a);
+		state = ask_host(f, &progress, a);
+		if (state != ATTEMPT_TAKEN)
+			f->at = (f->at + 1) % g_strv_length(f->hosts);
+		if (state != ATTEMPT_TAKEN ||
+		    a->tally.state == CLI_STATE_UNKNOWN)
+			cli_fleet_operate(f, args, a);
 	}
 }
--- a/src/cmd/cli_options.c
+++ b/src/cmd/cli_options.c
@@ -39,7 +39,7 @@
     {"secret-file", 's', POPT_ARG_STRING, NULL, OPT_SECRET,
 	"file with the fleet secret", "FILE"},
     {"wait", 'w', POPT_ARG_STRING, NULL, OPT_WAIT,
-	"longest wait for the outcome, 0 for none", "SEC"},
+	"longest wait for the end; acceptance is always waited for", "SEC"},
     {"base", 'b', POPT_ARG_STRING, NULL, OPT_BASE,
 	"version that the text was made from; the present one unless given",
 	"N"},
