--- a/tests/test_rpc_socket.c
+++ b/tests/test_rpc_socket.c
@@ -1,4 +1,5 @@
 #include "rpc_fixture.h"
+#include "transport/rpc_peer.h"
 
 static void
 answers_find_their_calls(void)
@@ -19,6 +20,33 @@
 	finish();
 }
 
+static void
+old_sessions_are_renewed(void)
+{
+	rpc_nonce_t before;
+	rpc_peer_t *p;
+	unsigned int i;
+
+	start(ANSWER_HELD);
+	p = g_hash_table_lookup(client.peers, GUINT_TO_POINTER(peer));
+	ck_assert(call(0, 10000, NULL));
+	run_until(&handled, 1);
+	memcpy(before, p->session, RPC_NONCE_SIZE);
+	p->session_at -= RPC_SESSION_MS + 1;
+	for (i = 1; i < 3; i++)
+		ck_assert(call(i, 10000, NULL));
+	run_until(&handled, 3);
+	ck_assert_mem_ne(before, p->session, RPC_NONCE_SIZE);
+	/* The call of the old session is answered, too. */
+	for (i = 0; i < 3; i++)
+		answer(g_array_index(held, rpc_call_id_t, i),
+		    g_array_index(epochs, uint64_t, i));
+	run_until(&answered, 3);
+	ck_assert_int_eq(failures[ERROR_UNKNOWN], 0);
+	ck_assert_int_eq(counted("rpc_connects_total"), 1);
+	finish();
+}
+
 static void
 late_answers_are_dropped(void)
 {
@@ -144,6 +172,7 @@
 {
 	static const suite_case_t cases[] = {
 	    {"answers find their calls", answers_find_their_calls},
+	    {"old sessions are renewed", old_sessions_are_renewed},
 	    {"late answers are dropped", late_answers_are_dropped},
 	    {"failures say whether it ran", failures_say_whether_it_ran},
 	    {"strangers reach no handler", strangers_reach_no_handler},
