--- a/tests/bench/bench_limits.c
+++ b/tests/bench/bench_limits.c
@@ -72,6 +72,7 @@
 } message_t;
 
 typedef struct {
+	int runs;
 	long offered, ideal, wrongful, admitted, waited, questions, over;
 	long waits[WAITS];
 } result_t;
@@ -348,6 +349,7 @@
 {
 	static sim_t s;
 
+	result->runs++;
 	sim_init(&s, scene, policy, seed, result);
 	for (s.now = 0; s.now < RUN_MS; s.now++)
 		sim_step(&s);
@@ -377,7 +379,8 @@
 	    100.0 * (double)(r->ideal - r->admitted) / (double)r->ideal;
 	double wrongful = 100.0 * (double)r->wrongful / (double)r->ideal;
 	double waited = 100.0 * (double)r->waited / (double)r->admitted;
-	double questions = (double)r->questions / HOSTS / (RUN_MS / 1000.0);
+	double questions =
+	    (double)r->questions / HOSTS / r->runs / (RUN_MS / 1000.0);
 	const char *format = json
 	    ? "{\"scene\":\"%s\",\"policy\":\"%s\",\"offered\":%ld,"
 	      "\"wrongful_percent\":%.3f,\"missed_percent\":%.3f,\"waited_"
@@ -403,6 +406,7 @@
 	borrower_init(&b, 0, 1, borrower_shares(), 0);
 	borrower_configure(&b, &config, 0);
 	borrower_settled(&b, 0);
+	borrower_tokens(&b, 5000);
 	from = clock();
 	for (i = 0; i < n; i++)
 		admitted += borrower_admit(&b, 10000 + i / 100, FALSE, TRUE,
@@ -479,5 +483,9 @@
 	}
 	printf(json ? "{\"decision_ns\":%.1f}\n" : "one decision: %.1f ns\n",
 	    decision_ns());
+	printf(json ? "{\"borrower_bytes\":%zu,\"loan_bytes\":%zu}\n"
+		    : "a workspace at a host: %zu bytes; a host at a lender: "
+		      "%zu bytes\n",
+	    sizeof(borrower_t), sizeof(loan_t));
 	return over == 0 ? 0 : 1;
 }
