--- a/tests/process/test_routing_oracles.sh
+++ b/tests/process/test_routing_oracles.sh
@@ -30,6 +30,14 @@
 fuzz_attempt shed
 fuzz_attempt crossed
 fuzz_attempt late
+fuzz_poison apart
+fuzz_poison death
+fuzz_poison news
+fuzz_once absent
+fuzz_once token
+fuzz_once release
+fuzz_fair_queue charge
+fuzz_fair_queue cancel
 END
 echo "$missed broken rules not noticed"
 [ "$missed" -eq 0 ]
