Heartbeats: a scan's age goes only to hosts that the last scan's roster holds

The daemon passed the age of its store basis on to whoever asked; by rule 5 of docs/KEYS.md only incarnations in the roster of the same scan may have it.

--- a/src/host/heartbeat.c
+++ b/src/host/heartbeat.c
@@ -48,7 +48,7 @@
 }
 
 void
-heartbeat_init(heartbeat_t *b, const host_t *h, msec_t now)
+heartbeat_init(heartbeat_t *b, const host_t *h)
 {
 	rpc_heartbeat_t *m = &b->message;
 
@@ -62,7 +62,7 @@
 	memcpy(
 	    m->config_digest, h->spread.in_force.digest.bytes, RPC_DIGEST_SIZE);
 	m->keys_version = keys_complete(&h->keys);
-	m->store_age_ms = freshness_store_age(&h->fresh, now);
+	m->store_age_ms = -1;
 	m->leases.leases_len = b->leases->len;
 	m->leases.leases_val = (rpc_lease_t *)(void *)b->leases->data;
 	m->moves.moves_len = b->moves->len;
--- a/src/host/heartbeat.h
+++ b/src/host/heartbeat.h
@@ -17,9 +17,10 @@
  * heartbeat_init() - Make a heartbeat.
  * @b: memory of the caller
  * @h: the host; must not change until heartbeat_finish()
- * @now: present time
+ *
+ * It holds no basis of the keys: who may pass that on depends on the receiver.
  */
-void heartbeat_init(heartbeat_t *b, const host_t *h, msec_t now);
+void heartbeat_init(heartbeat_t *b, const host_t *h);
 void heartbeat_finish(heartbeat_t *b);
 
 #endif
--- a/src/host/peers.c
+++ b/src/host/peers.c
@@ -197,7 +197,7 @@
 	rpc_args_t args = {.proc = RPC_PROC_EXCHANGE};
 	heartbeat_t beat;
 
-	heartbeat_init(&beat, h, now);
+	heartbeat_init(&beat, h);
 	args.u.exchange.sequence = ++peer->sequence;
 	args.u.exchange.want_vouch = TRUE;
 	args.u.exchange.heartbeat = beat.message;
@@ -262,7 +262,10 @@
 		if (peer != NULL)
 			take_heartbeat(h, peer, id, &args->heartbeat, now, now);
 	}
-	heartbeat_init(&beat, h, now);
+	heartbeat_init(&beat, h);
+	/* What has left the roster must go stale; see docs/KEYS.md. */
+	if (roster_view_has(&h->view, (replica_t){id, from->incarnation}))
+		beat.message.store_age_ms = freshness_scan_age(&h->fresh, now);
 	result.u.exchange.sequence = args->sequence;
 	result.u.exchange.vouches = reply.vouches;
 	result.u.exchange.knows_incarnation = reply.acknowledges;
