A roster read counts for "done" only if sent later than the acceptance

A read sent in the same millisecond may have been answered before a host joined, and the write have come after: the host that joined was not asked for its confirmation, and said yes after "done".

--- a/src/coordination/withdrawal.c
+++ b/src/coordination/withdrawal.c
@@ -177,7 +177,7 @@
 {
 	guint confirmed, told = withdrawal_hosts(w, &confirmed);
 
-	return confirmed == told && view->read_sent >= w->commit.accepted_at &&
+	return confirmed == told && view->read_sent > w->commit.accepted_at &&
 	    view->stable_since <= now - FRESH_LAPSE_MS;
 }
 
