--- a/tests/fuzz/keys_world.h
+++ b/tests/fuzz/keys_world.h
@@ -15,11 +15,8 @@
 {
 	int i;
 
-	for (i = 0; i < w->nprocs; i++) {
-		withdrawals_finish(&w->procs[i].withdrawals);
-		keys_finish(&w->procs[i].keys);
-		roster_view_finish(&w->procs[i].view);
-	}
+	for (i = 0; i < w->nprocs; i++)
+		keysync_finish(&w->procs[i].sync);
 }
 
 static gboolean
@@ -39,18 +36,21 @@
 	if (is_cut(w, &m) || (at >= 0 && !w->procs[at].alive))
 		return;
 	if (at >= 0 && w->procs[at].paused)
-		post(w, &m);
+		post_held(w, &m);
 	else if (!m.answer && m.to < 0)
 		at_store(w, &m);
+	else if (m.kind == GOODBYE)
+		on_goodbye(w, &m);
 	else if (!m.answer)
 		at_peer(w, &m);
-	else if (m.kind == SCAN || m.kind == JOIN)
+	else if (m.kind == SCAN)
 		on_scan(w, &m);
 	else if (m.kind == ASK)
 		on_answer(w, &m);
 	else if (m.kind == FETCH)
-		on_rows(w, &m);
-	else
+		keysync_fetched(
+		    &w->procs[at].sync, m.delta, m.ndelta, m.since, m.version);
+	else if (m.kind == TELL || m.kind == WRITE || m.kind == READ)
 		on_withdrawal(w, &m);
 }
 
@@ -77,8 +77,8 @@
 		for (k = 0; k < KEYS; k++) {
 			if (!h->alive || h->paused)
 				continue;
-			yes = keys_check(&h->keys, &h->fresh, &w->digests[k],
-				  clock_of(w, i))
+			yes = keys_check(&h->sync.keys, &h->sync.fresh,
+				  &w->digests[k], clock_of(w, i))
 				  .kind == KEY_OK;
 			verify(w, !yes || !w->done[k], "yes after done");
 			verify(w,
@@ -124,7 +124,7 @@
 {
 	int p = arg % w->nprocs, id = arg % IDS;
 
-	switch (op % 16) {
+	switch (op % 18) {
 	case 0: /* fall through */
 	case 1:
 	case 2: /* fall through */
@@ -140,7 +140,7 @@
 	case 6: /* fall through */
 	case 7:
 		if (w->nmessages > 0)
-			deliver_at(w, arg % w->nmessages, op % 16 == 7);
+			deliver_at(w, arg % w->nmessages, op % 18 == 7);
 		break;
 	case 8:
 		if (w->nmessages > 0)
@@ -152,7 +152,8 @@
 			withdraw(w, p, (arg >> 4) % KEYS);
 		break;
 	case 11: /* a new incarnation; the old one may be running yet */
-		w->procs[p].alive = (arg & 0x80) != 0;
+		if ((arg & 0x80) == 0)
+			w->procs[p].alive = FALSE;
 		proc_start(w, w->procs[p].self.host);
 		break;
 	case 12:
@@ -168,6 +169,14 @@
 	case 15:
 		w->store_cut[id] ^= TRUE;
 		break;
+	case 16: /* a graceful stop; rare, since it takes a host away */
+		if (arg < 0x40 && w->procs[p].alive && !w->procs[p].paused)
+			proc_leave(w, p);
+		break;
+	case 17:
+		if (w->procs[p].alive && !w->procs[p].paused)
+			proc_retire(w, p, (uint32_t)(arg / 8 % IDS));
+		break;
 	}
 	judge(w);
 }
