--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,483 @@
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include <event2/bufferevent.h>
+#include <glib.h>
+
+#include "suite.h"
+#include "transport/http_check.h"
+#include "transport/http_server.h"
+
+#define PORT 22001
+#define ADDRESS "127.0.0.1:22001"
+#define BOUND_MS 5000 /* of a wait for something that must come */
+#define SETTLE_MS 150 /* in which what must not come would come */
+#define HOLD_MS 100
+#define RECEIVE_MS 400
+#define MEMORY_BYTES 60000
+
+static struct event_base *base;
+static http_server_t *server;
+static GString *served; /* "METHOD path length;" of each request */
+static int leaked, hung_up;
+
+/* A caller that writes bytes and keeps what comes back. */
+typedef struct {
+	struct bufferevent *bev;
+	GString *in;
+	gboolean closed;
+} raw_t;
+
+static void
+reply_text(http_exchange_t *x, const char *text)
+{
+	struct evbuffer *body = evbuffer_new();
+
+	evbuffer_add_printf(body, "<%s>", text);
+	http_reply(x, 200, NULL, body);
+	evbuffer_free(body);
+}
+
+static void
+reply_later(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	if (hung_up == 0)
+		reply_text(arg, "held");
+}
+
+static void
+on_gone(void *arg)
+{
+	(void)arg;
+	hung_up++;
+}
+
+static void
+hold(http_exchange_t *x)
+{
+	struct timeval tv = {0, HOLD_MS * 1000};
+
+	http_exchange_watch(x, on_gone, NULL);
+	event_base_once(base, -1, EV_TIMEOUT, reply_later, x, &tv);
+}
+
+static void
+serve(void *arg, http_exchange_t *x)
+{
+	struct evhttp_request *req = http_exchange_request(x);
+	const char *path = evhttp_request_get_uri(req);
+	struct evkeyvalq copy;
+	const struct evkeyval *h;
+
+	(void)arg;
+	g_string_append_printf(served, "%d %s %zu;",
+	    evhttp_request_get_command(req), path,
+	    evbuffer_get_length(http_exchange_body(x)));
+	TAILQ_INIT(&copy);
+	http_copy_end_to_end(&copy, http_exchange_headers(x));
+	TAILQ_FOREACH(h, &copy, next)
+	leaked += strstr(h->value, "secret") != NULL;
+	evhttp_clear_headers(&copy);
+	if (g_str_has_prefix(path, "/hold"))
+		hold(x);
+	else
+		reply_text(x, path);
+}
+
+static char *
+refuse(const char *reason)
+{
+	return g_strdup_printf("<%s>", reason);
+}
+
+static void
+start(unsigned int max_connections)
+{
+	http_server_conf_t conf = {
+	    .address = ADDRESS,
+	    .max_head_bytes = 8192,
+	    .max_body_bytes = 20000,
+	    .body_memory_bytes = MEMORY_BYTES,
+	    .max_connections = max_connections,
+	    .receive_ms = RECEIVE_MS,
+	};
+	GError *err = NULL;
+
+	base = event_base_new();
+	served = g_string_new(NULL);
+	leaked = hung_up = 0;
+	server = http_server_new(base, &conf, serve, refuse, NULL, &err);
+	ck_assert_msg(
+	    server != NULL, "%s", err != NULL ? err->message : "no error");
+}
+
+static void
+finish(void)
+{
+	http_server_free(server);
+	event_base_free(base);
+	g_string_free(served, TRUE);
+}
+
+static void
+run_loop(msec_t ms)
+{
+	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
+
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+}
+
+static void
+on_raw_read(struct bufferevent *bev, void *arg)
+{
+	raw_t *raw = arg;
+	char block[4096];
+	size_t n;
+
+	while ((n = bufferevent_read(bev, block, sizeof(block))) > 0)
+		g_string_append_len(raw->in, block, (gssize)n);
+}
+
+static void
+on_raw_event(struct bufferevent *bev, short what, void *arg)
+{
+	raw_t *raw = arg;
+
+	if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
+		return;
+	on_raw_read(bev, raw);
+	raw->closed = TRUE;
+}
+
+static void
+raw_open(raw_t *raw)
+{
+	struct sockaddr_in to = {
+	    .sin_family = AF_INET,
+	    .sin_port = htons(PORT),
+	};
+
+	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	raw->in = g_string_new(NULL);
+	raw->closed = FALSE;
+	raw->bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(raw->bev, on_raw_read, NULL, on_raw_event, raw);
+	bufferevent_enable(raw->bev, EV_READ | EV_WRITE);
+	bufferevent_socket_connect(
+	    raw->bev, (struct sockaddr *)&to, sizeof(to));
+}
+
+static void
+raw_close(raw_t *raw)
+{
+	bufferevent_free(raw->bev);
+	g_string_free(raw->in, TRUE);
+}
+
+/* The statuses and bodies that came back, as "200<a> 400<b> closed". */
+static char *
+raw_summary(const raw_t *raw)
+{
+	GString *out = g_string_new(NULL);
+	const char *at = raw->in->str, *open, *end;
+
+	while ((at = strstr(at, "HTTP/1.1 ")) != NULL) {
+		at += strlen("HTTP/1.1 ");
+		g_string_append_len(out, at, 3);
+		open = strstr(at, "\r\n\r\n");
+		end = open != NULL ? strchr(open, '>') : NULL;
+		if (end != NULL && open[4] == '<')
+			g_string_append_len(
+			    out, open + 4, (gssize)(end - open - 3));
+		g_string_append_c(out, ' ');
+	}
+	if (raw->closed)
+		g_string_append(out, "closed");
+	return g_string_free(out, FALSE);
+}
+
+static gboolean
+wait_closed(const raw_t *raw)
+{
+	int i;
+
+	for (i = 0; i < BOUND_MS / 50 && !raw->closed; i++)
+		run_loop(50);
+	return raw->closed;
+}
+
+static gboolean
+wait_answers(const raw_t *raw, int n)
+{
+	const char *at;
+	int i, seen;
+
+	for (i = 0; i < BOUND_MS / 50; i++) {
+		seen = 0;
+		for (at = raw->in->str; (at = strstr(at, ">")) != NULL; at++)
+			seen++;
+		if (seen >= n)
+			return TRUE;
+		run_loop(50);
+	}
+	return FALSE;
+}
+
+static void
+check_alive(const char *after)
+{
+	raw_t raw;
+
+	raw_open(&raw);
+	bufferevent_write(
+	    raw.bev, "GET /alive HTTP/1.1\r\nHost: h\r\n\r\n", 32);
+	ck_assert_msg(wait_answers(&raw, 1), "dead after: %s", after);
+	ck_assert_msg(strstr(raw.in->str, "</alive>") != NULL, "%s then: %s",
+	    after, raw.in->str);
+	raw_close(&raw);
+}
+
+#define POST "POST /a HTTP/1.1\r\nHost: h\r\n"
+#define GET "GET /a HTTP/1.1\r\nHost: h\r\n"
+#define NEXT "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+#define REFUSED "400<a header that may stand once is repeated> closed"
+
+/* Input; what comes back; what the handler saw. */
+static const struct {
+	const char *name, *input, *back, *served;
+} rows[] = {
+    {"plain", GET "\r\n", "200</a> ", "1 /a 0;"},
+    {"bare line feeds", "GET /a HTTP/1.1\nHost: h\n\n", "200</a> ", "1 /a 0;"},
+    {"patch", "PATCH /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab",
+	"200</a> ", "256 /a 2;"},
+    {"chunked", POST "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	"200</a> ", "2 /a 3;"},
+    {"pipelined", GET "\r\nGET /b HTTP/1.1\r\n\r\nGET /c HTTP/1.1\r\n\r\n",
+	"200</a> 200</b> 200</c> ", "1 /a 0;1 /b 0;1 /c 0;"},
+    {"pipelined behind one that is watched",
+	"GET /hold HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"
+	"GET /c HTTP/1.1\r\n\r\n",
+	"200<held> 200</b> 200</c> ", "1 /hold 0;1 /b 0;1 /c 0;"},
+    {"folded key", GET "Authorization:\r\n Bearer secret\r\n\r\n", "200</a> ",
+	"1 /a 0;"},
+    {"space before the colon", GET "Authorization : secret\r\n\r\n" NEXT,
+	"400<a header name is no token> closed", ""},
+    {"key twice", GET "Authorization: a\r\naUTHORIZATION: b\r\n\r\n" NEXT,
+	REFUSED, ""},
+    {"length twice",
+	POST "Content-Length: 0\r\nContent-Length: 36\r\n\r\n" NEXT, REFUSED,
+	""},
+    {"length with a sign", POST "Content-Length: +5\r\n\r\nabcde" NEXT,
+	"400<Content-Length is not a plain number> closed", ""},
+    {"unknown coding", POST "Transfer-Encoding: xchunked\r\n\r\n" NEXT,
+	"400<unknown Transfer-Encoding> closed", ""},
+    {"control character", GET "X-A: a\001b\r\n\r\n" NEXT,
+	"400<a header value holds control characters> closed", ""},
+};
+
+/* Refused by evhttp itself, whose text is its own: status and close count. */
+static const struct {
+	const char *name, *input;
+	int status; /* 0: closed without a word will do */
+} raw_rows[] = {
+    {"coding and length",
+	POST "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n" NEXT,
+	400},
+    {"coding list", POST "Transfer-Encoding: gzip, chunked\r\n\r\n" NEXT, 413},
+    {"negative length", POST "Content-Length: -5\r\n\r\n" NEXT, 400},
+    {"body over the bound", POST "Content-Length: 20001\r\n\r\nabc", 413},
+    {"length over 64 bits",
+	POST "Content-Length: 99999999999999999999\r\n\r\nabc", 0},
+    {"bad chunk size",
+	POST "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n", 0},
+    {"negative chunk size",
+	POST "Transfer-Encoding: chunked\r\n\r\n-1\r\nabc\r\n0\r\n\r\n", 0},
+    {"binary", "\x16\x03\x01\x02\xff\xfe\x01\r\n\r\n" NEXT, 0},
+    {"no method", "   \r\n\r\n" NEXT, 0},
+    {"unknown method", "BREW /a HTTP/1.1\r\n\r\n" NEXT, 0},
+    {"no version", "GET /a HTTP/x\r\n\r\n" NEXT, 0},
+    {"header without a colon", GET "nonsense\r\n\r\n" NEXT, 0},
+    {"unfinished head", GET "X-A: ", 408},
+    {"unfinished body", POST "Content-Length: 10\r\n\r\nabc", 408},
+};
+
+static void
+input_is_judged_as_told(void)
+{
+	char *got;
+	size_t i;
+	raw_t raw;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		start(10);
+		raw_open(&raw);
+		bufferevent_write(
+		    raw.bev, rows[i].input, strlen(rows[i].input));
+		if (g_str_has_suffix(rows[i].back, "closed"))
+			wait_closed(&raw);
+		else
+			wait_answers(&raw, strstr(rows[i].back, "c>") ? 3 : 1);
+		run_loop(SETTLE_MS);
+		got = raw_summary(&raw);
+		ck_assert_msg(strcmp(got, rows[i].back) == 0, "%s: got %s",
+		    rows[i].name, got);
+		ck_assert_msg(strcmp(served->str, rows[i].served) == 0,
+		    "%s: served %s", rows[i].name, served->str);
+		ck_assert_msg(leaked == 0, "%s: key forwarded", rows[i].name);
+		check_alive(rows[i].name);
+		raw_close(&raw);
+		g_free(got);
+		finish();
+	}
+}
+
+static void
+check_refused(const char *name, const raw_t *raw, int status)
+{
+	char *got = raw_summary(raw);
+
+	ck_assert_msg(raw->closed, "%s: left open: %s", name, got);
+	ck_assert_msg(served->len == 0, "%s: served %s", name, served->str);
+	ck_assert_msg(
+	    strstr(got, "200") == NULL && (status == 0 || atoi(got) == status),
+	    "%s: got %s", name, got);
+	g_free(got);
+}
+
+static void
+malformed_input_is_refused(void)
+{
+	size_t i;
+	raw_t raw;
+
+	for (i = 0; i < G_N_ELEMENTS(raw_rows); i++) {
+		start(10);
+		raw_open(&raw);
+		bufferevent_write(
+		    raw.bev, raw_rows[i].input, strlen(raw_rows[i].input));
+		wait_closed(&raw);
+		check_refused(raw_rows[i].name, &raw, raw_rows[i].status);
+		check_alive(raw_rows[i].name);
+		raw_close(&raw);
+		finish();
+	}
+}
+
+/* A head that never ends, and a byte at a time: neither holds the server. */
+static void
+endless_input_is_refused(void)
+{
+	char block[10000];
+	raw_t raw;
+	int i;
+
+	memset(block, 'a', sizeof(block));
+	start(10);
+	raw_open(&raw);
+	bufferevent_write(raw.bev, GET "X-A: ", strlen(GET "X-A: "));
+	bufferevent_write(raw.bev, block, sizeof(block));
+	wait_closed(&raw);
+	check_refused("endless head", &raw, 0);
+	raw_close(&raw);
+	raw_open(&raw);
+	for (i = 0; i < 100 && !raw.closed; i++) {
+		bufferevent_write(raw.bev,
+		    &(GET "X-A: aaaaaaaaaaaaaaaaaaaaaaaa"
+			  "aaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+			  "aaaaaaaaaaaaaaaaaaa")[i % 90],
+		    1);
+		run_loop(20);
+	}
+	check_refused("slow sender", &raw, 408);
+	check_alive("slow sender");
+	raw_close(&raw);
+	finish();
+}
+
+static void
+memory_for_bodies_is_bounded(void)
+{
+	static const char head[] = POST "Content-Length: 19000\r\n\r\n";
+	char block[18000];
+	raw_t raws[4];
+	int i, refused = 0;
+
+	memset(block, 'a', sizeof(block));
+	start(10);
+	for (i = 0; i < 4; i++) {
+		raw_open(&raws[i]);
+		bufferevent_write(raws[i].bev, head, sizeof(head) - 1);
+		bufferevent_write(raws[i].bev, block, sizeof(block));
+	}
+	run_loop(SETTLE_MS);
+	for (i = 0; i < 4; i++) {
+		refused +=
+		    strstr(raws[i].in->str, "<body-memory-full>") != NULL;
+		raw_close(&raws[i]);
+	}
+	ck_assert_int_eq(refused, 1);
+	run_loop(2 * SETTLE_MS);
+	check_alive("bodies over the bound");
+	finish();
+}
+
+static void
+connections_are_bounded(void)
+{
+	raw_t a, b;
+
+	start(1);
+	raw_open(&a);
+	bufferevent_write(a.bev, GET "\r\n", strlen(GET "\r\n"));
+	ck_assert(wait_answers(&a, 1));
+	raw_open(&b);
+	bufferevent_write(b.bev, GET "\r\n", strlen(GET "\r\n"));
+	ck_assert(wait_closed(&b));
+	ck_assert(strstr(b.in->str, "<too-many-connections>") != NULL);
+	raw_close(&a);
+	raw_close(&b);
+	run_loop(2 * SETTLE_MS);
+	check_alive("too many connections");
+	finish();
+}
+
+static void
+hang_up_is_seen_while_a_request_runs(void)
+{
+	raw_t raw;
+	int i;
+
+	start(10);
+	raw_open(&raw);
+	bufferevent_write(raw.bev, "GET /hold HTTP/1.1\r\n\r\n", 22);
+	for (i = 0; i < 100 && served->len == 0; i++)
+		run_loop(10);
+	raw_close(&raw);
+	run_loop(HOLD_MS);
+	ck_assert_int_eq(hung_up, 1);
+	ck_assert_uint_eq(http_server_exchanges(server), 0);
+	check_alive("hang-up");
+	finish();
+}
+
+int
+main(void)
+{
+	static const suite_case_t cases[] = {
+	    {"input is judged as told", input_is_judged_as_told},
+	    {"malformed input is refused", malformed_input_is_refused},
+	    {"endless input is refused", endless_input_is_refused},
+	    {"memory for bodies is bounded", memory_for_bodies_is_bounded},
+	    {"connections are bounded", connections_are_bounded},
+	    {"hang-up is seen while a request runs",
+		hang_up_is_seen_while_a_request_runs},
+	};
+
+	return suite_run("http", cases, sizeof(cases) / sizeof(cases[0]));
+}
