--- a/src/cmd/greengageloomd.c
+++ b/src/cmd/greengageloomd.c
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "host/host.h"
+#include "protocol/text.h"
 
 #define EXIT_USAGE 2
 
@@ -77,6 +78,10 @@
 		settings_finish(&s);
 		return EXIT_USAGE;
 	}
+	if (listen_address != NULL && !text_is_address(listen_address)) {
+		settings_finish(&s);
+		return fail_usage(ctx, "--listen: expected IP:PORT");
+	}
 	if (listen_address != NULL) {
 		g_free(s.callers);
 		s.callers = g_strdup(listen_address);
--- /dev/null
+++ b/tests/test_http_client.c
@@ -0,0 +1,352 @@
+#include <sys/queue.h>
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <string.h>
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <glib.h>
+
+#include "suite.h"
+#include "transport/http_client.h"
+
+#define PORT 22003
+#define ADDRESS "127.0.0.1:22003"
+#define BOUND_MS 5000 /* of a wait for something that must come */
+#define LATE_MS 60
+#define SETTLE_MS 200
+#define LARGE_BYTES (8 * 1024 * 1024)
+
+static struct event_base *base;
+static http_client_t *client;
+static struct evconnlistener *listener;
+
+/* What the server does with its first request; later ones get "second". */
+static const struct script {
+	const char *name, *answer;
+	const char *unasked; /* sent LATE_MS later */
+	gboolean closes;
+	const char *expected; /* of two calls: outcome and body of each */
+	int requests;	      /* that reach the server, in all */
+} * script;
+
+#define OK(length, body) \
+	"HTTP/1.1 200 OK\r\nContent-Length: " length "\r\n\r\n" body
+#define SECOND OK("6", "second")
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+static const struct script scripts[] = {
+    {"whole", OK("5", "first"), NULL, FALSE,
+	"answered[first] answered[second] ", 2},
+    {"second answer in one packet", OK("5", "first") OK("5", "wrong"), NULL,
+	FALSE, "answered[first] answered[second] ", 2},
+    {"bytes behind the answer", OK("5", "first") "junk", NULL, FALSE,
+	"answered[first] answered[second] ", 2},
+    {"unasked answer while idle", OK("5", "first"), OK("5", "wrong"), FALSE,
+	"answered[first] answered[second] ", 2},
+    {"short body", OK("9", "first"), NULL, TRUE, "broken[] answered[second] ",
+	2},
+    {"no last chunk", CHUNKED "5\r\nfirst\r\n", NULL, TRUE,
+	"broken[] answered[second] ", 2},
+    {"cut in a chunk", CHUNKED "9\r\nfirst", NULL, TRUE,
+	"broken[] answered[second] ", 2},
+    {"whole chunks", CHUNKED "5\r\nfirst\r\n0\r\n\r\n", NULL, FALSE,
+	"answered[first] answered[second] ", 2},
+    /* Wholeness can't be known: the end of the stream is the end. */
+    {"no length", "HTTP/1.1 200 OK\r\n\r\nfirst", NULL, TRUE,
+	"answered[first] answered[second] ", 2},
+    {"closed without an answer", "", NULL, TRUE, "broken[] answered[second] ",
+	2},
+    {"closed in the head", "HTTP/1.1 200 OK\r\nX-A", NULL, TRUE,
+	"broken[] answered[second] ", 2},
+    {"closed while idle", OK("5", "first"), "", TRUE,
+	"answered[first] answered[second] ", 2},
+    {"continue", "HTTP/1.1 100 Continue\r\n\r\n" OK("5", "first"), NULL, FALSE,
+	"broken[] answered[second] ", 2},
+    {"early hints", "HTTP/1.1 103 Early Hints\r\n\r\n" OK("5", "first"), NULL,
+	FALSE, "broken[] answered[second] ", 2},
+    {"not http", "\x16\x03\x01nonsense\r\n\r\n", NULL, TRUE,
+	"broken[] answered[second] ", 2},
+    {"contradictory lengths",
+	"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nfirst", NULL, TRUE,
+	"broken[] answered[second] ", 2},
+    {"no answer", "", NULL, FALSE, "out-of-time[] answered[second] ", 2},
+};
+
+static int requests, connections, done;
+static GString *result;
+static GPtrArray *accepted;
+
+static void
+send_late(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	bufferevent_write(arg, script->unasked, strlen(script->unasked));
+	if (script->closes)
+		shutdown(bufferevent_getfd(arg), SHUT_RDWR);
+}
+
+static void
+on_sent(struct bufferevent *bev, void *arg)
+{
+	(void)arg;
+	if (script != NULL && script->closes && script->unasked == NULL &&
+	    requests == 1)
+		shutdown(bufferevent_getfd(bev), SHUT_RDWR);
+}
+
+static void
+answer_first(struct bufferevent *bev)
+{
+	struct timeval late = {0, LATE_MS * 1000};
+
+	bufferevent_write(bev, script->answer, strlen(script->answer));
+	if (script->unasked != NULL)
+		event_base_once(base, -1, EV_TIMEOUT, send_late, bev, &late);
+	else if (*script->answer == '\0')
+		on_sent(bev, NULL);
+}
+
+static void
+on_asked(struct bufferevent *bev, void *arg)
+{
+	struct evbuffer *in = bufferevent_get_input(bev);
+	struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+
+	(void)arg;
+	if (end.pos < 0)
+		return;
+	evbuffer_drain(in, (size_t)end.pos + 4);
+	requests++;
+	if (requests == 1)
+		answer_first(bev);
+	else
+		bufferevent_write(bev, SECOND, strlen(SECOND));
+}
+
+static void
+on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *from,
+    int len, void *arg)
+{
+	struct bufferevent *bev =
+	    bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+	(void)l;
+	(void)from;
+	(void)len;
+	(void)arg;
+	connections++;
+	bufferevent_setcb(bev, on_asked, on_sent, NULL, NULL);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	g_ptr_array_add(accepted, bev);
+}
+
+static void
+start(const struct script *s)
+{
+	struct sockaddr_in at = {
+	    .sin_family = AF_INET,
+	    .sin_port = htons(PORT),
+	};
+
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	script = s;
+	requests = connections = done = 0;
+	result = g_string_new(NULL);
+	accepted =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)bufferevent_free);
+	base = event_base_new();
+	client = http_client_new(base, 4);
+	listener = evconnlistener_new_bind(base, on_accept, NULL,
+	    LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, 16,
+	    (struct sockaddr *)&at, sizeof(at));
+	ck_assert(listener != NULL);
+}
+
+static void
+finish(void)
+{
+	http_client_free(client);
+	g_ptr_array_free(accepted, TRUE);
+	evconnlistener_free(listener);
+	event_base_free(base);
+	g_string_free(result, TRUE);
+}
+
+static void
+run_loop(msec_t ms)
+{
+	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
+
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+}
+
+static void
+wait_done(int n)
+{
+	int i;
+
+	for (i = 0; i < BOUND_MS / 20 && done < n; i++)
+		run_loop(20);
+	ck_assert_int_eq(done, n);
+}
+
+static void
+on_done(void *arg, http_outcome_t outcome, int status,
+    const struct evkeyvalq *headers, struct evbuffer *body)
+{
+	static const char *const names[] = {
+	    "answered", "not-sent", "broken", "out-of-time"};
+
+	(void)arg;
+	(void)status;
+	(void)headers;
+	g_string_append_printf(result, "%s[", names[outcome]);
+	if (body != NULL && evbuffer_get_length(body) > 0)
+		g_string_append_len(result,
+		    (const char *)evbuffer_pullup(body, -1),
+		    (gssize)evbuffer_get_length(body));
+	g_string_append(result, "] ");
+	done++;
+}
+
+static http_call_t *
+ask(const char *address, msec_t timeout_ms, const http_handler_t *handler)
+{
+	http_request_t request = {
+	    .address = address,
+	    .method = EVHTTP_REQ_GET,
+	    .path = "/",
+	    .timeout_ms = timeout_ms,
+	};
+
+	return http_call(client, &request, handler);
+}
+
+static void
+answers_reach_their_own_request(void)
+{
+	static const http_handler_t handler = {.on_done = on_done};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(scripts); i++) {
+		start(&scripts[i]);
+		ask(ADDRESS, 1000, &handler);
+		wait_done(1);
+		run_loop(SETTLE_MS);
+		ask(ADDRESS, 1000, &handler);
+		wait_done(2);
+		run_loop(SETTLE_MS);
+		ck_assert_msg(strcmp(result->str, script->expected) == 0,
+		    "%s: got %s", script->name, result->str);
+		ck_assert_msg(requests == script->requests, "%s: %d requests",
+		    script->name, requests);
+		ck_assert_msg(done == 2, "%s: %d done", script->name, done);
+		finish();
+	}
+}
+
+/* At once, from within on_done: the case in which a crossed answer waits. */
+static void
+ask_again(void *arg, http_outcome_t outcome, int status,
+    const struct evkeyvalq *headers, struct evbuffer *body)
+{
+	static const http_handler_t handler = {.on_done = on_done};
+
+	on_done(arg, outcome, status, headers, body);
+	ask(ADDRESS, 1000, &handler);
+}
+
+static void
+crossed_answer_is_not_handed_on_at_once(void)
+{
+	static const http_handler_t handler = {.on_done = ask_again};
+
+	start(&scripts[1]);
+	ask(ADDRESS, 1000, &handler);
+	wait_done(2);
+	ck_assert_str_eq(result->str, "answered[first] answered[second] ");
+	finish();
+}
+
+static void
+refused_connection_is_not_sent(void)
+{
+	static const http_handler_t handler = {.on_done = on_done};
+
+	start(&scripts[0]);
+	ask("127.0.0.1:22004", 1000, &handler);
+	wait_done(1);
+	ck_assert_str_eq(result->str, "not-sent[] ");
+	ck_assert(ask("nowhere", 1000, &handler) == NULL);
+	finish();
+}
+
+static size_t received;
+static http_call_t *large;
+
+static void
+on_piece(void *arg, struct evbuffer *piece)
+{
+	gboolean first = received == 0;
+
+	(void)arg;
+	received += evbuffer_get_length(piece);
+	evbuffer_drain(piece, evbuffer_get_length(piece));
+	if (first)
+		http_call_pause(large, TRUE);
+}
+
+static void
+large_answer_waits_while_paused(void)
+{
+	static const http_handler_t handler = {
+	    .on_done = on_done,
+	    .on_piece = on_piece,
+	};
+	static struct script s;
+	size_t paused_at;
+	GString *answer = g_string_new(NULL);
+	char *body = g_strnfill(LARGE_BYTES, 'x');
+
+	g_string_printf(answer,
+	    "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", LARGE_BYTES,
+	    body);
+	s.answer = answer->str;
+	start(&s);
+	received = 0;
+	large = ask(ADDRESS, 10000, &handler);
+	run_loop(SETTLE_MS);
+	paused_at = received;
+	run_loop(SETTLE_MS);
+	ck_assert_uint_gt(paused_at, 0);
+	ck_assert_uint_lt(paused_at, LARGE_BYTES / 8);
+	ck_assert_uint_eq(received, paused_at);
+	http_call_pause(large, FALSE);
+	wait_done(1);
+	ck_assert_uint_eq(received, LARGE_BYTES);
+	finish();
+	g_string_free(answer, TRUE);
+	g_free(body);
+}
+
+int
+main(void)
+{
+	static const suite_case_t cases[] = {
+	    {"answers reach their own request",
+		answers_reach_their_own_request},
+	    {"crossed answer is not handed on at once",
+		crossed_answer_is_not_handed_on_at_once},
+	    {"refused connection is not sent", refused_connection_is_not_sent},
+	    {"large answer waits while paused",
+		large_answer_waits_while_paused},
+	};
+
+	signal(SIGPIPE, SIG_IGN);
+	return suite_run(
+	    "http client", cases, sizeof(cases) / sizeof(cases[0]));
+}
