--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -88,12 +88,12 @@
 		shutdown(bufferevent_getfd(arg), SHUT_RDWR);
 }
 
+/* @arg: number of the connection; only the first one closes. */
 static void
 on_sent(struct bufferevent *bev, void *arg)
 {
-	(void)arg;
-	if (script != NULL && script->closes && script->unasked == NULL &&
-	    requests == 1)
+	if (script->closes && script->unasked == NULL && requests == 1 &&
+	    GPOINTER_TO_INT(arg) == 1)
 		shutdown(bufferevent_getfd(bev), SHUT_RDWR);
 }
 
@@ -106,7 +106,7 @@
 	if (script->unasked != NULL)
 		event_base_once(base, -1, EV_TIMEOUT, send_late, bev, &late);
 	else if (*script->answer == '\0')
-		on_sent(bev, NULL);
+		on_sent(bev, GINT_TO_POINTER(1));
 }
 
 static void
@@ -138,7 +138,8 @@
 	(void)len;
 	(void)arg;
 	connections++;
-	bufferevent_setcb(bev, on_asked, on_sent, NULL, NULL);
+	bufferevent_setcb(
+	    bev, on_asked, on_sent, NULL, GINT_TO_POINTER(connections));
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
 	g_ptr_array_add(accepted, bev);
 }
