Limits: a slot that comes after settling counts; tests of keys and limits over processes

A host that got its slot after its configuration was settled everywhere never told its borrower that it is settled: borrower_configure() resets that, and follow_settling() speaks once a version. Such a host had neither floor nor reserve, and lived on loans alone.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -126,3 +126,19 @@
 	"$bin/tests/standin_get" "$(operators "$1")" /metrics |
 	    sed -n "s/^greengageloom_$2 //p"
 }
+
+# fill FILE: an example with its ports filled in.
+fill() {
+	awk -v first=$((base + 100)) '{
+		if (match($0, /PORT\+[0-9]+/)) {
+			n = substr($0, RSTART + 5, RLENGTH - 5)
+			sub(/PORT\+[0-9]+/, first + n)
+		}
+		print
+	}' "$1"
+}
+
+# field NAME CALLER: a count from a caller's last line.
+field() {
+	tail -n 1 "$dir/caller_$2.log" | tr ' ' '\n' | sed -n "s/^$1=//p"
+}
--- a/src/host/limits.c
+++ b/src/host/limits.c
@@ -98,6 +98,9 @@
 	s->present = TRUE;
 	s->duty->wanted = TRUE;
 	borrower_configure(&s->borrower, &config, now);
+	/* A slot that came after the configuration was settled. */
+	if (s->settled == h->catalog.version)
+		borrower_settled(&s->borrower, now);
 	if (s->lending != 0)
 		lender_configure(&s->lender, lent_part(s), now);
 }
--- a/tests/standins/standin_backend.c
+++ b/tests/standins/standin_backend.c
@@ -61,12 +61,13 @@
 	return evhttp_find_header(evhttp_request_get_input_headers(req), key);
 }
 
-/* With the number that the caller gave its request, so runs can be counted. */
+/* With the number that its caller gave it, to count runs, and the time. */
 static void
 log_run(struct evhttp_request *req, const char *id)
 {
 	const char *number = header(req, "X-Caller-Number");
-	char *line = g_strdup_printf("%s %s", id, number ? number : "-");
+	char *line = g_strdup_printf(
+	    "%s %s %lld", id, number ? number : "-", (long long)clock_now());
 
 	log_line("run", line);
 	g_free(line);
