--- a/src/coordination/poison.c
+++ b/src/coordination/poison.c
@@ -53,10 +53,10 @@
 }
 
 static void
-tell_death(poison_t *p, const poison_run_t *run, msec_t now)
+tell_death(
+    poison_t *p, poison_news_kind_t kind, const poison_run_t *run, msec_t now)
 {
-	poison_news_t news = {
-	    .kind = POISON_NEWS_DEATH, .endpoint = run->endpoint};
+	poison_news_t news = {.kind = kind, .endpoint = run->endpoint};
 
 	news.fingerprint = run->fingerprint;
 	news.run_age_ms = now - run->began;
@@ -301,7 +301,7 @@
 
 	poison_death_add(p, run->endpoint, &s, now);
 	poison_record_yield(p, &s.fingerprint);
-	tell_death(p, run, now);
+	tell_death(p, POISON_NEWS_DEATH, run, now);
 	if (r && r->refused && now >= r->refused_until)
 		refuse(p, &s.fingerprint, now);
 }
@@ -309,8 +309,8 @@
 static void
 died_beside(poison_t *p, const poison_run_t *run, msec_t now)
 {
-	poison_death_mixed(p, run->endpoint, now);
-	poison_tell(p, POISON_NEWS_MIXED, &run->fingerprint, run->endpoint);
+	poison_death_mixed(p, run->endpoint, run->began, now);
+	tell_death(p, POISON_NEWS_MIXED, run, now);
 }
 
 static gboolean
--- a/src/coordination/poison.h
+++ b/src/coordination/poison.h
@@ -19,9 +19,11 @@
 
 #define POISON_DIGEST_SIZE 32
 
-#define POISON_LEAD_MS 200     /* for peers to hear a claim and object */
-#define POISON_SETTLE_MS 500   /* for peers to tell of the same death */
-#define POISON_SPACING_MS 3000 /* nearer deaths of an endpoint are one */
+#define POISON_LEAD_MS 200   /* for peers to hear a claim and object */
+#define POISON_SETTLE_MS 500 /* for peers to tell of the same death */
+#define POISON_SPACING_MS \
+	3000 /* nearer deaths of an endpoint are one, but \
+		for runs that began between them */
 #define POISON_SUSPECT_MS 600000
 #define POISON_REFUSE_MS 60000 /* first refusal; doubled by each trial */
 #define POISON_REFUSE_MAX_MS 960000
@@ -70,7 +72,7 @@
 	fingerprint_t fingerprint;
 	const char *endpoint; /* interned; NULL where none belongs to it */
 	msec_t age_ms;	      /* since it happened */
-	msec_t run_age_ms;    /* of a death: since the request was sent */
+	msec_t run_age_ms;    /* of a death, mixed or not: since it was sent */
 	msec_t left_ms;
 } poison_news_t;
 
--- a/src/coordination/poison_death.c
+++ b/src/coordination/poison_death.c
@@ -28,25 +28,32 @@
 	return NULL;
 }
 
+/*
+ * The death nearest to a time, or NULL. A run that began after a death, when
+ * peers had heard of it, shows that the endpoint was up again.
+ */
 static poison_death_t *
-find_death(const poison_t *p, const char *endpoint, msec_t at)
+find_death(const poison_t *p, const char *endpoint, msec_t began, msec_t at)
 {
-	poison_death_t *d;
+	poison_death_t *d, *nearest = NULL;
 	guint i;
 
 	for (i = 0; i < p->deaths->len; i++) {
 		d = death_at(p, i);
-		if (d->endpoint == endpoint &&
-		    ABS(d->at - at) < POISON_SPACING_MS)
-			return d;
+		if (d->endpoint != endpoint ||
+		    began >= d->at + POISON_LEAD_MS ||
+		    ABS(d->at - at) >= POISON_SPACING_MS)
+			continue;
+		if (!nearest || ABS(d->at - at) < ABS(nearest->at - at))
+			nearest = d;
 	}
-	return NULL;
+	return nearest;
 }
 
 static poison_death_t *
-find_or_add(poison_t *p, const char *endpoint, msec_t at)
+find_or_add(poison_t *p, const char *endpoint, msec_t began, msec_t at)
 {
-	poison_death_t *d = find_death(p, endpoint, at), row = {0};
+	poison_death_t *d = find_death(p, endpoint, began, at), row = {0};
 
 	if (d)
 		return d;
@@ -61,7 +68,7 @@
 poison_death_add(
     poison_t *p, const char *endpoint, const poison_suspect_t *s, msec_t at)
 {
-	poison_death_t *d = find_or_add(p, endpoint, at);
+	poison_death_t *d = find_or_add(p, endpoint, s->began, at);
 
 	if (find_suspect(d, &s->fingerprint))
 		return FALSE;
@@ -71,9 +78,9 @@
 }
 
 void
-poison_death_mixed(poison_t *p, const char *endpoint, msec_t at)
+poison_death_mixed(poison_t *p, const char *endpoint, msec_t began, msec_t at)
 {
-	find_or_add(p, endpoint, at)->mixed = TRUE;
+	find_or_add(p, endpoint, began, at)->mixed = TRUE;
 }
 
 unsigned int
--- a/src/coordination/poison_death.h
+++ b/src/coordination/poison_death.h
@@ -26,9 +26,11 @@
  * poison_death_mixed() - Note that other requests were in flight as well.
  * @p: the state
  * @endpoint: interned name
+ * @began: when the other request was sent
  * @at: when the endpoint died
  */
-void poison_death_mixed(poison_t *p, const char *endpoint, msec_t at);
+void poison_death_mixed(
+    poison_t *p, const char *endpoint, msec_t began, msec_t at);
 
 /**
  * poison_death_count() - Count the deaths that a fingerprint is suspected of.
--- a/src/coordination/poison_hear.c
+++ b/src/coordination/poison_hear.c
@@ -24,7 +24,7 @@
 	if (r && r->cleared && r->cleared_at >= at)
 		return;
 	if (poison_record_take_answered(p, f, now)) {
-		poison_death_mixed(p, endpoint, at);
+		poison_death_mixed(p, endpoint, s.began, at);
 		poison_record_clear(p, f, now);
 		poison_tell(p, POISON_NEWS_CLEARED, f, NULL);
 		return;
@@ -101,7 +101,8 @@
 		hear_death(p, news, endpoint, now);
 		break;
 	case POISON_NEWS_MIXED:
-		poison_death_mixed(p, endpoint, now - news->age_ms);
+		poison_death_mixed(
+		    p, endpoint, now - news->run_age_ms, now - news->age_ms);
 		break;
 	case POISON_NEWS_CLEARED:
 		poison_record_clear(p, &news->fingerprint, now - news->age_ms);
--- a/src/host/probe.c
+++ b/src/host/probe.c
@@ -67,7 +67,7 @@
 }
 
 static void
-probe_one(host_t *h, const endpoint_t *e)
+probe_one(host_t *h, const endpoint_t *e, gboolean fresh)
 {
 	http_request_t request = {
 	    .address = e->address,
@@ -75,6 +75,7 @@
 	    .path = PROBE_PATH,
 	    .timeout_ms = PROBE_TIMEOUT_MS,
 	    .max_body = PROBE_MAX_BYTES,
+	    .fresh = fresh,
 	};
 	http_handler_t handler = {.on_done = on_done};
 	probe_t *p = g_new0(probe_t, 1);
@@ -95,7 +96,8 @@
 	guint i;
 
 	for (i = 0; i < h->catalog.endpoints->len; i++)
-		probe_one(h, catalog_endpoint(&h->catalog, (endpoint_id_t)i));
+		probe_one(
+		    h, catalog_endpoint(&h->catalog, (endpoint_id_t)i), FALSE);
 }
 
 void
@@ -103,6 +105,7 @@
 {
 	endpoint_id_t id = catalog_find_endpoint(&h->catalog, name);
 
+	/* Idle connections may be those of the process that has died. */
 	if (id != ID_NONE)
-		probe_one(h, catalog_endpoint(&h->catalog, id));
+		probe_one(h, catalog_endpoint(&h->catalog, id), TRUE);
 }
--- a/tests/standins/standin_backend.c
+++ b/tests/standins/standin_backend.c
@@ -185,8 +185,10 @@
 	if (header(req, "Authorization") != NULL)
 		log_line("key-seen", id != NULL ? id : "-");
 	runs++;
-	if (fault != NULL && strcmp(fault, "crash") == 0)
+	if (fault != NULL && strcmp(fault, "crash") == 0) {
+		log_line("crash", id != NULL ? id : "-");
 		_exit(1);
+	}
 	run = g_new0(run_t, 1);
 	run->req = req;
 	run->fault = g_strdup(fault);
