Poison: a crash is not missed where the server is soon back

Causes: - the probe that judges a broken request went over an idle connection of the dead process, or was taken by its listener just before that closed; neither told dead from alive, and the next probe a second later met the restarted server. Deaths and refusals are logged.

--- a/src/host/harm.c
+++ b/src/host/harm.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/log.h"
 #include "host/harm.h"
 #include "host/peers.h"
 #include "host/probe.h"
@@ -42,6 +43,23 @@
 	(void)err;
 }
 
+/* Deaths and refusals, for the operator. */
+static void
+log_news(const poison_news_t *news)
+{
+	static const char *const events[] = {
+	    [POISON_NEWS_DEATH] = "harm.death",
+	    [POISON_NEWS_MIXED] = "harm.death.mixed",
+	    [POISON_NEWS_CLEARED] = "harm.cleared",
+	    [POISON_NEWS_REFUSED] = "harm.refused",
+	};
+	const char *endpoint = news->endpoint != NULL ? news->endpoint : "-";
+
+	if (news->kind < G_N_ELEMENTS(events) && events[news->kind] != NULL)
+		log_event(LOG_WARN, events[news->kind], "endpoint", endpoint,
+		    "run_age_ms", log_num((long long)news->run_age_ms), NULL);
+}
+
 static void
 add_news(GArray *out, const poison_news_t *news)
 {
@@ -86,6 +104,7 @@
 			probe_endpoint(h, news.endpoint);
 		else
 			add_news(out, &news);
+		log_news(&news);
 	}
 	if (out->len > 0 && h->incarnation != 0)
 		tell_all(h, out);
--- a/src/host/probe.c
+++ b/src/host/probe.c
@@ -9,13 +9,18 @@
 #define PROBE_PATH "/health"
 #define PROBE_TIMEOUT_MS 800
 #define PROBE_MAX_BYTES 4096
+/* Probes that judge a broken request, until one tells dead from alive. */
+#define JUDGE_TRIES 4
 
 typedef struct {
 	host_t *host;
 	char *endpoint; /* by name: the catalog may change meanwhile */
 	msec_t sent_at;
+	unsigned tries; /* left, on new connections; 0: a periodic one */
 } probe_t;
 
+static void probe_one(host_t *h, const endpoint_t *e, unsigned tries);
+
 static void
 take_report(const probe_t *p, const json_t *root)
 {
@@ -37,6 +42,21 @@
 	endpoint_stats_report(&p->host->stats, id, &report);
 }
 
+/*
+ * A dying process may still take a connection and close it unanswered, which
+ * tells nothing; once it is back, its death can't be seen any more.
+ */
+static void
+judge_again(const probe_t *p)
+{
+	endpoint_id_t id =
+	    catalog_find_endpoint(&p->host->catalog, p->endpoint);
+
+	if (p->tries > 1 && id != ID_NONE)
+		probe_one(p->host, catalog_endpoint(&p->host->catalog, id),
+		    p->tries - 1);
+}
+
 static void
 on_done(void *arg, http_outcome_t outcome, int status,
     const struct evkeyvalq *headers, struct evbuffer *body)
@@ -60,6 +80,8 @@
 		poison_endpoint_seen(&h->poison, p->endpoint,
 		    outcome == HTTP_ANSWERED, clock_now());
 		harm_spread(h);
+	} else {
+		judge_again(p);
 	}
 	json_decref(root);
 	g_free(p->endpoint);
@@ -67,7 +89,7 @@
 }
 
 static void
-probe_one(host_t *h, const endpoint_t *e, gboolean fresh)
+probe_one(host_t *h, const endpoint_t *e, unsigned tries)
 {
 	http_request_t request = {
 	    .address = e->address,
@@ -75,7 +97,7 @@
 	    .path = PROBE_PATH,
 	    .timeout_ms = PROBE_TIMEOUT_MS,
 	    .max_body = PROBE_MAX_BYTES,
-	    .fresh = fresh,
+	    .fresh = tries > 0,
 	};
 	http_handler_t handler = {.on_done = on_done};
 	probe_t *p = g_new0(probe_t, 1);
@@ -83,6 +105,7 @@
 	p->host = h;
 	p->endpoint = g_strdup(e->name);
 	p->sent_at = clock_now();
+	p->tries = tries;
 	handler.arg = p;
 	if (http_call(h->http, &request, &handler) == NULL) {
 		g_free(p->endpoint);
@@ -97,7 +120,7 @@
 
 	for (i = 0; i < h->catalog.endpoints->len; i++)
 		probe_one(
-		    h, catalog_endpoint(&h->catalog, (endpoint_id_t)i), FALSE);
+		    h, catalog_endpoint(&h->catalog, (endpoint_id_t)i), 0);
 }
 
 void
@@ -107,5 +130,5 @@
 
 	/* Idle connections may be those of the process that has died. */
 	if (id != ID_NONE)
-		probe_one(h, catalog_endpoint(&h->catalog, id), TRUE);
+		probe_one(h, catalog_endpoint(&h->catalog, id), JUDGE_TRIES);
 }
