Graceful stop: a reply that is still to be sent is not cut; probes freed

A draining server took a connection for idle as soon as its reply had ended, and shut it down with the reply still in the output buffer.

--- a/src/host/host.c
+++ b/src/host/host.c
@@ -18,6 +18,7 @@
 #include "host/once_calls.h"
 #include "host/operate.h"
 #include "host/peers.h"
+#include "host/probe.h"
 #include "host/room.h"
 #include "protocol/text.h"
 
@@ -390,6 +391,7 @@
 	limits_init(h);
 	room_init(h);
 	once_calls_init(h);
+	probe_init(h);
 	poison_init(&h->poison, harm_peer_id(h->settings.id));
 	h->slot = SLOT_NONE;
 	h->slot_watched = SLOT_NONE;
@@ -445,6 +447,7 @@
 	room_finish(h);
 	once_calls_finish(h);
 	poison_finish(&h->poison);
+	probe_finish(h);
 	peers_finish(h);
 	if (h->incarnation != 0)
 		roster_finish(&h->roster);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -93,6 +93,7 @@
 	GHashTable *waiting; /* request number to carry_t */
 	struct event *pumper;
 	poison_t poison;
+	GHashTable *probes; /* those under way */
 	once_t once;
 	GHashTable *once_carries; /* entry to carry_t */
 	GHashTable *once_kept;	  /* entry to an answer to be replayed */
--- a/src/host/probe.c
+++ b/src/host/probe.c
@@ -21,6 +21,27 @@
 
 static void probe_one(host_t *h, const endpoint_t *e, unsigned tries);
 
+static void
+probe_free(void *arg)
+{
+	probe_t *p = arg;
+
+	g_free(p->endpoint);
+	g_free(p);
+}
+
+void
+probe_init(host_t *h)
+{
+	h->probes = g_hash_table_new_full(NULL, NULL, probe_free, NULL);
+}
+
+void
+probe_finish(host_t *h)
+{
+	g_hash_table_destroy(h->probes);
+}
+
 static void
 take_report(const probe_t *p, const json_t *root)
 {
@@ -84,8 +105,7 @@
 		judge_again(p);
 	}
 	json_decref(root);
-	g_free(p->endpoint);
-	g_free(p);
+	g_hash_table_remove(h->probes, p);
 }
 
 static void
@@ -107,10 +127,10 @@
 	p->sent_at = clock_now();
 	p->tries = tries;
 	handler.arg = p;
-	if (http_call(h->http, &request, &handler) == NULL) {
-		g_free(p->endpoint);
-		g_free(p);
-	}
+	if (http_call(h->http, &request, &handler) != NULL)
+		g_hash_table_add(h->probes, p);
+	else
+		probe_free(p);
 }
 
 void
--- a/src/host/probe.h
+++ b/src/host/probe.h
@@ -7,6 +7,9 @@
 
 #define PROBE_PERIOD_MS 1000
 
+void probe_init(host_t *h);
+void probe_finish(host_t *h);
+
 /**
  * probe_all() - Ask every endpoint of the catalog in force.
  * @h: the host
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -183,10 +183,12 @@
 	return on_read == NULL && on_write == NULL && on_event == NULL;
 }
 
+/* A reply that has ended may still wait to be sent. */
 static gboolean
 is_idle(const conn_t *conn)
 {
-	return conn->x == NULL && !conn->receiving;
+	return conn->x == NULL && !conn->receiving &&
+	    evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0;
 }
 
 static gboolean
