Own sight before old counts: the slot just left, the endpoint not shed

Cause: with held slots and a queue, hosts waited beside free slots of others because peers' counts were old. Now a slot that an own request has just left is taken first, and what finds no room by the counts tries an endpoint that has not shed a moment ago.

--- a/src/state/endpoint_stats.c
+++ b/src/state/endpoint_stats.c
@@ -13,6 +13,7 @@
 #define EJECT_FAILURE_RATE 0.5
 #define EJECT_MIN_MS 500
 #define EJECT_MAX_MS 10000
+#define FREED_MS 2
 #define WARM_UP_MS 10000
 #define LATENCY_WEIGHT 0.1
 
@@ -136,6 +137,7 @@
 	stat_id_t stat = g_array_index(s->by_id, stat_id_t, id);
 
 	row_at(s, stat)->in_flight++;
+	row_at(s, stat)->freed = FALSE;
 	return stat;
 }
 
@@ -209,6 +211,9 @@
 	}
 	r->failures = 0;
 	r->full_ms = 0;
+	r->full_until = now;
+	r->freed = TRUE;
+	r->freed_at = now;
 	r->ok_at = now;
 	r->ok_seen = TRUE;
 	if (r->latency_ms == 0)
@@ -375,6 +380,14 @@
 	return r->slots - used;
 }
 
+gboolean
+endpoint_stats_freed(const endpoint_stats_t *s, endpoint_id_t id, msec_t now)
+{
+	const endpoint_stat_t *r = row_of(s, id);
+
+	return r->freed && now - r->freed_at <= FREED_MS;
+}
+
 uint16_t
 endpoint_stats_ramp(const endpoint_stats_t *s, endpoint_id_t id, msec_t now)
 {
--- a/src/state/endpoint_stats.h
+++ b/src/state/endpoint_stats.h
@@ -68,6 +68,8 @@
 	gboolean ok_seen;
 	uint16_t failures;    /* in a row */
 	msec_t full_until;    /* after a shed answer */
+	msec_t freed_at;      /* last own request that ended here */
+	gboolean freed;	      /* and none was sent since */
 	uint32_t full_ms;     /* length of the last such time */
 	msec_t ejected_until; /* meaningful while eject_ms > 0 */
 	uint32_t eject_ms;    /* length of the last ejection; 0: none */
@@ -188,6 +190,18 @@
 uint16_t endpoint_stats_room(
     const endpoint_stats_t *s, endpoint_id_t id, msec_t now);
 
+/**
+ * endpoint_stats_freed() - Whether a slot came free a moment ago.
+ * @s: the table
+ * @id: handle in the catalog in force
+ * @now: time
+ *
+ * Return: TRUE if a request of this host was answered there and its slot is
+ * likely free still, whatever is thought of other hosts.
+ */
+gboolean endpoint_stats_freed(
+    const endpoint_stats_t *s, endpoint_id_t id, msec_t now);
+
 /**
  * endpoint_stats_ramp() - Slots that a cold endpoint should be given by now.
  * @s: the table
--- a/src/state/route_choice.c
+++ b/src/state/route_choice.c
@@ -108,6 +108,7 @@
 	row.ramp = endpoint_stats_ramp(stats, id, now);
 	row.load = s->reported ? s->report.load : 0.5;
 	row.near = e->domain == rc->domain;
+	row.freed = endpoint_stats_freed(stats, id, now);
 	row.shed = now < s->full_until;
 	return row;
 }
--- a/src/state/route_policy.c
+++ b/src/state/route_policy.c
@@ -133,11 +133,48 @@
 	return best;
 }
 
+static int
+pick_freed(const route_candidate_t *rows, unsigned int n)
+{
+	unsigned int i;
+
+	for (i = 0; i < n; i++) {
+		if (rows[i].freed && rows[i].own < rows[i].slots)
+			return (int)i;
+	}
+	return -1;
+}
+
+/*
+ * Counts of peers are old, and their slots may have come free since. An
+ * endpoint that has not shed a moment ago is worth one try; the time for which
+ * a shed answer holds bounds how often that fails.
+ */
+static int
+pick_unshed(route_policy_t *p, const route_candidate_t *rows, unsigned int n)
+{
+	uint32_t first, open = 0;
+	unsigned int i;
+
+	for (i = 0; i < n; i++)
+		open += !rows[i].shed && rows[i].own < rows[i].slots;
+	if (open == 0)
+		return -1;
+	first = random_below(p, open);
+	for (i = 0; i < n; i++) {
+		if (rows[i].shed || rows[i].own >= rows[i].slots)
+			continue;
+		if (first-- == 0)
+			break;
+	}
+	return (int)i;
+}
+
 int
 route_policy_pick(
     route_policy_t *p, const route_candidate_t *rows, unsigned int n)
 {
-	int held;
+	int k;
 
 	switch (p->kind) {
 	case ROUTE_ROUND_ROBIN:
@@ -147,10 +184,13 @@
 	case ROUTE_TWO_CHOICES:
 		return pick_two_choices(p, rows, n, 0);
 	case ROUTE_HELD_SLOTS:
-		held = pick_held(rows, n);
-		if (held >= 0)
-			return held;
-		return pick_two_choices(p, rows, n, p->u.held_slots.reserve);
+		k = pick_freed(rows, n);
+		if (k < 0)
+			k = pick_held(rows, n);
+		if (k >= 0)
+			return k;
+		k = pick_two_choices(p, rows, n, p->u.held_slots.reserve);
+		return k >= 0 ? k : pick_unshed(p, rows, n);
 	}
 	return -1;
 }
--- a/src/state/route_policy.h
+++ b/src/state/route_policy.h
@@ -47,6 +47,7 @@
 	uint16_t held;	 /* slots that are this host's part */
 	double load;	 /* as reported; 0.5 where nothing was */
 	gboolean near;	 /* in the host's failure domain */
+	gboolean freed;	 /* an own request ended there just now */
 	gboolean shed;	 /* answered "full" a moment ago */
 } route_candidate_t;
 
