Limits count as settled only once departed hosts have lapsed

A host replaced or retired during a change of configuration is not asked what it has in force, but may count as fresh for FRESH_LAPSE_MS, with the older slots. What grows with a configuration now waits for that after all roster hosts have told of it. The fuzz model has always waited so; the wiring has no test of its own yet.

--- a/src/host/limits.c
+++ b/src/host/limits.c
@@ -97,6 +97,7 @@
 
 	s->present = TRUE;
 	s->duty->wanted = TRUE;
+	s->agreed_at = 0;
 	borrower_configure(&s->borrower, &config, now);
 	if (s->lending != 0)
 		lender_configure(&s->lender, lent_part(s), now);
@@ -152,8 +153,18 @@
 {
 	uint64_t version = s->host->catalog.version;
 
-	if (!s->present || s->settled == version || !is_settled(s->host, now))
+	if (!s->present || s->settled == version)
 		return;
+	if (!is_settled(s->host, now)) {
+		s->agreed_at = 0;
+		return;
+	}
+	/* Who left the roster with an older one may still count as fresh. */
+	if (s->agreed_at == 0)
+		s->agreed_at = now;
+	if (now - s->agreed_at <= FRESH_LAPSE_MS)
+		return;
+	s->agreed_at = 0;
 	s->settled = version;
 	borrower_settled(&s->borrower, now);
 	if (s->lending != 0)
--- a/src/host/limits.h
+++ b/src/host/limits.h
@@ -17,6 +17,7 @@
 	lender_t lender;
 	uint64_t lending; /* epoch under which we lend; 0: we don't */
 	uint64_t settled; /* configuration known to be in force everywhere */
+	msec_t agreed_at; /* all roster hosts told of it; 0: not yet */
 	GQueue *waiting;  /* carry_t, in order of arrival */
 	msec_t pump_at;	  /* when the first of them is worth a try */
 	gboolean present; /* in the configuration in force */
