--- a/src/host/control.c
+++ b/src/host/control.c
@@ -10,6 +10,7 @@
 #include "host/operate.h"
 #include "host/peers.h"
 #include "host/probe.h"
+#include "host/retire.h"
 #include "host/room.h"
 
 static void
@@ -105,6 +106,8 @@
 	room_pump_later(h);
 	if (h->incarnation != 0) {
 		peers_tick(h, now);
+		retire_listed(h, now);
+		retire_tick(h, now);
 		keyops_tick(h, now);
 		confops_tick(h, now);
 		operate_tick(h, now);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -72,6 +72,8 @@
 	GHashTable *peers; /* name to peer_t */
 	msec_t exchange_at;
 	gboolean superseded;
+	msec_t retire_at, list_at;
+	gboolean listing;
 	/* Limits. */
 	GHashTable *shares; /* workspace to limit_share_t */
 	uint16_t slot;	    /* SLOT_NONE: none held */
--- a/src/host/operate.c
+++ b/src/host/operate.c
@@ -342,18 +342,15 @@
 		describe(h, op, r);
 }
 
+/* A host that may not write leaves the operation to another. */
 static gboolean
-may_operate(const host_t *h, const operate_args_t *args, operate_result_t *r)
+may_operate(const host_t *h, const operate_args_t *args)
 {
 	if (args->op == OPERATE_STATUS || args->op == OPERATE_DUMP ||
 	    args->op == OPERATE_PROGRESS)
 		return TRUE;
-	if (h->phase != HOST_DRAINING && h->incarnation != 0 &&
-	    roster_eligible(&h->roster, clock_now()))
-		return TRUE;
-	refuse(r, OPERATE_REFUSED,
-	    "this host is not yet known to all others, or leaving");
-	return FALSE;
+	return h->phase != HOST_DRAINING && h->incarnation != 0 &&
+	    roster_eligible(&h->roster, clock_now());
 }
 
 void
@@ -362,8 +359,11 @@
 	rpc_result_t result = {.proc = RPC_PROC_OPERATE};
 	operate_result_t *r = &result.u.operate;
 
-	if (may_operate(h, args, r))
-		run(h, args, r);
+	if (!may_operate(h, args)) {
+		rpc_server_refuse(&h->rpc_server, call);
+		return;
+	}
+	run(h, args, r);
 	if (r->text == NULL)
 		r->text = g_strdup("");
 	rpc_server_answer(&h->rpc_server, call, &result);
--- a/src/host/slots.c
+++ b/src/host/slots.c
@@ -118,7 +118,8 @@
 	char *key;
 
 	if (h->slot != SLOT_NONE || h->slot_claiming || now < h->slot_at ||
-	    h->phase != HOST_SERVING || h->mirror.version < h->row_version)
+	    h->phase != HOST_SERVING || h->mirror.version < h->row_version ||
+	    !roster_eligible(&h->roster, now))
 		return;
 	h->slot_at = now + CLAIM_PERIOD_MS;
 	for (slot = 0; slot < h->catalog.caps.hosts; slot++) {
