--- a/src/coordination/lender.c
+++ b/src/coordination/lender.c
@@ -22,12 +22,12 @@
 }
 
 void
-lender_start(lender_t *l, uint64_t epoch, limit_t limit, msec_t now)
+lender_start(lender_t *l, uint64_t epoch, lendable_t limit, msec_t now)
 {
 	lender_stop(l);
 	l->epoch = epoch;
-	bucket_init(&l->bucket, limit, now);
-	l->prior = limit.burst;
+	l->limit = limit;
+	bucket_init(&l->bucket, limit.base, now);
 	l->prior_until = now + GRANT_TTL_MS + GRANT_DRIFT_MS;
 }
 
@@ -39,29 +39,56 @@
 	g_array_set_size(l->loans, 0);
 }
 
-/* What counts against the burst besides the level. */
-static utoken_t
-reserved(const lender_t *l)
+/* Refills up to a moment; until then nothing else has changed. */
+static void
+refill(lender_t *l, msec_t at)
 {
-	return (utoken_t)l->lent * UTOKEN + l->prior;
+	utoken_t reserved = (utoken_t)l->lent * UTOKEN;
+
+	if (at <= l->prior_until)
+		reserved = l->bucket.limit.burst;
+	bucket_refill(&l->bucket, reserved, at);
 }
 
-static void
-loan_expire(lender_t *l, guint i)
+/* When does the next part of a loan end? */
+static msec_t
+loan_ends_at(const loan_t *loan)
 {
-	l->lent -= loan_at(l, i)->lent;
-	g_array_remove_index_fast(l->loans, i);
+	msec_t at = INT64_MAX;
+
+	if (loan->lent > 0)
+		at = loan->expires_at;
+	if (loan->pledge.burst > 0)
+		at = MIN(at, loan->pledged_until);
+	/* An empty row is kept for its sequence until it has expired. */
+	return at == INT64_MAX ? loan->expires_at : at;
 }
 
-/* Index of the loan that expires first; the table's length if there is none. */
+/* Ends what ends at a moment; true if the row can go. */
+static gboolean
+loan_end(lender_t *l, loan_t *loan, msec_t at)
+{
+	if (loan->expires_at <= at) {
+		l->lent -= loan->lent;
+		loan->lent = 0;
+	}
+	if (loan->pledged_until <= at) {
+		l->bucket.limit = limit_sub(l->bucket.limit, loan->pledge);
+		memset(&loan->pledge, 0, sizeof(loan->pledge));
+	}
+	return loan->expires_at <= at && loan->pledge.burst == 0;
+}
+
+/* Index of the loan that ends first; the table's length if there is none. */
 static guint
-first_to_expire(const lender_t *l)
+first_to_end(const lender_t *l)
 {
 	guint i, first = l->loans->len;
 
 	for (i = 0; i < l->loans->len; i++) {
 		if (first == l->loans->len ||
-		    loan_at(l, i)->expires_at < loan_at(l, first)->expires_at)
+		    loan_ends_at(loan_at(l, i)) <
+			loan_ends_at(loan_at(l, first)))
 			first = i;
 	}
 	return first;
@@ -69,7 +96,7 @@
 
 /*
  * Brings the state to the present. Room that an expiry makes is refilled only
- * from that moment on, so expiries are taken in their order.
+ * from that moment on, so they are taken in their order.
  */
 static void
 advance(lender_t *l, msec_t now)
@@ -78,30 +105,40 @@
 	guint i;
 
 	for (;;) {
-		i = first_to_expire(l);
-		next = l->prior > 0 ? l->prior_until : INT64_MAX;
+		i = first_to_end(l);
+		next = now;
+		if (l->prior_until > l->bucket.at)
+			next = MIN(next, l->prior_until);
 		if (i < l->loans->len)
-			next = MIN(next, loan_at(l, i)->expires_at);
-		if (next > now)
+			next = MIN(next, loan_ends_at(loan_at(l, i)));
+		refill(l, next);
+		if (i < l->loans->len && loan_ends_at(loan_at(l, i)) <= next) {
+			if (loan_end(l, loan_at(l, i), next))
+				g_array_remove_index_fast(l->loans, i);
+		} else if (next == now) {
 			break;
-		bucket_refill(&l->bucket, reserved(l), next);
-		if (l->prior > 0 && l->prior_until == next)
-			l->prior = 0;
-		else
-			loan_expire(l, i);
+		}
 	}
-	bucket_refill(&l->bucket, reserved(l), now);
+	refill(l, now);
 }
 
 void
-lender_configure(lender_t *l, limit_t limit, msec_t now)
+lender_configure(lender_t *l, lendable_t limit, msec_t now)
 {
+	loan_t *loan;
+	guint i;
+
 	if (l->epoch == 0)
 		return;
 	advance(l, now);
-	l->prior = l->prior > 0 ? MAX(l->prior, limit.burst) : 0;
-	l->bucket.limit = limit;
-	bucket_refill(&l->bucket, reserved(l), now);
+	l->limit = limit;
+	l->bucket.limit = limit.base;
+	for (i = 0; i < l->loans->len; i++) {
+		loan = loan_at(l, i);
+		loan->pledge = limit_min(loan->pledge, limit.pledge_max);
+		l->bucket.limit = limit_add(l->bucket.limit, loan->pledge);
+	}
+	refill(l, now);
 }
 
 static loan_t *
@@ -146,6 +183,23 @@
 		l->bucket.level += (utoken_t)(freed - spent) * UTOKEN;
 }
 
+/* Adds what the borrower leaves to us, from our own last answer to it on. */
+static void
+loan_pledge(
+    lender_t *l, loan_t *loan, const borrow_request_t *request, msec_t now)
+{
+	msec_t until = request->echo + PLEDGE_MS;
+	limit_t pledge = {0, 0};
+
+	if (request->epoch == l->epoch && request->echo <= now && until > now &&
+	    request->pledge.rate >= 0 && request->pledge.burst > 0)
+		pledge = limit_min(request->pledge, l->limit.pledge_max);
+	l->bucket.limit =
+	    limit_add(limit_sub(l->bucket.limit, loan->pledge), pledge);
+	loan->pledge = pledge;
+	loan->pledged_until = until;
+}
+
 /* A borrower's part of the burst, by its part of the demand. */
 static uint64_t
 loan_target(const lender_t *l, const loan_t *loan)
@@ -162,19 +216,36 @@
 	return (uint64_t)(lendable * (double)loan->demand / total);
 }
 
+/*
+ * Tokens that the borrower is asked to return. While there is enough for
+ * newcomers, a changed share alone is no reason.
+ */
+static uint64_t
+loan_excess(const lender_t *l, const loan_t *loan, uint64_t target)
+{
+	utoken_t burst = l->bucket.limit.burst;
+	utoken_t enough = burst / 2000 * (1000 - LEND_PERMILLE);
+	uint64_t most = (uint64_t)(burst / UTOKEN);
+	uint64_t over = l->lent > most ? l->lent - most : 0;
+
+	over = MIN(over, loan->lent);
+	if (loan->lent <= target)
+		return over;
+	if (target > 0 && l->bucket.level >= MAX(enough, UTOKEN))
+		return over;
+	return MAX(over, loan->lent - target);
+}
+
 static void
 loan_grant(lender_t *l, loan_t *loan, const borrow_request_t *request,
     borrow_answer_t *answer)
 {
 	uint64_t level = (uint64_t)(l->bucket.level / UTOKEN);
 	uint64_t target = MAX(loan_target(l, loan), request->wanted);
-	uint64_t burst = (uint64_t)(l->bucket.limit.burst / UTOKEN);
-	uint64_t over = l->lent > burst ? l->lent - burst : 0;
 
+	answer->excess = loan_excess(l, loan, target);
 	answer->granted = target > loan->lent ? target - loan->lent : 0;
 	answer->granted = MIN(answer->granted, level);
-	answer->excess = loan->lent > target ? loan->lent - target : 0;
-	answer->excess = MAX(answer->excess, MIN(over, loan->lent));
 	l->bucket.level -= (utoken_t)answer->granted * UTOKEN;
 	loan->lent += answer->granted;
 	l->lent += answer->granted;
@@ -196,11 +267,13 @@
 	loan->demand = request->demand;
 	loan->expires_at = now + GRANT_TTL_MS + GRANT_DRIFT_MS;
 	loan_settle(l, loan, request);
+	loan_pledge(l, loan, request, now);
 	/* Cuts the level where the burst has been lowered meanwhile. */
-	bucket_refill(&l->bucket, reserved(l), now);
+	refill(l, now);
 	memset(answer, 0, sizeof(*answer));
 	answer->sequence = request->sequence;
 	answer->epoch = l->epoch;
+	answer->stamp = now;
 	loan_grant(l, loan, request, answer);
 	return LEND_ANSWERED;
 }
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -6,6 +6,8 @@
 #include "base/metrics.h"
 #include "coordination/confspread.h"
 #include "coordination/freshness.h"
+#include "coordination/once.h"
+#include "coordination/poison.h"
 #include "coordination/retry_budget.h"
 #include "coordination/roster.h"
 #include "coordination/roster_view.h"
@@ -70,6 +72,14 @@
 	GHashTable *peers; /* name to peer_t */
 	msec_t exchange_at;
 	gboolean superseded;
+	msec_t retire_at, list_at;
+	gboolean listing;
+	/* Limits. */
+	GHashTable *shares; /* workspace to limit_share_t */
+	uint16_t slot;	    /* SLOT_NONE: none held */
+	uint16_t slot_wanted, slot_watched;
+	gboolean slot_claiming;
+	msec_t slot_at, slot_free_since;
 	/* Configuration in force; version 0: none yet. */
 	catalog_t catalog;
 	char *catalog_text;
@@ -81,6 +91,14 @@
 	GPtrArray *operations; /* operation_t of operators */
 	endpoint_stats_t stats;
 	route_choice_t routes;
+	GHashTable *rooms;   /* service name to room_t */
+	GHashTable *waiting; /* request number to carry_t */
+	struct event *pumper;
+	poison_t poison;
+	once_t once;
+	GHashTable *once_carries; /* entry to carry_t */
+	GHashTable *once_kept;	  /* entry to an answer to be replayed */
+	size_t once_kept_bytes;
 	GHashTable *budgets; /* service name to retry_budget_t */
 	GPtrArray *carries;  /* carry_t under way */
 	uint64_t next_request;
@@ -118,6 +136,12 @@
  */
 void host_joined(host_t *h, uint64_t incarnation, uint64_t version);
 
+/**
+ * host_place_routes() - The set of live hosts may have changed.
+ * @h: the host
+ */
+void host_place_routes(host_t *h);
+
 /**
  * host_stop() - Begin a graceful stop.
  * @h: the host
--- a/src/protocol/gen/host_rpc.h
+++ b/src/protocol/gen/host_rpc.h
@@ -191,6 +191,9 @@
 	u_quad_t returned;
 	u_quad_t demand;
 	u_quad_t wanted;
+	quad_t pledge_rate;
+	quad_t pledge_burst;
+	quad_t echo;
 };
 typedef struct borrow_args_t borrow_args_t;
 
@@ -200,14 +203,17 @@
 	u_quad_t sequence;
 	u_quad_t granted;
 	u_quad_t excess;
+	quad_t stamp;
 };
 typedef struct borrow_result_t borrow_result_t;
 
 struct rpc_suspect_t {
 	rpc_digest_t fingerprint;
-	u_int deaths;
-	u_int ttl_ms;
-	bool_t refused;
+	u_int kind;
+	rpc_name_t endpoint;
+	u_int age_ms;
+	u_int run_age_ms;
+	u_int left_ms;
 };
 typedef struct rpc_suspect_t rpc_suspect_t;
 
--- a/src/protocol/gen/host_rpc_xdr.c
+++ b/src/protocol/gen/host_rpc_xdr.c
@@ -390,6 +390,12 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->wanted))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->pledge_rate))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->pledge_burst))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->echo))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -408,6 +414,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->excess))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->stamp))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -418,11 +426,15 @@
 
 	 if (!xdr_rpc_digest_t (xdrs, objp->fingerprint))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->deaths))
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_rpc_name_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->ttl_ms))
+	 if (!xdr_u_int (xdrs, &objp->run_age_ms))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->refused))
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
 		 return FALSE;
 	return TRUE;
 }
--- a/tests/fuzz/keys_store.h
+++ b/tests/fuzz/keys_store.h
@@ -1,7 +1,7 @@
 #ifndef FUZZ_KEYS_STORE_H
 #define FUZZ_KEYS_STORE_H
 
-#include "coordination/withdrawals.h"
+#include "coordination/keysync.h"
 
 /* The types of the fuzzed world, its fake store and its messages. */
 
@@ -26,6 +26,8 @@
 	BROKEN_DONE,	/* done without confirmations */
 	BROKEN_ROSTER,	/* done on an old view of the roster */
 	BROKEN_LOST,	/* a lost answer is taken for no effect */
+	BROKEN_BYE,	/* a goodbye without its keys version */
+	BROKEN_MEMBER,	/* a relay to what has left the roster */
 	BROKEN_DRIFT,	/* clocks differ by more than is allowed for */
 } rules_t;
 
@@ -36,22 +38,26 @@
 	JOIN,
 	ASK,
 	TELL,
-	FETCH
+	FETCH,
+	LEAVE,
+	GOODBYE,
+	RETIRE
 } message_kind_t;
 
 typedef struct {
 	message_kind_t kind;
 	gboolean answer;
 	int from, to; /* processes of the question; to is -1 for the store */
-	msec_t sent;  /* on the clock of the asker */
+	replica_t target; /* of RETIRE */
+	msec_t sent;	  /* on the clock of the asker */
 	int key;
 	uint32_t id, attempt;
 	uint64_t since, version; /* of keys: asked for; complete up to */
 	uint64_t issued[KEYS], withdrawn[KEYS], roster[IDS], rows[IDS];
 	write_result_t result;
 	place_t place;
-	gboolean vouch, knows;
-	msec_t age;
+	gboolean knows;
+	keysync_word_t word;
 	key_row_t delta[2 * KEYS];
 	guint ndelta;
 } message_t;
@@ -66,13 +72,12 @@
 typedef struct {
 	gboolean alive, paused;
 	replica_t self;
-	keys_t keys;
-	freshness_t fresh;
-	roster_view_t view;
+	keysync_t sync;
 	uint64_t roster[IDS];
 	msec_t vouched[IDS];
 	gboolean acked[IDS];
-	withdrawals_t withdrawals;
+	uint64_t shunned[IDS]; /* incarnation that it wants to retire */
+	msec_t shunned_at[IDS];
 	request_t requests[KEYS];
 } proc_t;
 
@@ -83,6 +88,7 @@
 	gboolean silent; /* while it is down it says nothing */
 	gboolean cut[IDS][IDS], store_cut[IDS];
 	uint64_t version, issued[KEYS], withdrawn[KEYS], roster[IDS], rows[IDS];
+	uint64_t joined[IDS]; /* largest incarnation given out */
 	msec_t withdrawn_at[KEYS];
 	gboolean effect[PROCS][KEYS], done[KEYS];
 	digest_t digests[KEYS];
@@ -127,12 +133,31 @@
 {
 	const replica_t *self = &w->procs[m->from].self;
 
-	if (w->roster[self->host] < self->incarnation) {
+	if (w->joined[self->host] < self->incarnation) {
+		w->joined[self->host] = self->incarnation;
 		w->roster[self->host] = self->incarnation;
 		w->rows[self->host] = ++w->version;
 	}
 }
 
+static void
+roster_remove(world_t *w, uint32_t id)
+{
+	w->roster[id] = 0;
+	w->rows[id] = ++w->version;
+}
+
+/* A host may remove itself; another only while it is in the roster itself. */
+static void
+store_remove(world_t *w, const message_t *m)
+{
+	const replica_t *self = &w->procs[m->from].self;
+
+	if (w->roster[self->host] == self->incarnation &&
+	    w->roster[m->target.host] == m->target.incarnation)
+		roster_remove(w, m->target.host);
+}
+
 static void
 at_store(world_t *w, message_t *m)
 {
@@ -144,11 +169,13 @@
 		store_write(w, m);
 	} else if (m->kind == JOIN) {
 		store_join(w, m);
+	} else if (m->kind == LEAVE || m->kind == RETIRE) {
+		store_remove(w, m);
 	} else if (m->kind == READ) {
 		m->version = w->withdrawn[m->key];
 		m->place = m->version != 0 ? PLACE_OURS : PLACE_OPEN;
 	}
-	if (m->kind == SCAN || m->kind == JOIN) {
+	if (m->kind == SCAN) {
 		m->version = w->version;
 		memcpy(m->issued, w->issued, sizeof(m->issued));
 		memcpy(m->withdrawn, w->withdrawn, sizeof(m->withdrawn));
