--- a/src/host/join.c
+++ b/src/host/join.c
@@ -63,6 +63,7 @@
 	log_event(LOG_WARN, "roster.join.failed", "error", err->message, NULL);
 	h->join_unsure = err->code == ERROR_UNKNOWN;
 	h->join_after = clock_now();
+	mirror_scan(&h->mirror);
 }
 
 void
