The daemon takes its keys through keysync, the module that the fuzzing proves

Cause: the order of calls on which the keys' promises rest stood twice, once in the proven module and once by hand in the daemon. The daemon now calls the module; relays pass on one's own scans only, to roster incarnations only.

--- a/src/host/carry.c
+++ b/src/host/carry.c
@@ -149,7 +149,8 @@
 
 	if (c->workspace == NULL)
 		return TRUE;
-	v = keys_check(&h->keys, &h->fresh, &c->request.key, clock_now());
+	v = keys_check(
+	    &h->sync.keys, &h->sync.fresh, &c->request.key, clock_now());
 	if (v.kind == KEY_OK && strcmp(v.workspace, c->workspace) == 0)
 		return TRUE;
 	*why = key_refusal(v.kind);
@@ -295,7 +296,8 @@
 	*why = REFUSAL_KEY_MISSING;
 	if (!c->request.has_key)
 		return FALSE;
-	v = keys_check(&h->keys, &h->fresh, &c->request.key, clock_now());
+	v = keys_check(
+	    &h->sync.keys, &h->sync.fresh, &c->request.key, clock_now());
 	*why = key_refusal(v.kind);
 	if (v.kind != KEY_OK ||
 	    catalog_find_workspace(&h->catalog, v.workspace) == ID_NONE)
--- a/src/host/control.c
+++ b/src/host/control.c
@@ -13,51 +13,100 @@
 #include "host/retire.h"
 #include "host/room.h"
 
-static void
-take_key(host_t *h, const char *name, const store_row_t *row)
+/* Reads the row of a key. Its workspace is to be freed with row_clear(). */
+static gboolean
+read_key(const store_row_t *row, key_store_row_t *value, key_row_t *key)
 {
-	key_store_row_t value = {0};
+	const char *name = row->key + strlen(ROWS_KEY);
 	GError *err = NULL;
-	key_row_t key = {.version = row->version};
 
 	if (row->value == NULL)
-		return; /* rows of keys are never deleted */
-	if (!digest_from_hex(name, &key.digest) ||
-	    !rows_decode(&row_key, row->value, &value, &err)) {
+		return FALSE; /* rows of keys are never deleted */
+	if (!digest_from_hex(name, &key->digest) ||
+	    !rows_decode(&row_key, row->value, value, &err)) {
 		log_event(LOG_ERROR, "key.row.unreadable", "key", row->key,
 		    "error", err != NULL ? err->message : NULL, NULL);
 		g_clear_error(&err);
-		return;
+		return FALSE;
 	}
-	key.workspace = *value.workspace != '\0' ? value.workspace : NULL;
-	key.withdrawn = value.withdrawn;
-	keys_merge(&h->keys, &key);
-	rows_clear(&row_key, &value);
+	key->workspace = *value->workspace != '\0'
+	    ? g_quark_to_string(g_quark_from_string(value->workspace))
+	    : NULL;
+	key->withdrawn = value->withdrawn;
+	key->version = row->version;
+	return TRUE;
 }
 
-static void
-take_keys(host_t *h, const GArray *rows, msec_t sent_at)
+static GArray *
+read_keys(const GArray *rows)
 {
+	GArray *keys = g_array_new(FALSE, TRUE, sizeof(key_row_t));
 	const store_row_t *row;
+	key_store_row_t value;
+	key_row_t key;
 	guint i;
 
 	for (i = 0; i < rows->len; i++) {
 		row = &g_array_index(rows, store_row_t, i);
-		if (g_str_has_prefix(row->key, ROWS_KEY))
-			take_key(h, row->key + strlen(ROWS_KEY), row);
+		memset(&value, 0, sizeof(value));
+		if (g_str_has_prefix(row->key, ROWS_KEY) &&
+		    read_key(row, &value, &key)) {
+			g_array_append_val(keys, key);
+			rows_clear(&row_key, &value);
+		}
 	}
-	keys_merged_range(&h->keys, 0, h->mirror.version);
-	freshness_scanned(&h->fresh, &h->keys, sent_at);
+	return keys;
+}
+
+/* Version of our own row; 0 where another incarnation has our place. */
+static uint64_t
+own_version(const host_t *h)
+{
+	char *key;
+	const mirror_row_t *row;
+	host_row_t value = {0};
+	uint64_t version = 0;
+
+	/* A scan from before our row was written shows no place of ours. */
+	if (h->incarnation == 0 || h->mirror.version < h->row_version)
+		return h->row_version;
+	key = join_row_key(h->settings.id);
+	row = mirror_get(&h->mirror, key);
+	g_free(key);
+	if (row != NULL && rows_decode(&row_host, row->value, &value, NULL)) {
+		if (value.incarnation == h->incarnation)
+			version = row->version;
+		rows_clear(&row_host, &value);
+	}
+	return version;
+}
+
+static void
+sync_keys(host_t *h, const GArray *rows, uint64_t since, msec_t sent_at)
+{
+	GArray *keys = read_keys(rows);
+	GArray *replicas = peers_scanned(h);
+	const keysync_scan_t scan = {
+	    .rows = (const key_row_t *)(const void *)keys->data,
+	    .nrows = keys->len,
+	    .roster = (const replica_t *)(const void *)replicas->data,
+	    .nroster = replicas->len,
+	    .since = since,
+	    .upto = h->mirror.version,
+	    .joined = own_version(h),
+	    .sent = sent_at,
+	};
+
+	keysync_scanned(&h->sync, &scan, clock_now());
+	g_array_free(keys, TRUE);
+	g_array_free(replicas, TRUE);
 }
 
 void
-control_changed(host_t *h, const GArray *rows, msec_t sent_at)
+control_changed(host_t *h, const GArray *rows, uint64_t since, msec_t sent_at)
 {
 	join_changed(h);
-	/* A scan from before our own row was written shows no place of ours. */
-	if (h->incarnation != 0 && h->mirror.version >= h->row_version)
-		peers_scanned(h, sent_at);
-	take_keys(h, rows, sent_at);
+	sync_keys(h, rows, since, sent_at);
 	confops_scanned(h);
 	limits_scanned(h, sent_at);
 }
@@ -93,7 +142,7 @@
 	log_event(LOG_ERROR, "roster.superseded", "incarnation",
 	    log_num((long long)h->incarnation), NULL);
 	h->superseded = TRUE;
-	freshness_stop(&h->fresh);
+	freshness_stop(&h->sync.fresh);
 	host_stop(h);
 }
 
@@ -115,6 +164,6 @@
 	}
 	check_place(h);
 	if (h->phase == HOST_STARTING && h->incarnation != 0 &&
-	    h->catalog.version != 0 && freshness_ok(&h->fresh, now))
+	    h->catalog.version != 0 && freshness_ok(&h->sync.fresh, now))
 		h->phase = HOST_SERVING;
 }
--- a/src/host/control.h
+++ b/src/host/control.h
@@ -9,9 +9,11 @@
  * control_changed() - Take in what a scan of the control rows has brought.
  * @h: the host
  * @rows: store_row_t that changed
+ * @since: version after which changes were asked for
  * @sent_at: when the scan was sent
  */
-void control_changed(host_t *h, const GArray *rows, msec_t sent_at);
+void control_changed(
+    host_t *h, const GArray *rows, uint64_t since, msec_t sent_at);
 
 /**
  * control_tick() - Do what is due.
--- a/src/host/dump.c
+++ b/src/host/dump.c
@@ -66,9 +66,9 @@
 	    "host", h->settings.id, "phase", phase_name(h->phase), "region",
 	    h->settings.region, "failure_domain", h->settings.domain,
 	    "incarnation", (json_int_t)h->incarnation, "config_version",
-	    (json_int_t)h->catalog.version, "keys", (int)keys_count(&h->keys),
-	    "keys_fresh_ms",
-	    (json_int_t)MAX(freshness_until(&h->fresh) - now, 0));
+	    (json_int_t)h->catalog.version, "keys",
+	    (int)keys_count(&h->sync.keys), "keys_fresh_ms",
+	    (json_int_t)MAX(freshness_until(&h->sync.fresh) - now, 0));
 	char *text;
 
 	json_object_set_new(
@@ -118,7 +118,7 @@
 	json_t *root = json_pack("{s:s, s:s, s:I, s:b, s:I, s:o}", "host",
 	    h->settings.id, "phase", phase_name(h->phase), "config_version",
 	    (json_int_t)h->spread.in_force.version, "keys_fresh",
-	    freshness_ok(&h->fresh, now), "store_answered_ms_ago",
+	    freshness_ok(&h->sync.fresh, now), "store_answered_ms_ago",
 	    h->store.answered_at != 0 ? (json_int_t)(now - h->store.answered_at)
 				      : -1,
 	    "hosts", hosts_json(h, now));
@@ -131,7 +131,7 @@
 static void
 set_gauges(host_t *h)
 {
-	msec_t left = freshness_until(&h->fresh) - clock_now();
+	msec_t left = freshness_until(&h->sync.fresh) - clock_now();
 
 	metrics_set(&h->metrics, h->m.in_flight, h->carries->len);
 	metrics_set(
--- a/src/host/heartbeat.c
+++ b/src/host/heartbeat.c
@@ -61,7 +61,7 @@
 	m->config_version = h->spread.in_force.version;
 	memcpy(
 	    m->config_digest, h->spread.in_force.digest.bytes, RPC_DIGEST_SIZE);
-	m->keys_version = keys_complete(&h->keys);
+	m->keys_version = keys_complete(&h->sync.keys);
 	m->store_age_ms = -1;
 	m->leases.leases_len = b->leases->len;
 	m->leases.leases_val = (rpc_lease_t *)(void *)b->leases->data;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -179,9 +179,9 @@
 }
 
 static void
-on_changed(void *arg, const GArray *rows, msec_t sent_at)
+on_changed(void *arg, const GArray *rows, uint64_t since, msec_t sent_at)
 {
-	control_changed(arg, rows, sent_at);
+	control_changed(arg, rows, since, sent_at);
 }
 
 static void
@@ -251,7 +251,8 @@
 	h->incarnation = incarnation;
 	h->row_version = version;
 	roster_init(&h->roster, &self);
-	freshness_joined(&h->fresh, version);
+	h->sync.self = (replica_t){h->roster.self, incarnation};
+	freshness_joined(&h->sync.fresh, version);
 	limits_configure(h);
 	log_event(LOG_INFO, "roster.joined", "host", s->id, "incarnation",
 	    log_num((long long)incarnation), NULL);
@@ -380,11 +381,8 @@
 	    &h->store, STORE_KIND_JSON, h->base, h->http, h->settings.store);
 	mirror_init(&h->mirror, &h->store, on_changed, h);
 	catalog_init(&h->catalog);
-	keys_init(&h->keys);
-	freshness_init(&h->fresh);
-	withdrawals_init(&h->withdrawals);
+	keysync_init(&h->sync, (replica_t){HOST_NONE, 0});
 	confspread_init(&h->spread);
-	roster_view_init(&h->view);
 	peers_init(h);
 	operate_init(h);
 	limits_init(h);
@@ -448,12 +446,10 @@
 	peers_finish(h);
 	if (h->incarnation != 0)
 		roster_finish(&h->roster);
-	roster_view_finish(&h->view);
 	confspread_finish(&h->spread);
-	withdrawals_finish(&h->withdrawals);
 	route_choice_finish(&h->routes);
 	endpoint_stats_finish(&h->stats);
-	keys_finish(&h->keys);
+	keysync_finish(&h->sync);
 	catalog_finish(&h->catalog);
 	g_free(h->catalog_text);
 	g_ptr_array_free(h->carries, TRUE);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -5,19 +5,16 @@
 
 #include "base/metrics.h"
 #include "coordination/confspread.h"
-#include "coordination/freshness.h"
+#include "coordination/keysync.h"
 #include "coordination/once.h"
 #include "coordination/poison.h"
 #include "coordination/retry_budget.h"
 #include "coordination/roster.h"
-#include "coordination/roster_view.h"
-#include "coordination/withdrawals.h"
 #include "host/mirror.h"
 #include "host/settings.h"
 #include "protocol/rows.h"
 #include "state/catalog.h"
 #include "state/endpoint_stats.h"
-#include "state/keys.h"
 #include "state/route_choice.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -67,8 +64,7 @@
 	store_t store;
 	mirror_t mirror;
 	/* The other hosts. */
-	roster_t roster; /* set up once we have joined */
-	roster_view_t view;
+	roster_t roster;   /* set up once we have joined */
 	GHashTable *peers; /* name to peer_t */
 	msec_t exchange_at;
 	gboolean superseded;
@@ -85,9 +81,7 @@
 	char *catalog_text;
 	confspread_t spread;
 	msec_t scan_at, probe_at;
-	keys_t keys;
-	freshness_t fresh;
-	withdrawals_t withdrawals;
+	keysync_t sync;	       /* keys, and the roster as its scans showed it */
 	GPtrArray *operations; /* operation_t of operators */
 	endpoint_stats_t stats;
 	route_choice_t routes;
--- a/src/host/keyops.c
+++ b/src/host/keyops.c
@@ -4,7 +4,6 @@
 #include "base/log.h"
 #include "host/fenced.h"
 #include "host/keyops.h"
-#include "host/limits.h"
 
 #define TELL_TIMEOUT_MS 1000
 #define FETCH_TIMEOUT_MS 2000
@@ -50,9 +49,10 @@
 	return g_strconcat(ROWS_KEY, hex, NULL);
 }
 
-static void
-merge_keys(host_t *h, const rpc_key_row_t *rows, guint n)
+static GArray *
+read_keys(const rpc_key_row_t *rows, guint n)
 {
+	GArray *keys = g_array_new(FALSE, TRUE, sizeof(key_row_t));
 	key_row_t row;
 	guint i;
 
@@ -62,8 +62,9 @@
 		    *rows[i].workspace != '\0' ? rows[i].workspace : NULL;
 		row.version = rows[i].store_version;
 		row.withdrawn = rows[i].withdrawn;
-		keys_merge(&h->keys, &row);
+		g_array_append_val(keys, row);
 	}
+	return keys;
 }
 
 typedef struct {
@@ -80,13 +81,16 @@
 	peer_t *peer = f->peer;
 	host_t *h = peer->host;
 	const fetch_keys_result_t *r;
+	GArray *keys;
 
 	peer->fetching_keys = FALSE;
 	if (err == NULL) {
 		r = &result->u.fetch_keys;
-		merge_keys(h, r->keys.keys_val, r->keys.keys_len);
-		keys_merged_range(&h->keys, f->since, r->keys_version);
-		keyops_vouched(h);
+		keys = read_keys(r->keys.keys_val, r->keys.keys_len);
+		keysync_fetched(&h->sync,
+		    (const key_row_t *)(const void *)keys->data, keys->len,
+		    f->since, r->keys_version);
+		g_array_free(keys, TRUE);
 		if (r->more)
 			fetch_from(h, peer);
 	}
@@ -100,7 +104,7 @@
 	fetch_t *f = g_new0(fetch_t, 1);
 
 	f->peer = peer;
-	f->since = keys_complete(&h->keys);
+	f->since = keys_complete(&h->sync.keys);
 	args.u.fetch_keys.since = f->since;
 	peer->fetching_keys =
 	    peers_call(h, peer->name, &args, FETCH_TIMEOUT_MS, on_fetched, f);
@@ -110,40 +114,24 @@
 
 void
 keyops_heard(host_t *h, peer_t *peer, const rpc_heartbeat_t *beat)
-{
-	if (beat->keys_version > keys_complete(&h->keys) &&
-	    !peer->fetching_keys)
-		fetch_from(h, peer);
-}
-
-void
-keyops_vouched(host_t *h)
 {
 	msec_t since = roster_vouched_since(&h->roster);
-
-	if (since != ROSTER_NEVER)
-		freshness_vouched(&h->fresh, &h->keys, since);
-}
-
-gboolean
-keyops_may_vouch(host_t *h, const rpc_host_t *for_host)
-{
-	replica_t replica = {
-	    .host = roster_find(&h->roster, for_host->id),
-	    .incarnation = for_host->incarnation,
+	const keysync_word_t word = {
+	    .version = beat->keys_version,
+	    .scan_age = beat->store_age_ms,
 	};
 
-	return freshness_loaded(&h->fresh, &h->keys) &&
-	    !limits_withholds(h, for_host->id) && replica.host != HOST_NONE &&
-	    withdrawals_may_vouch(
-		&h->withdrawals, replica, keys_complete(&h->keys));
+	if (keysync_heard(&h->sync, &word, peer->sent_at,
+		since == ROSTER_NEVER ? FRESH_NEVER : since) &&
+	    !peer->fetching_keys)
+		fetch_from(h, peer);
 }
 
 static void
 on_told(void *arg, const rpc_result_t *result, const GError *err)
 {
 	pending_t *p = arg;
-	withdrawal_t *w = withdrawals_get(&p->host->withdrawals, p->id);
+	withdrawal_t *w = withdrawals_get(&p->host->sync.withdrawals, p->id);
 
 	/* Another incarnation that answers there speaks for itself only. */
 	if (err == NULL && w != NULL && result->u.withdraw.confirmed &&
@@ -172,7 +160,7 @@
 on_row_written(void *arg, write_result_t result, uint64_t version)
 {
 	pending_t *p = arg;
-	withdrawal_t *w = withdrawals_get(&p->host->withdrawals, p->id);
+	withdrawal_t *w = withdrawals_get(&p->host->sync.withdrawals, p->id);
 	GArray *out = actions_new();
 
 	if (w != NULL)
@@ -211,7 +199,7 @@
 on_row_read(void *arg, const store_result_t *result, const GError *err)
 {
 	pending_t *p = arg;
-	withdrawal_t *w = withdrawals_get(&p->host->withdrawals, p->id);
+	withdrawal_t *w = withdrawals_get(&p->host->sync.withdrawals, p->id);
 	GArray *out = actions_new();
 	key_store_row_t value = {0};
 	place_t place = PLACE_UNREAD;
@@ -260,7 +248,7 @@
 
 	for (i = 0; i < actions->len; i++) {
 		a = &g_array_index(actions, withdrawal_action_t, i);
-		w = withdrawals_get(&h->withdrawals, a->id);
+		w = withdrawals_get(&h->sync.withdrawals, a->id);
 		if (w == NULL)
 			continue;
 		switch (a->kind) {
@@ -281,20 +269,11 @@
 	g_array_free(actions, TRUE);
 }
 
-static replica_t
-self_replica(const host_t *h)
-{
-	replica_t self = {h->roster.self, h->incarnation};
-
-	return self;
-}
-
 uint32_t
 keyops_withdraw(host_t *h, const digest_t *digest)
 {
 	GArray *out = actions_new();
-	uint32_t id = withdrawals_take(&h->withdrawals, &h->keys, digest,
-	    self_replica(h), &h->view, clock_now(), out);
+	uint32_t id = keysync_withdraw(&h->sync, digest, clock_now(), out);
 
 	carry_out(h, out);
 	return id;
@@ -305,8 +284,7 @@
 {
 	GArray *out = actions_new();
 
-	withdrawals_tick(&h->withdrawals, &h->keys, self_replica(h),
-	    roster_eligible(&h->roster, now), &h->view, now, out);
+	keysync_tick(&h->sync, roster_eligible(&h->roster, now), now, out);
 	carry_out(h, out);
 }
 
@@ -315,19 +293,17 @@
     host_t *h, rpc_call_id_t call, const withdraw_args_t *args)
 {
 	rpc_result_t result = {.proc = RPC_PROC_WITHDRAW};
-	const rpc_withdrawal_t *in;
-	key_row_t row = {.withdrawn = TRUE};
+	digest_t digest;
 	guint i;
 
 	for (i = 0; i < args->keys.keys_len; i++) {
-		in = &args->keys.keys_val[i];
-		memcpy(row.digest.bytes, in->digest, DIGEST_BYTES);
-		row.version = in->store_version;
-		keys_merge(&h->keys, &row);
+		memcpy(
+		    digest.bytes, args->keys.keys_val[i].digest, DIGEST_BYTES);
+		keysync_told(&h->sync, &digest);
 	}
 	result.u.withdraw.confirmed = TRUE;
 	result.u.withdraw.incarnation = h->incarnation;
-	result.u.withdraw.keys_version = keys_complete(&h->keys);
+	result.u.withdraw.keys_version = keys_complete(&h->sync.keys);
 	rpc_server_answer(&h->rpc_server, call, &result);
 }
 
@@ -342,8 +318,9 @@
 	rpc_key_row_t wire;
 	guint i;
 
-	r->keys_version = keys_delta(&h->keys, args->since, FETCH_ROWS, rows);
-	r->more = r->keys_version < keys_complete(&h->keys);
+	r->keys_version =
+	    keys_delta(&h->sync.keys, args->since, FETCH_ROWS, rows);
+	r->more = r->keys_version < keys_complete(&h->sync.keys);
 	for (i = 0; i < rows->len && i < RPC_KEYS_MAX; i++) {
 		row = &g_array_index(rows, key_row_t, i);
 		memcpy(wire.digest, row->digest.bytes, DIGEST_BYTES);
--- a/src/host/keyops.h
+++ b/src/host/keyops.h
@@ -17,28 +17,15 @@
 } key_issue_t;
 
 /**
- * keyops_heard() - A peer has told its keys version.
- * @h: the host
- * @peer: the peer
+ * keyops_heard() - A peer has answered our exchange.
+ * @h: the host, whose roster has taken in the answer
+ * @peer: the peer, with the send time of the question
  * @beat: what it said
  *
  * Rows that it has beyond ours are fetched from it.
  */
 void keyops_heard(host_t *h, peer_t *peer, const rpc_heartbeat_t *beat);
 
-/**
- * keyops_vouched() - The roster may know of newer vouches.
- * @h: the host
- */
-void keyops_vouched(host_t *h);
-
-/**
- * keyops_may_vouch() - May this host vouch for another?
- * @h: the host
- * @for_host: the host that asks
- */
-gboolean keyops_may_vouch(host_t *h, const rpc_host_t *for_host);
-
 /**
  * keyops_tick() - Go on with what is under way.
  * @h: the host
--- a/src/host/limits.c
+++ b/src/host/limits.c
@@ -175,7 +175,7 @@
 static void
 pump(limit_share_t *s, msec_t now)
 {
-	gboolean fresh = freshness_ok(&s->host->fresh, now);
+	gboolean fresh = freshness_ok(&s->host->sync.fresh, now);
 	carry_t *c;
 	admit_t a;
 
@@ -284,7 +284,7 @@
 	follow_settling(s, now);
 	if (s->present &&
 	    borrower_ask(
-		&s->borrower, freshness_ok(&s->host->fresh, now), now, &q))
+		&s->borrower, freshness_ok(&s->host->sync.fresh, now), now, &q))
 		ask_lender(s, &q, now);
 	if (s->waiting->length > 0 && now >= s->pump_at)
 		pump(s, now);
@@ -325,7 +325,7 @@
 	if (s == NULL || !s->present)
 		return ADMIT_STALE;
 	a = borrower_admit(&s->borrower, c->arrived_at, FALSE,
-	    freshness_ok(&h->fresh, now), now);
+	    freshness_ok(&h->sync.fresh, now), now);
 	*retry_ms = MAX(a.until - now, 1);
 	if (a.kind == ADMIT_WAIT) {
 		c->share = s;
@@ -334,7 +334,7 @@
 		    s->waiting->length > 1 ? MIN(s->pump_at, a.until) : a.until;
 	}
 	if (borrower_ask(
-		&s->borrower, freshness_ok(&s->host->fresh, now), now, &q))
+		&s->borrower, freshness_ok(&s->host->sync.fresh, now), now, &q))
 		ask_lender(s, &q, now);
 	return a.kind;
 }
--- a/src/host/lookups.c
+++ b/src/host/lookups.c
@@ -62,7 +62,7 @@
 		return service;
 	value += strlen("Bearer ");
 	digest_of(value, strlen(value), &key);
-	entry = keys_find(&h->keys, &key);
+	entry = keys_find(&h->sync.keys, &key);
 	if (entry == NULL || entry->workspace == 0 || entry->withdrawn)
 		return service;
 	id = catalog_find_workspace(
--- a/src/host/mirror.c
+++ b/src/host/mirror.c
@@ -56,6 +56,7 @@
 {
 	mirror_t *m = arg;
 	const GArray *rows = result->u.scan.rows;
+	uint64_t since = m->version;
 	guint i;
 
 	m->busy = FALSE;
@@ -67,7 +68,7 @@
 			take_row(m, &g_array_index(rows, store_row_t, i));
 		m->version = MAX(m->version, result->u.scan.version);
 		m->sent_at = result->sent_at;
-		m->changed(m->arg, rows, result->sent_at);
+		m->changed(m->arg, rows, since, result->sent_at);
 	}
 	if (m->again)
 		mirror_scan(m);
--- a/src/host/mirror.h
+++ b/src/host/mirror.h
@@ -20,9 +20,11 @@
  * typedef mirror_changed_t - A scan has been taken in.
  * @arg: as given
  * @rows: store_row_t that changed; value NULL: deleted
+ * @since: version after which changes were asked for
  * @sent_at: when the scan was sent
  */
-typedef void (*mirror_changed_t)(void *arg, const GArray *rows, msec_t sent_at);
+typedef void (*mirror_changed_t)(
+    void *arg, const GArray *rows, uint64_t since, msec_t sent_at);
 
 typedef struct {
 	store_t *store;
--- a/src/host/operate.c
+++ b/src/host/operate.c
@@ -199,7 +199,7 @@
 	case OPERATION_WITHDRAW:
 		break;
 	}
-	w = withdrawals_get(&h->withdrawals, op->u.withdrawal);
+	w = withdrawals_get(&h->sync.withdrawals, op->u.withdrawal);
 	if (w != NULL)
 		describe_withdrawal(w, r);
 }
--- a/src/host/peers.c
+++ b/src/host/peers.c
@@ -4,6 +4,7 @@
 #include "host/confops.h"
 #include "host/heartbeat.h"
 #include "host/keyops.h"
+#include "host/limits.h"
 #include "host/peers.h"
 
 static void
@@ -156,7 +157,6 @@
 	if (id != h->roster.self)
 		take_loads(h, beat, id, at);
 	confops_heard(h, id, beat, now);
-	keyops_heard(h, peer, beat);
 }
 
 static void
@@ -181,14 +181,9 @@
 	reply.vouches = r->vouches;
 	reply.acknowledges = r->knows_incarnation;
 	reply.superseded = r->superseded;
-	/* The peer's version goes first: its vouch rests on it. */
-	freshness_told(&h->fresh, r->heartbeat.keys_version);
 	roster_replied(&h->roster, id, &reply, peer->sent_at, now);
 	take_heartbeat(h, peer, id, &r->heartbeat, peer->sent_at, now);
-	if (r->heartbeat.store_age_ms >= 0)
-		freshness_relayed(&h->fresh, &h->keys, peer->sent_at,
-		    r->heartbeat.store_age_ms, r->heartbeat.keys_version);
-	keyops_vouched(h);
+	keyops_heard(h, peer, &r->heartbeat);
 }
 
 static void
@@ -223,7 +218,7 @@
 		/* A host alone asks its own address, where a later
 		 * incarnation of it would answer. */
 		if (row->state == HOST_GONE ||
-		    (i == h->roster.self && h->view.replicas->len > 1))
+		    (i == h->roster.self && h->sync.view.replicas->len > 1))
 			continue;
 		peer = peer_at(h, row->name, row->rpc_address);
 		if (peer != NULL && !peer->busy)
@@ -247,6 +242,7 @@
 	rpc_result_t result = {.proc = RPC_PROC_EXCHANGE};
 	msec_t now = clock_now();
 	roster_reply_t reply;
+	keysync_word_t word;
 	heartbeat_t beat;
 	host_id_t id;
 	peer_t *peer;
@@ -255,17 +251,19 @@
 		rpc_server_refuse(&h->rpc_server, call);
 		return;
 	}
+	id = roster_find(&h->roster, from->id);
+	word = keysync_say(&h->sync, (replica_t){id, from->incarnation}, now);
 	id = roster_asked(&h->roster, &row, args->sequence,
-	    args->want_vouch && keyops_may_vouch(h, from), now, &reply);
+	    args->want_vouch && word.vouch && !limits_withholds(h, from->id),
+	    now, &reply);
 	if (id != HOST_NONE && id != h->roster.self) {
 		peer = peer_at(h, from->id, from->rpc_address);
 		if (peer != NULL)
 			take_heartbeat(h, peer, id, &args->heartbeat, now, now);
 	}
 	heartbeat_init(&beat, h);
-	/* What has left the roster must go stale; see docs/KEYS.md. */
-	if (roster_view_has(&h->view, (replica_t){id, from->incarnation}))
-		beat.message.store_age_ms = freshness_scan_age(&h->fresh, now);
+	beat.message.keys_version = word.version;
+	beat.message.store_age_ms = word.scan_age;
 	result.u.exchange.sequence = args->sequence;
 	result.u.exchange.vouches = reply.vouches;
 	result.u.exchange.knows_incarnation = reply.acknowledges;
@@ -308,24 +306,22 @@
 	rows_clear(&row_host, &value);
 }
 
-void
-peers_scanned(host_t *h, msec_t sent_at)
+GArray *
+peers_scanned(host_t *h)
 {
 	const mirror_row_t *counter = mirror_get(&h->mirror, ROWS_INCARNATION);
 	roster_scan_t scan = {h, NULL, clock_now()};
 	incarnation_row_t last = {0};
 
-	if (h->incarnation == 0 || counter == NULL ||
-	    !rows_decode(&row_incarnation, counter->value, &last, NULL))
-		return;
 	scan.replicas = g_array_new(FALSE, FALSE, sizeof(replica_t));
+	if (h->incarnation == 0 || h->mirror.version < h->row_version ||
+	    counter == NULL ||
+	    !rows_decode(&row_incarnation, counter->value, &last, NULL))
+		return scan.replicas;
 	roster_scan_begin(&h->roster);
 	mirror_each(&h->mirror, ROWS_HOST, take_row, &scan);
 	roster_scan_end(&h->roster, last.last, scan.now);
-	roster_view_read(&h->view,
-	    (const replica_t *)(void *)scan.replicas->data, scan.replicas->len,
-	    sent_at, scan.now);
-	g_array_free(scan.replicas, TRUE);
+	return scan.replicas;
 }
 
 guint
@@ -343,7 +339,7 @@
 		    !roster_live(&h->roster, (host_id_t)i, now))
 			continue;
 		peer = peers_get(h, row->name);
-		theirs = i == h->roster.self ? keys_complete(&h->keys)
+		theirs = i == h->roster.self ? keys_complete(&h->sync.keys)
 		    : peer != NULL	     ? peer->keys_version
 					     : 0;
 		(*hosts)++;
--- a/src/host/peers.h
+++ b/src/host/peers.h
@@ -46,9 +46,11 @@
 /**
  * peers_scanned() - Take in the roster rows of the mirror.
  * @h: the host
- * @sent_at: when the scan was sent
+ *
+ * Return: every host in them, an array of replica_t that the caller frees;
+ * empty until this process has joined.
  */
-void peers_scanned(host_t *h, msec_t sent_at);
+GArray *peers_scanned(host_t *h);
 
 /**
  * peers_answer() - Answer a peer's exchange.
