Goodbyes between hosts, so that a planned stop during a store outage refuses nobody

The out-of-range host state of test_rpc moves from 3 to 4, since 3 is now the state of a host that is gone.

--- a/src/host/carry.c
+++ b/src/host/carry.c
@@ -338,6 +338,7 @@
 	case HOST_DRAINING: /* cached look-ups still lead here */
 		return TRUE;
 	case HOST_STARTING:
+	case HOST_ENDING:
 		break;
 	}
 	*why = REFUSAL_NOT_READY;
--- a/src/host/dump.c
+++ b/src/host/dump.c
@@ -16,6 +16,8 @@
 		return "serving";
 	case HOST_DRAINING:
 		return "draining";
+	case HOST_ENDING:
+		return "ending";
 	}
 	return "unknown";
 }
--- a/src/host/heartbeat.c
+++ b/src/host/heartbeat.c
@@ -11,9 +11,11 @@
 	case HOST_SERVING:
 		return RPC_HOST_LIVE;
 	case HOST_DRAINING:
+		return RPC_HOST_LEAVING;
+	case HOST_ENDING:
 		break;
 	}
-	return RPC_HOST_LEAVING;
+	return RPC_HOST_GONE;
 }
 
 static void
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -184,6 +184,15 @@
 	control_changed(arg, rows, since, sent_at);
 }
 
+/* Nothing is held, and none of our writes is under way. */
+static gboolean
+is_drained(const host_t *h, msec_t now)
+{
+	return now >= h->linger_until && h->carries->len == 0 &&
+	    http_server_connections(h->callers) == 0 &&
+	    withdrawals_settled(&h->sync.withdrawals);
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -192,14 +201,14 @@
 
 	(void)fd;
 	(void)what;
+	if (h->phase == HOST_ENDING)
+		return;
 	control_tick(h, now);
 	if (h->phase != HOST_DRAINING)
 		return;
 	if (now >= h->linger_until)
 		http_server_drain(h->callers);
-	if (now >= h->drain_until ||
-	    (now >= h->linger_until && h->carries->len == 0 &&
-		http_server_connections(h->callers) == 0))
+	if (now >= h->drain_until || is_drained(h, now))
 		event_base_loopbreak(h->base);
 }
 
@@ -226,7 +235,7 @@
 	host_t *h = arg;
 
 	(void)what;
-	if (h->phase == HOST_DRAINING) {
+	if (h->phase == HOST_DRAINING || h->phase == HOST_ENDING) {
 		event_base_loopbreak(h->base);
 		return;
 	}
@@ -458,8 +467,9 @@
 	event_base_free(h->base);
 }
 
+/* Without a goodbye: others count on this host until it is retired. */
 static void
-on_gone(host_t *h)
+host_end(host_t *h)
 {
 	event_base_loopbreak(h->base);
 }
@@ -470,8 +480,11 @@
 	log_event(LOG_INFO, "host.started", "host", h->settings.id, "callers",
 	    h->settings.callers, "version", GREENGAGELOOM_VERSION, NULL);
 	event_base_dispatch(h->base);
+	h->phase = HOST_ENDING;
 	if (h->incarnation != 0 && !h->superseded) {
-		join_leave(h, TRUE, on_gone);
+		join_leave(h, TRUE,
+		    withdrawals_settled(&h->sync.withdrawals) ? peers_goodbye
+							      : host_end);
 		event_base_dispatch(h->base);
 	}
 	log_event(
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -31,6 +31,7 @@
 	HOST_STARTING, /* no configuration or no place in the roster yet */
 	HOST_SERVING,
 	HOST_DRAINING, /* graceful stop: takes nothing new */
+	HOST_ENDING,   /* holds nothing any more; says goodbye */
 } host_phase_t;
 
 /* Counters of what this host did; all since the start of the process. */
@@ -97,6 +98,7 @@
 	GPtrArray *carries;  /* carry_t under way */
 	uint64_t next_request;
 	struct event *ticker, *term, *interrupt, *dump_signal;
+	guint goodbyes;	     /* that have no answer yet */
 	msec_t linger_until; /* callers may still come by cached look-ups */
 	msec_t drain_until;
 } host_t;
--- a/src/host/peers.c
+++ b/src/host/peers.c
@@ -96,9 +96,11 @@
 	case RPC_HOST_LIVE:
 		return HOST_LIVE;
 	case RPC_HOST_LEAVING:
+		return HOST_LEAVING;
+	case RPC_HOST_GONE:
 		break;
 	}
-	return HOST_LEAVING;
+	return HOST_GONE;
 }
 
 static void
@@ -202,6 +204,40 @@
 	heartbeat_finish(&beat);
 }
 
+static void
+on_goodbye(void *arg, const rpc_result_t *result, const GError *err)
+{
+	host_t *h = arg;
+
+	(void)result;
+	(void)err;
+	if (--h->goodbyes == 0)
+		event_base_loopbreak(h->base);
+}
+
+void
+peers_goodbye(host_t *h)
+{
+	rpc_args_t args = {.proc = RPC_PROC_EXCHANGE};
+	const replica_t *to;
+	heartbeat_t beat;
+	guint i;
+
+	heartbeat_init(&beat, h);
+	args.u.exchange.heartbeat = beat.message;
+	for (i = 0; i < h->sync.view.replicas->len; i++) {
+		to = &g_array_index(h->sync.view.replicas, replica_t, i);
+		if (to->host != h->roster.self &&
+		    peers_call(h,
+			roster_host(&h->roster, (host_id_t)to->host)->name,
+			&args, EXCHANGE_TIMEOUT_MS, on_goodbye, h))
+			h->goodbyes++;
+	}
+	heartbeat_finish(&beat);
+	if (h->goodbyes == 0)
+		event_base_loopbreak(h->base);
+}
+
 void
 peers_tick(host_t *h, msec_t now)
 {
@@ -226,6 +262,17 @@
 	}
 }
 
+/* Another host has left for good, having told all that it withdrew. */
+static void
+take_goodbye(host_t *h, const rpc_heartbeat_t *beat, msec_t now)
+{
+	log_event(LOG_INFO, "host.left", "host", beat->host.id, "incarnation",
+	    log_num((long long)beat->host.incarnation), NULL);
+	keysync_goodbye(&h->sync, beat->keys_version);
+	roster_gone(&h->roster, beat->host.id, beat->host.incarnation, now);
+	host_place_routes(h);
+}
+
 void
 peers_answer(host_t *h, rpc_call_id_t call, const char *caller,
     const exchange_args_t *args)
@@ -251,6 +298,11 @@
 		rpc_server_refuse(&h->rpc_server, call);
 		return;
 	}
+	if (row.state == HOST_GONE) {
+		take_goodbye(h, &args->heartbeat, now);
+		rpc_server_refuse(&h->rpc_server, call);
+		return;
+	}
 	id = roster_find(&h->roster, from->id);
 	word = keysync_say(&h->sync, (replica_t){id, from->incarnation}, now);
 	id = roster_asked(&h->roster, &row, args->sequence,
--- a/src/host/peers.h
+++ b/src/host/peers.h
@@ -43,6 +43,14 @@
  */
 void peers_tick(host_t *h, msec_t now);
 
+/**
+ * peers_goodbye() - Tell the roster that this host is gone for good.
+ * @h: the host, in phase HOST_ENDING; nothing it wrote is under way
+ *
+ * Breaks the loop once all have answered or can't be reached.
+ */
+void peers_goodbye(host_t *h);
+
 /**
  * peers_scanned() - Take in the roster rows of the mirror.
  * @h: the host
--- a/src/protocol/gen/host_rpc.h
+++ b/src/protocol/gen/host_rpc.h
@@ -45,6 +45,7 @@
 	RPC_HOST_JOINING = 0,
 	RPC_HOST_LIVE = 1,
 	RPC_HOST_LEAVING = 2,
+	RPC_HOST_GONE = 3,
 };
 typedef enum rpc_host_state_t rpc_host_state_t;
 
--- a/src/protocol/host_rpc.x
+++ b/src/protocol/host_rpc.x
@@ -34,7 +34,8 @@
 enum rpc_host_state_t {
 	RPC_HOST_JOINING = 0,
 	RPC_HOST_LIVE = 1,
-	RPC_HOST_LEAVING = 2
+	RPC_HOST_LEAVING = 2,
+	RPC_HOST_GONE = 3
 };
 
 struct rpc_host_t {
--- a/src/protocol/rpc_body.c
+++ b/src/protocol/rpc_body.c
@@ -96,7 +96,7 @@
 static gboolean
 heartbeat_valid(const rpc_heartbeat_t *h)
 {
-	return (unsigned int)h->host.state <= RPC_HOST_LEAVING &&
+	return (unsigned int)h->host.state <= RPC_HOST_GONE &&
 	    h->store_age_ms >= -1;
 }
 
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -72,7 +72,7 @@
 	ck_assert_uint_eq(wire->len, 0);
 	g_clear_error(&err);
 	sample_args(RPC_PROC_EXCHANGE, &args);
-	args.u.exchange.heartbeat.host.state = (rpc_host_state_t)3;
+	args.u.exchange.heartbeat.host.state = (rpc_host_state_t)4;
 	ck_assert(rpc_args_encode(wire, &args, NULL));
 	ck_assert(
 	    !rpc_args_decode(&args, RPC_PROC_EXCHANGE, wire->data, wire->len));
