--- a/src/host/limits.c
+++ b/src/host/limits.c
@@ -99,6 +99,9 @@
 	s->duty->wanted = TRUE;
 	s->agreed_at = 0;
 	borrower_configure(&s->borrower, &config, now);
+	/* A slot that came after the configuration was settled. */
+	if (s->settled == h->catalog.version)
+		borrower_settled(&s->borrower, now);
 	if (s->lending != 0)
 		lender_configure(&s->lender, lent_part(s), now);
 }
