--- a/tests/bench/bench_rpc.c
+++ b/tests/bench/bench_rpc.c
@@ -105,17 +105,15 @@
 }
 
 static guint
-call_bytes(const rpc_key_t *key)
+call_bytes(const rpc_key_t *key, const rpc_args_t *args)
 {
 	rpc_cred_t cred = {"", "", "host-a", address, 0};
 	GByteArray *body = g_byte_array_new();
 	GByteArray *record = g_byte_array_new();
 	rpc_call_t call = {0};
-	rpc_args_t args;
 	guint len;
 
-	fill_call(&args);
-	rpc_args_encode(body, &args, NULL);
+	rpc_args_encode(body, args, NULL);
 	call.body = body->data;
 	call.body_len = body->len;
 	rpc_call_sign(&call, &cred, key, NULL);
@@ -127,16 +125,14 @@
 }
 
 static guint
-reply_bytes(void)
+reply_bytes(const rpc_result_t *result)
 {
 	GByteArray *body = g_byte_array_new();
 	GByteArray *record = g_byte_array_new();
-	rpc_result_t result = {.proc = RPC_PROC_EXCHANGE};
 	rpc_reply_t reply = {0};
 	guint len;
 
-	result.u.exchange.heartbeat = heartbeat;
-	rpc_result_encode(body, &result, NULL);
+	rpc_result_encode(body, result, NULL);
 	reply.body = body->data;
 	reply.body_len = body->len;
 	rpc_reply_encode(record, &reply);
@@ -149,9 +145,13 @@
 static void
 measure(int n, const rpc_key_t *key)
 {
+	rpc_result_t result = {.proc = RPC_PROC_EXCHANGE};
+	rpc_args_t args;
 	double before;
 
 	fill_heartbeat(n);
+	fill_call(&args);
+	result.u.exchange.heartbeat = heartbeat;
 	left = 1;
 	next_call(NULL, NULL, NULL);
 	event_base_dispatch(base);
@@ -162,7 +162,22 @@
 	printf(json ? "{\"endpoints\":%d,\"call_bytes\":%u,"
 		      "\"reply_bytes\":%u,\"cpu_us\":%.1f}\n"
 		    : "%9d %10u %11u %8.1f\n",
-	    n, call_bytes(key), reply_bytes(), (cpu_usec() - before) / calls);
+	    n, call_bytes(key, &args), reply_bytes(&result),
+	    (cpu_usec() - before) / calls);
+}
+
+/* A question to a workspace's lender and its answer. */
+static void
+print_borrow(const rpc_key_t *key)
+{
+	rpc_result_t result = {.proc = RPC_PROC_BORROW};
+	rpc_args_t args = {.proc = RPC_PROC_BORROW};
+
+	args.u.borrow.workspace = "workspace-1";
+	args.u.borrow.borrower = "host-a";
+	printf(json ? "{\"borrow_call_bytes\":%u,\"borrow_reply_bytes\":%u}\n"
+		    : "question to a lender: %u bytes, answer: %u bytes\n",
+	    call_bytes(key, &args), reply_bytes(&result));
 }
 
 int
@@ -203,6 +218,7 @@
 		printf("endpoints call_bytes reply_bytes   cpu_us\n");
 	for (i = 0; i < G_N_ELEMENTS(sizes); i++)
 		measure(sizes[i], &key);
+	print_borrow(&key);
 	rpc_client_finish(&client);
 	rpc_server_finish(&server);
 	metrics_finish(&metrics);
