--- a/src/host/carry_place.c
+++ b/src/host/carry_place.c
@@ -30,12 +30,15 @@
 {
 	const host_t *h = c->host;
 	msec_t now = clock_now();
+	const endpoint_t *e;
 	const char *name;
 	guint i, n = 0;
 
 	for (i = 0; i < h->catalog.endpoints->len && n < max; i++) {
-		name = catalog_endpoint(&h->catalog, (endpoint_id_t)i)->name;
+		e = catalog_endpoint(&h->catalog, (endpoint_id_t)i);
+		name = e->name;
 		if (was_tried(c, name) ||
+		    http_client_full(h->http, e->address) ||
 		    poison_endpoint_apart(&h->poison, name, now) ||
 		    (alone && poison_endpoint_busy(&h->poison, name)))
 			ids[n++] = (endpoint_id_t)i;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -120,11 +120,18 @@
 	domain_id_t domain =
 	    catalog_find_domain(&h->catalog, h->settings.domain);
 	uint16_t index, hosts, near_index, near_hosts;
+	const endpoint_t *e;
+	guint i;
 
 	if (h->incarnation == 0)
 		return;
 	index = position(h, NULL, &hosts);
 	near_index = position(h, h->settings.region, &near_hosts);
+	for (i = 0; i < h->catalog.endpoints->len; i++) {
+		e = catalog_endpoint(&h->catalog, (endpoint_id_t)i);
+		http_client_limit(h->http, e->address,
+		    route_part(e->connections, index, MAX(hosts, 1)));
+	}
 	route_choice_place(
 	    &h->routes, domain, index, hosts, near_index, near_hosts);
 }
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -20,6 +20,7 @@
 	uint16_t port;
 	GPtrArray *idle; /* conn_t */
 	unsigned int open;
+	unsigned int max; /* connections at once */
 } target_t;
 
 typedef struct {
@@ -162,6 +163,7 @@
 	target->ip = g_strndup(address, (gsize)(colon - address));
 	target->port = (uint16_t)port;
 	target->idle = g_ptr_array_new();
+	target->max = G_MAXUINT;
 	g_hash_table_insert(client->targets, target->address, target);
 	return target;
 }
@@ -219,6 +221,11 @@
 			return conn;
 		conn_doom(conn);
 	}
+	if (target->idle->len > 0 && target->open >= target->max) {
+		conn = g_ptr_array_index(target->idle, 0);
+		g_ptr_array_remove_index(target->idle, 0);
+		conn_doom(conn);
+	}
 	return conn_new(client, target);
 }
 
@@ -232,6 +239,7 @@
 
 	conn->call = NULL;
 	if (target->idle->len >= conn->client->max_idle ||
+	    target->open > target->max ||
 	    evbuffer_get_length(bufferevent_get_input(bev)) > 0) {
 		conn_doom(conn);
 		return;
@@ -441,6 +449,24 @@
 	call->handler = *handler;
 }
 
+void
+http_client_limit(http_client_t *client, const char *address, unsigned int max)
+{
+	target_t *target = target_get(client, address);
+
+	if (target != NULL)
+		target->max = MAX(max, 1);
+}
+
+gboolean
+http_client_full(const http_client_t *client, const char *address)
+{
+	const target_t *target = g_hash_table_lookup(client->targets, address);
+
+	return target != NULL &&
+	    target->open - target->idle->len >= target->max;
+}
+
 unsigned int
 http_client_connections(const http_client_t *client, const char *address)
 {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -93,6 +93,22 @@
  */
 void http_call_rehandle(http_call_t *call, const http_handler_t *handler);
 
+/**
+ * http_client_limit() - Bound the connections to an address.
+ * @client: the client
+ * @address: "IP:PORT"
+ * @max: most at once; idle ones are closed to keep to it
+ */
+void http_client_limit(
+    http_client_t *client, const char *address, unsigned int max);
+
+/**
+ * http_client_full() - Are as many calls under way as connections allowed?
+ * @client: the client
+ * @address: "IP:PORT"
+ */
+gboolean http_client_full(const http_client_t *client, const char *address);
+
 /**
  * http_client_connections() - Connections now open to an address.
  * @client: the client
