--- a/tests/process/test_secrets.sh
+++ b/tests/process/test_secrets.sh
@@ -30,6 +30,22 @@
 	"$bin/tests/standin_raw" "$(callers "$n")" <"$dir/ask"
 }
 
+# ask_body N CODING BODY: prints the answer to a POST with a body.
+ask_body() {
+	printf 'POST /call/prenota/seat HTTP/1.1\r\nHost: a\r\n%s\r\n' \
+	    'Connection: close' >"$dir/ask"
+	printf 'Authorization: Bearer %s\r\n' "$key" >>"$dir/ask"
+	if [ "$2" = chunked ]; then # two chunks, cut within the key
+		printf 'Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n' \
+		    9 "$(echo "$3" | cut -c 1-9)" >>"$dir/ask"
+		printf '%x\r\n%s\r\n0\r\n\r\n' $((${#3} - 9)) \
+		    "$(echo "$3" | cut -c 10-)" >>"$dir/ask"
+	else
+		printf 'Content-Length: %d\r\n\r\n%s' ${#3} "$3" >>"$dir/ask"
+	fi
+	"$bin/tests/standin_raw" "$(callers "$1")" <"$dir/ask"
+}
+
 # expect WORD NAME: the last answer holds WORD.
 expect() {
 	grep -qa "$1" "$dir/answer" ||
@@ -47,6 +63,7 @@
 cat >"$dir/text.ini" <<END
 [fleet]
 hosts = 2
+lookup_ttl_sec = 1
 [region milano]
 [domain milano-a]
 region = milano
@@ -98,6 +115,12 @@
 /call/prenota/seat Cookie: k=$key
 /call/prenota/seat Idempotency-Key: $key
 END
+	for coding in whole chunked; do
+		ask_body $n $coding "a=1&k=$key" >"$dir/answer"
+		expect key-in-request "key in a body, $coding"
+		ask_body $n $coding "a=1&k=no-key-here" >"$dir/answer"
+		expect '200 OK' "a body without a key, $coding"
+	done
 	ask $n POST /call/prenota/seat "Authorization : Bearer $key" \
 	    >"$dir/answer"
 	expect '400 ' "space before the colon"
--- a/tests/process/test_tls_reload.sh
+++ b/tests/process/test_tls_reload.sh
@@ -54,6 +54,7 @@
 cat >"$dir/text.ini" <<END
 [fleet]
 hosts = 1
+lookup_ttl_sec = 1
 [region milano]
 [domain milano-a]
 region = milano
--- /dev/null
+++ b/tests/process/trial.sh
@@ -0,0 +1,178 @@
+#!/bin/sh
+# A caller's key is in no log, dump, counter or backend server's log, and a
+# caller's bytes forge no log line. Every way in which a key may stand in a
+# request is used, over two hosts at the most verbose log level.
+# usage: test_secrets.sh BUILD-DIR
+set -eu
+bin=$1
+dir=$(mktemp -d)
+base=${SECRETS_PORT:-25000}
+log_level=debug
+# shellcheck source=scripts/fleet.sh
+. "$(dirname "$0")/../../scripts/fleet.sh"
+trap 'stop_all; rm -rf "$dir"' EXIT
+trap 'exit 1' INT TERM
+
+fail() {
+	echo "test_secrets: $*"
+	tail -n 60 "$dir"/host_*.log
+	exit 1
+}
+
+# ask N METHOD TARGET HEADER...: prints the answer of host N.
+ask() {
+	n=$1 method=$2 target=$3
+	shift 3
+	printf '%s %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\n' \
+	    "$method" "$target" >"$dir/ask"
+	for h in "$@"; do printf '%s\r\n' "$h" >>"$dir/ask"; done
+	printf 'Content-Length: 0\r\n\r\n' >>"$dir/ask"
+	"$bin/tests/standin_raw" "$(callers "$n")" <"$dir/ask"
+}
+
+# ask_body N CODING BODY: prints the answer to a POST with a body.
+ask_body() {
+	printf 'POST /call/prenota/seat HTTP/1.1\r\nHost: a\r\n%s\r\n' \
+	    'Connection: close' >"$dir/ask"
+	printf 'Authorization: Bearer %s\r\n' "$key" >>"$dir/ask"
+	if [ "$2" = chunked ]; then # two chunks, cut within the key
+		printf 'Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n' \
+		    9 "$(echo "$3" | cut -c 1-9)" >>"$dir/ask"
+		printf '%x\r\n%s\r\n0\r\n\r\n' $((${#3} - 9)) \
+		    "$(echo "$3" | cut -c 10-)" >>"$dir/ask"
+	else
+		printf 'Content-Length: %d\r\n\r\n%s' ${#3} "$3" >>"$dir/ask"
+	fi
+	"$bin/tests/standin_raw" "$(callers "$1")" <"$dir/ask"
+}
+
+# expect WORD NAME: the last answer holds WORD.
+expect() {
+	grep -qa "$1" "$dir/answer" ||
+	    fail "$2: expected $1, found $(head -c 200 "$dir/answer")"
+}
+
+new_secret
+start_store
+start_backend 1 prenota-1 v1
+start_backend 2 prenota-2 v1
+host_settings 1 milano-1 milano milano-a
+host_settings 2 milano-2 milano milano-b
+start_host 1
+start_host 2
+cat >"$dir/text.ini" <<END
+[fleet]
+hosts = 2
+lookup_ttl_sec = 1
+[region milano]
+[domain milano-a]
+region = milano
+[domain milano-b]
+region = milano
+[service prenota]
+version = v1
+[route seats]
+service = prenota
+prefix = /
+access = keyed
+idempotent = no
+[endpoint prenota-1]
+service = prenota
+domain = milano-a
+address = 127.0.0.1:$((base + 101))
+slots = 3
+[endpoint prenota-2]
+service = prenota
+domain = milano-b
+address = 127.0.0.1:$((base + 102))
+slots = 3
+[workspace sera]
+rate = 100
+burst = 100
+END
+wait_until 15 ggl 1 apply "$dir/text.ini" --wait 10 || fail "apply"
+for n in 1 2; do wait_until 15 serving $n || fail "host $n does not serve"; done
+ggl 1 key issue sera --wait 10 >"$dir/issued" 2>&1 || fail "key issue"
+key=$(grep -o 'ggl_[A-Za-z0-9_-]*' "$dir/issued" | head -n 1)
+rm "$dir/issued"
+[ ${#key} -eq 47 ] || fail "no key was issued"
+escaped=$(echo "$key" | sed 's/^ggl/%67gl/')
+
+for n in 1 2; do
+	ask $n POST /call/prenota/seat "Authorization: Bearer $key" \
+	    "Idempotency-Key: $n" >"$dir/answer"
+	expect '200 OK' "keyed request"
+	while read -r target header; do
+		ask $n POST "$target" "Authorization: Bearer $key" \
+		    "$header" >"$dir/answer"
+		expect key-in-request "$target $header"
+	done <<END
+/call/prenota/$key X-A: 1
+/call/prenota/$escaped X-A: 1
+/call/prenota/seat?k=$key X-A: 1
+/call/prenota/seat X-A: $key
+/call/prenota/seat X-$key: 1
+/call/prenota/seat Cookie: k=$key
+/call/prenota/seat Idempotency-Key: $key
+END
+	for coding in whole chunked; do
+		ask_body $n $coding "a=1&k=$key" >"$dir/answer"
+		expect key-in-request "key in a body, $coding"
+		ask_body $n $coding "a=1&k=no-key-here" >"$dir/answer"
+		expect '200 OK' "a body without a key, $coding"
+	done
+	ask $n POST /call/prenota/seat "Authorization : Bearer $key" \
+	    >"$dir/answer"
+	expect '400 ' "space before the colon"
+	ask $n POST /call/prenota/seat "Authorization: Bearer $key" \
+	    "authorization: Bearer $key" >"$dir/answer"
+	expect '400 ' "two keys"
+	# Bytes that would end a log line, raw and escaped.
+	ask $n GET '/call/x%0Alevel=error%20event=forged/' >"$dir/answer"
+	ask $n GET '/lookup/x%0Alevel=error%20event=forged' >"$dir/answer"
+	printf 'GET /call/x\nlevel=error event=forged HTTP/1.1\r\n\r\n' |
+	    "$bin/tests/standin_raw" "$(callers $n)" >"$dir/answer"
+	"$bin/tests/standin_get" "$(operators $n)" /metrics >"$dir/metrics_$n"
+	kill -USR1 "$(pid host_$n)"
+	wait_until 5 grep -q '"keys":1' "$dir/host_$n.log" || fail "no dump"
+	"$bin/src/cmd/greengageloom" --secret-file "$dir/secret" \
+	    dump "127.0.0.1:$((base + 20 + n))" >"$dir/dump_$n" 2>&1 ||
+	    fail "dump: $(cat "$dir/dump_$n")"
+done
+ggl 1 status --json >"$dir/status" 2>&1 || fail "status"
+
+# Log lines and the dump's single line, nothing else.
+for n in 1 2; do
+	grep -q 'event=request.refused' "$dir/host_$n.log" ||
+	    fail "no refusal was logged: the search would prove nothing"
+	! grep -a 'event=forged' "$dir/host_$n.log" | grep -qav 'x0a\|%0A' ||
+	    fail "a log line was forged"
+	! grep -qav '^time=\|^ts=\|^{' "$dir/host_$n.log" ||
+	    fail "a line that is no log line: $(grep -av '^time=\|^ts=\|^{' \
+	        "$dir/host_$n.log" | head -n 1)"
+done
+grep -q '^run' "$dir/runs.log" || fail "nothing ran"
+! grep -q '^key-seen' "$dir/runs.log" || fail "a backend server saw a key"
+# The stand-in does notice a key that it is sent.
+mv "$dir/runs.log" "$dir/runs_before.log"
+printf 'GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nCookie: k=%s\r\n\r\n' \
+    "$key" | "$bin/tests/standin_raw" "127.0.0.1:$((base + 101))" >/dev/null
+grep -q '^key-seen' "$dir/backend_1.log" "$dir/runs_before.log" ||
+    fail "the stand-in does not notice a key"
+rm -f "$dir/ask" "$dir/answer"
+# The search must be able to find a key that is there.
+echo "X-A: $key" >"$dir/planted"
+grep -rqa -- "${key#ggl_}" "$dir" || fail "the search finds nothing"
+rm "$dir/planted"
+# The random part, so that an escaped prefix does not hide it.
+if grep -rqa -- "${key#ggl_}" "$dir"; then
+	fail "the key stands in $(grep -rla -- "${key#ggl_}" "$dir")"
+fi
+secret=$(cat "$dir/secret")
+rm "$dir/secret"
+! grep -rqa -- "$secret" "$dir" || fail "the fleet secret was written"
+for n in 1 2; do
+	finish host_$n TERM
+	[ "$status" -eq 0 ] || fail "host $n ended with $status"
+done
+echo "test_secrets: no key in logs, dumps, counters and backend servers"
