Moves wired into the daemon

Cause: shift, drain and rollout were decided by pure modules that nobody called; operators got "not served by this build", and an endpoint of a new version was served before its rollout.

Every host: rows of moves from the scan; step, stop, the lease and the judge's totals in heartbeats (new field counts in host_rpc.x); shares of versions before each choice; drains of endpoints and domains, whole ones by the leaving mark, partial ones by a split; regions and hosts at look-ups. Holder of the lease "moves": commits fenced by lease and roster row, room from the in-flight counts that all roster hosts have told, judge over their totals. Operators: start, cancel, progress; status shows step, share and wait.

Weighed: telling the holder's freshness by the lease in its heartbeat, or by the fence row of the mirror. Taken: the first, it needs no store and is said only while the lease is held. Members are all hosts of the roster not gone, not only those heard lately: one that is paused may still serve.

Three faults found by the process test and mended: once a rollout had ended, its version stayed capped at what the next one left to it, so an ejected new version starved the service (a version at 50 % errors ran 55 s until its deadline); a cancelled rollout was reported as bad, because the holder's own stop order counted as a host's sight; a cancellation was refused on a host that had not yet scanned the move.

--- a/src/coordination/move_holder.c
+++ b/src/coordination/move_holder.c
@@ -95,13 +95,16 @@
 static move_reason_t
 reason_to_back_out(const move_holder_t *m, const move_input_t *in)
 {
-	if (m->row.kind == MOVE_ROLLOUT) {
-		if (in->verdict == JUDGE_BAD || any_stopped(in))
-			return MOVE_REASON_BAD;
-		if (past_deadline(m, in) && !m->row.proven)
-			return MOVE_REASON_LATE;
-	}
-	return in->cancelled ? MOVE_REASON_CANCELLED : MOVE_REASON_NONE;
+	gboolean rollout = m->row.kind == MOVE_ROLLOUT;
+
+	if (rollout && in->verdict == JUDGE_BAD)
+		return MOVE_REASON_BAD;
+	if (in->cancelled)
+		return MOVE_REASON_CANCELLED;
+	if (rollout && past_deadline(m, in) && !m->row.proven)
+		return MOVE_REASON_LATE;
+	/* Last, for the holder's own order for the above stops hosts, too. */
+	return rollout && any_stopped(in) ? MOVE_REASON_BAD : MOVE_REASON_NONE;
 }
 
 static move_action_t
--- a/src/host/carry.c
+++ b/src/host/carry.c
@@ -6,6 +6,7 @@
 #include "host/carry.h"
 #include "host/harm.h"
 #include "host/limits.h"
+#include "host/moves.h"
 #include "host/once_calls.h"
 #include "host/room.h"
 
@@ -45,6 +46,7 @@
 	if (!c->booked)
 		return;
 	c->booked = FALSE;
+	moves_count(c, outcome, now - c->sent_at);
 	route_end(&h->routes, &h->stats, &c->ticket, outcome,
 	    (uint32_t)(now - c->sent_at), c->answer_bytes * 8, now);
 	if (c->begun) {
--- a/src/host/carry.h
+++ b/src/host/carry.h
@@ -33,6 +33,7 @@
 	gboolean booked;
 	char *address;
 	GQuark endpoint;   /* its name */
+	unsigned int band; /* load band of the endpoint when booked */
 	gboolean relaying; /* the head of the answer has been passed on */
 	gboolean bodyless; /* the answer has a head only */
 	uint64_t answer_bytes;
--- a/src/host/carry_place.c
+++ b/src/host/carry_place.c
@@ -2,6 +2,7 @@
 
 #include "host/carry.h"
 #include "host/harm.h"
+#include "host/moves.h"
 #include "host/room.h"
 
 /* Endpoints that one look can leave out. */
@@ -43,6 +44,34 @@
 	return n;
 }
 
+/* Endpoints of the service whose partial drain takes this request away. */
+static guint
+drained_away(host_t *h, service_id_t service, endpoint_id_t *ids, guint max)
+{
+	guint i, n = 0;
+
+	for (i = 0; i < h->catalog.endpoints->len && n < max; i++) {
+		if (catalog_endpoint(&h->catalog, (endpoint_id_t)i)->service ==
+			service &&
+		    moves_excludes(h, (endpoint_id_t)i))
+			ids[n++] = (endpoint_id_t)i;
+	}
+	return n;
+}
+
+/* The lower, middle or upper part of its slots that is in use. */
+static unsigned int
+load_band(const host_t *h, endpoint_id_t id)
+{
+	const endpoint_stat_t *stat = endpoint_stats_row(&h->stats, id);
+	unsigned int busy =
+	    stat->in_flight + endpoint_stats_others(&h->stats, id, clock_now());
+
+	if (busy == 0 || stat->slots == 0)
+		return 0;
+	return MIN((busy - 1) * JUDGE_BANDS / stat->slots, JUDGE_BANDS - 1);
+}
+
 static route_kind_t
 book(carry_t *c, gboolean alone)
 {
@@ -54,13 +83,24 @@
 	};
 	const endpoint_t *e;
 	route_result_t r;
+	guint drained;
 
 	if (want.service == ID_NONE)
 		return ROUTE_NONE;
 	want.n_tried = excluded(c, alone, leave_out, EXCLUDED_MAX);
+	drained = drained_away(h, want.service, leave_out + want.n_tried,
+	    EXCLUDED_MAX - want.n_tried);
+	want.n_tried += drained;
 	want.bits = evbuffer_get_length(c->request.body) * 8;
+	moves_route(h, want.service);
 	r = route_choose(
 	    &h->routes, &h->stats, &h->catalog, &want, clock_now());
+	/* A partial drain leaves a request where nobody else can take it. */
+	if (r.kind != ROUTE_SENT && drained > 0) {
+		want.n_tried -= drained;
+		r = route_choose(
+		    &h->routes, &h->stats, &h->catalog, &want, clock_now());
+	}
 	if (r.kind != ROUTE_SENT)
 		return r.kind;
 	e = catalog_endpoint(&h->catalog, r.endpoint);
@@ -68,6 +108,7 @@
 	c->address = g_strdup(e->address);
 	c->endpoint = g_quark_from_string(e->name);
 	c->ticket = r.ticket;
+	c->band = load_band(h, r.endpoint);
 	c->booked = TRUE;
 	c->sent_at = clock_now();
 	c->answer_bytes = 0;
--- a/src/host/control.c
+++ b/src/host/control.c
@@ -7,6 +7,7 @@
 #include "host/join.h"
 #include "host/keyops.h"
 #include "host/limits.h"
+#include "host/moves.h"
 #include "host/operate.h"
 #include "host/peers.h"
 #include "host/probe.h"
@@ -59,6 +60,7 @@
 	take_keys(h, rows, sent_at);
 	confops_scanned(h);
 	limits_scanned(h, sent_at);
+	moves_scanned(h, rows, sent_at);
 }
 
 static void
@@ -109,6 +111,7 @@
 		confops_tick(h, now);
 		operate_tick(h, now);
 		limits_tick(h, now);
+		moves_tick(h, now);
 	}
 	check_place(h);
 	if (h->phase == HOST_STARTING && h->incarnation != 0 &&
--- a/src/host/dump.c
+++ b/src/host/dump.c
@@ -3,6 +3,7 @@
 #include <jansson.h>
 
 #include "host/dump.h"
+#include "host/move_duty.h"
 #include "host/peers.h"
 #include "host/refusal.h"
 
@@ -111,17 +112,52 @@
 	return list;
 }
 
+static json_t *
+move_json(const host_t *h, const move_local_t *l)
+{
+	const move_held_t *held = move_duty_find(h, l->row.id);
+	json_t *j = json_pack(
+	    "{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:s, s:b, s:b}", "move",
+	    l->row.id, "kind", move_kind_name(l->row.kind), "service",
+	    l->row.service, "from", l->row.from, "to", l->row.to, "state",
+	    move_state_name(l->row.state), "step", (int)l->row.step, "share",
+	    (int)move_share(&l->row), "reason", move_reason_name(l->row.reason),
+	    "late", l->row.late, "stopped", l->stopped);
+
+	/* Only the host that advances the move knows. */
+	if (held != NULL)
+		json_object_set_new(
+		    j, "waits_for", json_string(move_wait_name(held->m.wait)));
+	return j;
+}
+
+static json_t *
+moves_json(const host_t *h)
+{
+	const GArray *moves = h->moves->in_force.moves;
+	json_t *list = json_array();
+	const move_local_t *l;
+	guint i;
+
+	for (i = 0; i < moves->len; i++) {
+		l = &g_array_index(moves, move_local_t, i);
+		if (l->row.step > 0)
+			json_array_append_new(list, move_json(h, l));
+	}
+	return list;
+}
+
 char *
 dump_status_text(const host_t *h)
 {
 	msec_t now = clock_now();
-	json_t *root = json_pack("{s:s, s:s, s:I, s:b, s:I, s:o}", "host",
+	json_t *root = json_pack("{s:s, s:s, s:I, s:b, s:I, s:o, s:o}", "host",
 	    h->settings.id, "phase", phase_name(h->phase), "config_version",
 	    (json_int_t)h->spread.in_force.version, "keys_fresh",
 	    freshness_ok(&h->fresh, now), "store_answered_ms_ago",
 	    h->store.answered_at != 0 ? (json_int_t)(now - h->store.answered_at)
 				      : -1,
-	    "hosts", hosts_json(h, now));
+	    "hosts", hosts_json(h, now), "moves", moves_json(h));
 	char *text = json_dumps(root, JSON_COMPACT);
 
 	json_decref(root);
--- a/src/host/heartbeat.c
+++ b/src/host/heartbeat.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "host/heartbeat.h"
+#include "host/moves.h"
 
 static rpc_host_state_t
 state_of(const host_t *h)
@@ -57,7 +58,9 @@
 	b->moves = g_array_new(FALSE, TRUE, sizeof(rpc_move_step_t));
 	b->loads = g_array_new(FALSE, TRUE, sizeof(rpc_load_t));
 	add_self(&m->host, h);
+	b->counts = g_array_new(FALSE, TRUE, sizeof(rpc_move_count_t));
 	add_loads(b, h);
+	moves_beat(h, b);
 	m->config_version = h->spread.in_force.version;
 	memcpy(
 	    m->config_digest, h->spread.in_force.digest.bytes, RPC_DIGEST_SIZE);
@@ -69,6 +72,8 @@
 	m->moves.moves_val = (rpc_move_step_t *)(void *)b->moves->data;
 	m->loads.loads_len = b->loads->len;
 	m->loads.loads_val = (rpc_load_t *)(void *)b->loads->data;
+	m->counts.counts_len = b->counts->len;
+	m->counts.counts_val = (rpc_move_count_t *)(void *)b->counts->data;
 }
 
 void
@@ -77,4 +82,5 @@
 	g_array_free(b->leases, TRUE);
 	g_array_free(b->moves, TRUE);
 	g_array_free(b->loads, TRUE);
+	g_array_free(b->counts, TRUE);
 }
--- a/src/host/heartbeat.h
+++ b/src/host/heartbeat.h
@@ -11,6 +11,7 @@
 	GArray *leases;		 /* rpc_lease_t */
 	GArray *moves;		 /* rpc_move_step_t */
 	GArray *loads;		 /* rpc_load_t */
+	GArray *counts;		 /* rpc_move_count_t */
 } heartbeat_t;
 
 /**
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -15,6 +15,7 @@
 #include "host/keyops.h"
 #include "host/limits.h"
 #include "host/lookups.h"
+#include "host/moves.h"
 #include "host/once_calls.h"
 #include "host/operate.h"
 #include "host/peers.h"
@@ -252,6 +253,7 @@
 	h->row_version = version;
 	roster_init(&h->roster, &self);
 	freshness_joined(&h->fresh, version);
+	moves_joined(h);
 	limits_configure(h);
 	log_event(LOG_INFO, "roster.joined", "host", s->id, "incarnation",
 	    log_num((long long)incarnation), NULL);
@@ -388,6 +390,7 @@
 	peers_init(h);
 	operate_init(h);
 	limits_init(h);
+	moves_init(h);
 	room_init(h);
 	once_calls_init(h);
 	poison_init(&h->poison, harm_peer_id(h->settings.id));
@@ -442,6 +445,7 @@
 	store_finish(&h->store);
 	mirror_finish(&h->mirror);
 	limits_finish(h);
+	moves_finish(h);
 	room_finish(h);
 	once_calls_finish(h);
 	poison_finish(&h->poison);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -78,6 +78,7 @@
 	uint16_t slot_wanted, slot_watched;
 	gboolean slot_claiming;
 	msec_t slot_at, slot_free_since;
+	struct moves *moves;
 	/* Configuration in force; version 0: none yet. */
 	catalog_t catalog;
 	char *catalog_text;
--- a/src/host/keyops.c
+++ b/src/host/keyops.c
@@ -5,6 +5,7 @@
 #include "host/fenced.h"
 #include "host/keyops.h"
 #include "host/limits.h"
+#include "host/moves.h"
 
 #define TELL_TIMEOUT_MS 1000
 #define FETCH_TIMEOUT_MS 2000
@@ -134,7 +135,8 @@
 	};
 
 	return freshness_loaded(&h->fresh, &h->keys) &&
-	    !limits_withholds(h, for_host->id) && replica.host != HOST_NONE &&
+	    !limits_withholds(h, for_host->id) &&
+	    !moves_withholds(h, for_host->id) && replica.host != HOST_NONE &&
 	    withdrawals_may_vouch(
 		&h->withdrawals, replica, keys_complete(&h->keys));
 }
--- a/src/host/lookups.c
+++ b/src/host/lookups.c
@@ -8,6 +8,7 @@
 #include "coordination/lookup.h"
 #include "coordination/roster.h"
 #include "host/lookups.h"
+#include "host/moves.h"
 #include "host/refusal.h"
 #include "state/digest.h"
 
@@ -150,8 +151,7 @@
 	mirror_each(&h->mirror, ROWS_HOST, collect_host, &collect);
 	q.from = region_asked(h, x);
 	q.affinity = affinity_of(h, x, service, &q.part);
-	lookup_order(&q, (lookup_host_t *)(void *)collect.found->data,
-	    collect.found->len);
+	moves_lookup(h, service, &q, collect.found);
 	send_hosts(x, service, h->catalog.caps.lookup_ttl_sec, collect.found);
 	g_array_free(collect.found, TRUE);
 }
--- /dev/null
+++ b/src/host/move_measure.c
@@ -0,0 +1,225 @@
+#include <string.h>
+
+#include "host/move_measure.h"
+
+/* The two ends of a move, among the endpoints of a service. */
+typedef enum {
+	END_NEITHER,
+	END_GIVES,
+	END_RECEIVES,
+} move_end_t;
+
+typedef struct {
+	const host_t *h;
+	const move_row_t *row;
+	region_id_t home; /* of what a drain empties; ID_NONE: not needed */
+	gboolean abroad;  /* no other endpoint at home can receive */
+	msec_t now;
+} measure_t;
+
+static region_id_t
+region_of(const host_t *h, const endpoint_t *e)
+{
+	return catalog_domain(&h->catalog, e->domain)->region;
+}
+
+static gboolean
+is_named(const measure_t *m, const endpoint_t *e, const char *name)
+{
+	const catalog_t *c = &m->h->catalog;
+
+	switch (m->row->scope) {
+	case MOVE_VERSION:
+		return strcmp(e->version, name) == 0;
+	case MOVE_REGION:
+		return strcmp(catalog_region(c, region_of(m->h, e))->name,
+			   name) == 0;
+	case MOVE_DOMAIN:
+		return strcmp(catalog_domain(c, e->domain)->name, name) == 0;
+	case MOVE_ENDPOINT:
+		return strcmp(e->name, name) == 0;
+	case MOVE_HOST:
+		break;
+	}
+	return FALSE;
+}
+
+static move_end_t
+forward_end(const measure_t *m, const endpoint_t *e)
+{
+	if (is_named(m, e, m->row->from))
+		return END_GIVES;
+	if (*m->row->to != '\0')
+		return is_named(m, e, m->row->to) ? END_RECEIVES : END_NEITHER;
+	if (m->home == ID_NONE || m->abroad)
+		return END_RECEIVES;
+	return region_of(m->h, e) == m->home ? END_RECEIVES : END_NEITHER;
+}
+
+static move_end_t
+end_of(const measure_t *m, const endpoint_t *e)
+{
+	move_end_t end = forward_end(m, e);
+
+	if (m->row->state != MOVE_BACKING_OUT || end == END_NEITHER)
+		return end;
+	return end == END_GIVES ? END_RECEIVES : END_GIVES;
+}
+
+static const peer_count_t *
+told_by(const endpoint_stat_t *stat, host_id_t host)
+{
+	const peer_count_t *p;
+	guint i;
+
+	for (i = 0; i < stat->peers->len; i++) {
+		p = &g_array_index(stat->peers, peer_count_t, i);
+		if (p->peer == host)
+			return p;
+	}
+	return NULL;
+}
+
+/* Requests of all hosts on an endpoint; a host that has not told of it makes
+ * the measurement unknown. */
+static uint32_t
+busy(const measure_t *m, endpoint_id_t id, move_room_t *room)
+{
+	const roster_t *r = &m->h->roster;
+	const endpoint_stat_t *stat = endpoint_stats_row(&m->h->stats, id);
+	const peer_count_t *p;
+	uint32_t sum = stat->in_flight;
+	guint i;
+
+	for (i = 0; i < r->hosts->len; i++) {
+		if (i == r->self ||
+		    roster_host(r, (host_id_t)i)->state == HOST_GONE)
+			continue;
+		p = told_by(stat, (host_id_t)i);
+		if (p == NULL) {
+			room->known = FALSE;
+			continue;
+		}
+		sum += p->in_flight;
+		room->measured_at = MIN(room->measured_at, p->at);
+	}
+	return sum;
+}
+
+static void
+add_endpoint(
+    const measure_t *m, endpoint_id_t id, move_end_t end, move_room_t *room)
+{
+	uint32_t n = busy(m, id, room);
+
+	if (end == END_RECEIVES) {
+		room->busy += n;
+		if (endpoint_stats_state(&m->h->stats, id, m->now) ==
+		    ENDPOINT_USABLE)
+			room->slots +=
+			    catalog_endpoint(&m->h->catalog, id)->slots;
+	}
+	if (end == END_GIVES || m->row->scope == MOVE_VERSION)
+		room->demand += n;
+}
+
+/* Both ends of one service, in one region or (ID_NONE) in all. */
+static move_room_t
+measure_part(const measure_t *m, service_id_t service, region_id_t region)
+{
+	move_room_t room = {.known = TRUE,
+	    .measured_at = m->now,
+	    .cold_percent = MOVE_COLD_PERCENT};
+	share_t stays = SHARE_ONE - MIN(m->row->share, SHARE_ONE - 1);
+	const endpoint_t *e;
+	move_end_t end;
+	guint i;
+
+	for (i = 0; i < m->h->catalog.endpoints->len; i++) {
+		e = catalog_endpoint(&m->h->catalog, (endpoint_id_t)i);
+		end = end_of(m, e);
+		if (e->service == service && end != END_NEITHER &&
+		    (region == ID_NONE || region_of(m->h, e) == region))
+			add_endpoint(m, (endpoint_id_t)i, end, &room);
+	}
+	/* Of a running move a part has left the giving side already. */
+	if (m->row->scope != MOVE_VERSION && m->row->state == MOVE_RUNNING)
+		room.demand =
+		    (uint32_t)((uint64_t)room.demand * SHARE_ONE / stays);
+	return room;
+}
+
+static void
+take_tighter(move_room_t *least, const move_room_t *room)
+{
+	gboolean known = least->known && room->known;
+	msec_t at = MIN(least->measured_at, room->measured_at);
+
+	if (room->demand > 0 && move_room_share(room) < move_room_share(least))
+		*least = *room;
+	least->known = known;
+	least->measured_at = at;
+}
+
+static void
+measure_service(measure_t *m, service_id_t service, move_room_t *least)
+{
+	move_room_t room;
+	guint i;
+
+	m->abroad = FALSE;
+	room = measure_part(m, service, ID_NONE);
+	if (room.slots == 0 && m->home != ID_NONE) {
+		m->abroad = TRUE;
+		room = measure_part(m, service, ID_NONE);
+	}
+	take_tighter(least, &room);
+	if (m->row->scope != MOVE_VERSION)
+		return;
+	/* Where a region has the new version, its requests stay there. */
+	for (i = 0; i < m->h->catalog.regions->len; i++) {
+		room = measure_part(m, service, (region_id_t)i);
+		if (room.slots > 0)
+			take_tighter(least, &room);
+	}
+}
+
+static region_id_t
+home_of(const host_t *h, const move_row_t *row)
+{
+	const catalog_t *c = &h->catalog;
+	endpoint_id_t e;
+	domain_id_t d = ID_NONE;
+
+	if (row->scope == MOVE_DOMAIN)
+		d = catalog_find_domain(c, row->from);
+	if (row->scope == MOVE_ENDPOINT) {
+		e = catalog_find_endpoint(c, row->from);
+		if (e != ID_NONE)
+			d = catalog_endpoint(c, e)->domain;
+	}
+	return d != ID_NONE ? catalog_domain(c, d)->region : ID_NONE;
+}
+
+move_room_t
+move_measure(const host_t *h, const move_row_t *row, msec_t now)
+{
+	move_room_t least = {.known = TRUE,
+	    .measured_at = now,
+	    .slots = 1,
+	    .cold_percent = MOVE_COLD_PERCENT};
+	measure_t m = {h, row, home_of(h, row), FALSE, now};
+	const char *name;
+	guint i;
+
+	/* A drained entry host takes no slots of backend servers. */
+	if (row->scope == MOVE_HOST)
+		return least;
+	for (i = 0; i < h->catalog.services->len; i++) {
+		name = catalog_service(&h->catalog, (service_id_t)i)->name;
+		if (strcmp(row->service, "*") == 0 ||
+		    strcmp(row->service, name) == 0)
+			measure_service(&m, (service_id_t)i, &least);
+	}
+	return least;
+}
--- /dev/null
+++ b/src/host/move_ops.h
@@ -0,0 +1,66 @@
+#ifndef HOST_MOVE_OPS_H
+#define HOST_MOVE_OPS_H
+
+#include "coordination/move_admit.h"
+#include "host/moves.h"
+
+/* What operators ask of moves: to start one and to take one back. */
+
+/* Most tries to admit a move against others that are started at once. */
+#define MOVE_ADMIT_TRIES 5
+
+typedef enum {
+	MOVE_OP_WRITING,
+	MOVE_OP_WAITING,  /* for a scan that shows what others have written */
+	MOVE_OP_ACCEPTED, /* the row is in the store */
+	MOVE_OP_CONFLICT, /* another move is in the way */
+	MOVE_OP_REFUSED,  /* had no effect */
+} move_op_state_t;
+
+/* One operation; it writes one row, together with the row of admissions. */
+typedef struct {
+	host_t *host;
+	gboolean cancel;
+	move_request_t request; /* of a start; its strings are owned */
+	char *id;		/* of the move */
+	move_op_state_t state;
+	char *why;	 /* of a refusal, or NULL */
+	gboolean unsure; /* a write may have taken effect, or still may */
+	guint tries;
+	msec_t ended_at; /* of the last write */
+	gboolean waiting, forgotten;
+} move_op_t;
+
+/**
+ * move_ops_start() - Start a move.
+ * @h: the host
+ * @a: what the operator asks for
+ * @id: of the move, made from the operator's token
+ *
+ * Return: the operation; end it with move_ops_free().
+ */
+move_op_t *move_ops_start(
+    host_t *h, const operate_move_start_t *a, const char *id);
+
+/**
+ * move_ops_cancel() - Take a move back.
+ * @h: the host
+ * @id: of the move
+ */
+move_op_t *move_ops_cancel(host_t *h, const char *id);
+void move_ops_free(move_op_t *op);
+
+/**
+ * move_ops_tick() - Go on once a scan has shown what was written.
+ * @op: the operation
+ */
+void move_ops_tick(move_op_t *op);
+
+/**
+ * move_ops_describe() - Say how far it has come.
+ * @op: the operation
+ * @r: filled in; its text is to be freed with g_free()
+ */
+void move_ops_describe(const move_op_t *op, operate_result_t *r);
+
+#endif
--- a/src/host/operate.c
+++ b/src/host/operate.c
@@ -5,13 +5,16 @@
 #include "host/confops.h"
 #include "host/dump.h"
 #include "host/keyops.h"
+#include "host/move_ops.h"
 #include "host/operate.h"
+#include "host/operate_describe.h"
 #include "protocol/text.h"
 
 typedef enum {
 	OPERATION_APPLY,
 	OPERATION_ISSUE,
 	OPERATION_WITHDRAW,
+	OPERATION_MOVE,
 } operation_kind_t;
 
 struct operation {
@@ -22,6 +25,7 @@
 		conf_apply_t *apply;
 		key_issue_t *issue;
 		uint32_t withdrawal; /* id */
+		move_op_t *move;
 	} u;
 };
 
@@ -37,6 +41,9 @@
 	case OPERATION_ISSUE:
 		keyops_issue_free(op->u.issue);
 		break;
+	case OPERATION_MOVE:
+		move_ops_free(op->u.move);
+		break;
 	case OPERATION_WITHDRAW:
 		break;
 	}
@@ -91,99 +98,6 @@
 	return n >> 1;
 }
 
-static operate_outcome_t
-apply_outcome(apply_state_t state)
-{
-	switch (state) {
-	case APPLY_ACCEPTED:
-		return OPERATE_ACCEPTED;
-	case APPLY_IN_FORCE:
-		return OPERATE_IN_FORCE;
-	case APPLY_CONFLICT:
-		return OPERATE_CONFLICT;
-	case APPLY_FAILED:
-		return OPERATE_REFUSED;
-	case APPLY_WRITING:
-	case APPLY_UNKNOWN:
-		break;
-	}
-	return OPERATE_UNKNOWN;
-}
-
-static operate_outcome_t
-issue_outcome(issue_state_t state)
-{
-	switch (state) {
-	case ISSUE_ACCEPTED:
-		return OPERATE_ACCEPTED;
-	case ISSUE_DONE:
-		return OPERATE_DONE;
-	case ISSUE_CONFLICT:
-		return OPERATE_CONFLICT;
-	case ISSUE_FAILED:
-		return OPERATE_REFUSED;
-	case ISSUE_WRITING:
-	case ISSUE_UNKNOWN:
-		break;
-	}
-	return OPERATE_UNKNOWN;
-}
-
-static operate_outcome_t
-withdrawal_outcome(withdrawal_state_t state)
-{
-	switch (state) {
-	case WITHDRAWAL_ACCEPTED:
-		return OPERATE_ACCEPTED;
-	case WITHDRAWAL_DONE:
-		return OPERATE_DONE;
-	case WITHDRAWAL_UNAVAILABLE:
-	case WITHDRAWAL_FENCED:
-	case WITHDRAWAL_WRITING:
-	case WITHDRAWAL_UNKNOWN:
-		break;
-	}
-	/* In force where it was told, which can't be called refused. */
-	return OPERATE_UNKNOWN;
-}
-
-static void
-describe_apply(const apply_t *a, operate_result_t *r)
-{
-	r->outcome = apply_outcome(a->state);
-	r->result_version = a->state == APPLY_CONFLICT ? a->theirs : a->version;
-	r->hosts_confirmed = a->hosts_in_force;
-	r->hosts_total = a->hosts;
-	r->text = a->state == APPLY_CONFLICT
-	    ? g_strdup_printf("the text was changed from version "
-			      "%" G_GUINT64_FORMAT
-			      ", the present one is %" G_GUINT64_FORMAT,
-		  (guint64)a->base, (guint64)a->theirs)
-	    : g_strdup(apply_state_name(a->state));
-}
-
-static void
-describe_issue(const issue_t *i, operate_result_t *r)
-{
-	r->outcome = issue_outcome(i->state);
-	r->result_version = i->commit.version;
-	r->hosts_confirmed = i->hosts_reached;
-	r->hosts_total = i->hosts;
-	r->text = g_strdup(issue_state_name(i->state));
-}
-
-static void
-describe_withdrawal(const withdrawal_t *w, operate_result_t *r)
-{
-	guint confirmed = 0;
-
-	r->outcome = withdrawal_outcome(w->state);
-	r->result_version = w->commit.version;
-	r->hosts_total = withdrawal_hosts(w, &confirmed);
-	r->hosts_confirmed = confirmed;
-	r->text = g_strdup(withdrawal_state_name(w->state));
-}
-
 static void
 describe(const host_t *h, const operation_t *op, operate_result_t *r)
 {
@@ -191,17 +105,20 @@
 
 	switch (op->kind) {
 	case OPERATION_APPLY:
-		describe_apply(&op->u.apply->apply, r);
+		operate_describe_apply(&op->u.apply->apply, r);
 		return;
 	case OPERATION_ISSUE:
-		describe_issue(&op->u.issue->issue, r);
+		operate_describe_issue(&op->u.issue->issue, r);
+		return;
+	case OPERATION_MOVE:
+		move_ops_describe(op->u.move, r);
 		return;
 	case OPERATION_WITHDRAW:
 		break;
 	}
 	w = withdrawals_get(&h->withdrawals, op->u.withdrawal);
 	if (w != NULL)
-		describe_withdrawal(w, r);
+		operate_describe_withdrawal(w, r);
 }
 
 static void
@@ -268,6 +185,27 @@
 	return op;
 }
 
+static operation_t *
+start_move(host_t *h, const operate_move_start_t *a)
+{
+	operation_t *op = add(h, OPERATION_MOVE, a->token);
+	char *id = g_strdup_printf(
+	    "%016" G_GINT64_MODIFIER "x", (guint64)row_token(a->token));
+
+	op->u.move = move_ops_start(h, a, id);
+	g_free(id);
+	return op;
+}
+
+static operation_t *
+start_cancel(host_t *h, const operate_move_cancel_t *a)
+{
+	operation_t *op = add(h, OPERATION_MOVE, a->token);
+
+	op->u.move = move_ops_cancel(h, a->move);
+	return op;
+}
+
 static const uint8_t *
 token_of(const operate_args_t *args)
 {
@@ -333,8 +271,11 @@
 			    h, &args->operate_args_t_u.key_withdraw);
 			break;
 		case OPERATE_MOVE_START:
+			op = start_move(h, &args->operate_args_t_u.move_start);
+			break;
 		case OPERATE_MOVE_CANCEL:
-			refuse(r, OPERATE_REFUSED, "not served by this build");
+			op = start_cancel(
+			    h, &args->operate_args_t_u.move_cancel);
 			break;
 		}
 	}
@@ -389,6 +330,9 @@
 		case OPERATION_ISSUE:
 			keyops_issue_tick(op->u.issue, now);
 			break;
+		case OPERATION_MOVE:
+			move_ops_tick(op->u.move);
+			break;
 		case OPERATION_WITHDRAW:
 			break;
 		}
--- a/src/host/peers.c
+++ b/src/host/peers.c
@@ -4,6 +4,7 @@
 #include "host/confops.h"
 #include "host/heartbeat.h"
 #include "host/keyops.h"
+#include "host/moves.h"
 #include "host/peers.h"
 
 static void
@@ -144,7 +145,7 @@
 /* What a peer says of itself, whether it asked or answered. */
 static void
 take_heartbeat(host_t *h, peer_t *peer, host_id_t id,
-    const rpc_heartbeat_t *beat, msec_t at, msec_t now)
+    const rpc_heartbeat_t *beat, gboolean asked, msec_t at, msec_t now)
 {
 	g_free(peer->callers);
 	peer->callers = g_strdup(beat->host.callers_address);
@@ -157,6 +158,8 @@
 		take_loads(h, beat, id, at);
 	confops_heard(h, id, beat, now);
 	keyops_heard(h, peer, beat);
+	if (id != h->roster.self)
+		moves_heard(h, beat, asked ? at : MOVES_UNASKED);
 }
 
 static void
@@ -184,7 +187,7 @@
 	/* The peer's version goes first: its vouch rests on it. */
 	freshness_told(&h->fresh, r->heartbeat.keys_version);
 	roster_replied(&h->roster, id, &reply, peer->sent_at, now);
-	take_heartbeat(h, peer, id, &r->heartbeat, peer->sent_at, now);
+	take_heartbeat(h, peer, id, &r->heartbeat, TRUE, peer->sent_at, now);
 	if (r->heartbeat.store_age_ms >= 0)
 		freshness_relayed(&h->fresh, &h->keys, peer->sent_at,
 		    r->heartbeat.store_age_ms, r->heartbeat.keys_version);
@@ -260,7 +263,8 @@
 	if (id != HOST_NONE && id != h->roster.self) {
 		peer = peer_at(h, from->id, from->rpc_address);
 		if (peer != NULL)
-			take_heartbeat(h, peer, id, &args->heartbeat, now, now);
+			take_heartbeat(
+			    h, peer, id, &args->heartbeat, FALSE, now, now);
 	}
 	heartbeat_init(&beat, h);
 	/* What has left the roster must go stale; see docs/KEYS.md. */
--- a/src/host/room.c
+++ b/src/host/room.c
@@ -130,14 +130,12 @@
 static void
 serve_room(host_t *h, room_t *room)
 {
-	queue_handle_t handle;
 	uint64_t number;
 	carry_t *c;
 
 	while (fair_queue_expired(&room->queue, clock_now(), &number))
 		refuse_waiting(g_hash_table_lookup(h->waiting, &number));
-	while (
-	    (handle = fair_queue_head(&room->queue, &number)) != QUEUE_NONE) {
+	while (fair_queue_head(&room->queue, &number) != QUEUE_NONE) {
 		c = g_hash_table_lookup(h->waiting, &number);
 		if (!carry_try_place(c))
 			return;
--- a/src/protocol/gen/host_rpc.h
+++ b/src/protocol/gen/host_rpc.h
@@ -15,6 +15,7 @@
 #define RPC_TEXT_MAX 1048576
 #define RPC_LEASES_MAX 256
 #define RPC_MOVES_MAX 256
+#define RPC_COUNTS_MAX 256
 #define RPC_LOADS_MAX 1024
 #define RPC_KEYS_MAX 2048
 #define RPC_SUSPECTS_MAX 256
@@ -73,6 +74,22 @@
 };
 typedef struct rpc_move_step_t rpc_move_step_t;
 
+struct rpc_version_count_t {
+	u_int requests;
+	u_int errors;
+	u_int slow;
+};
+typedef struct rpc_version_count_t rpc_version_count_t;
+
+struct rpc_move_count_t {
+	rpc_name_t move;
+	rpc_name_t route;
+	u_int band;
+	rpc_version_count_t fresh;
+	rpc_version_count_t peer;
+};
+typedef struct rpc_move_count_t rpc_move_count_t;
+
 struct rpc_load_t {
 	rpc_name_t endpoint;
 	u_int in_flight;
@@ -97,6 +114,10 @@
 		u_int loads_len;
 		rpc_load_t *loads_val;
 	} loads;
+	struct {
+		u_int counts_len;
+		rpc_move_count_t *counts_val;
+	} counts;
 };
 typedef struct rpc_heartbeat_t rpc_heartbeat_t;
 
@@ -390,6 +411,8 @@
 extern  bool_t xdr_rpc_host_t (XDR *, rpc_host_t*);
 extern  bool_t xdr_rpc_lease_t (XDR *, rpc_lease_t*);
 extern  bool_t xdr_rpc_move_step_t (XDR *, rpc_move_step_t*);
+extern  bool_t xdr_rpc_version_count_t (XDR *, rpc_version_count_t*);
+extern  bool_t xdr_rpc_move_count_t (XDR *, rpc_move_count_t*);
 extern  bool_t xdr_rpc_load_t (XDR *, rpc_load_t*);
 extern  bool_t xdr_rpc_heartbeat_t (XDR *, rpc_heartbeat_t*);
 extern  bool_t xdr_exchange_args_t (XDR *, exchange_args_t*);
@@ -430,6 +453,8 @@
 extern bool_t xdr_rpc_host_t ();
 extern bool_t xdr_rpc_lease_t ();
 extern bool_t xdr_rpc_move_step_t ();
+extern bool_t xdr_rpc_version_count_t ();
+extern bool_t xdr_rpc_move_count_t ();
 extern bool_t xdr_rpc_load_t ();
 extern bool_t xdr_rpc_heartbeat_t ();
 extern bool_t xdr_exchange_args_t ();
--- a/src/protocol/gen/host_rpc_xdr.c
+++ b/src/protocol/gen/host_rpc_xdr.c
@@ -129,6 +129,38 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_version_count_t (XDR *xdrs, rpc_version_count_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->requests))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->errors))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slow))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_move_count_t (XDR *xdrs, rpc_move_count_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name_t (xdrs, &objp->move))
+		 return FALSE;
+	 if (!xdr_rpc_name_t (xdrs, &objp->route))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->band))
+		 return FALSE;
+	 if (!xdr_rpc_version_count_t (xdrs, &objp->fresh))
+		 return FALSE;
+	 if (!xdr_rpc_version_count_t (xdrs, &objp->peer))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_load_t (XDR *xdrs, rpc_load_t *objp)
 {
@@ -165,6 +197,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, RPC_LOADS_MAX,
 		sizeof (rpc_load_t), (xdrproc_t) xdr_rpc_load_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, RPC_COUNTS_MAX,
+		sizeof (rpc_move_count_t), (xdrproc_t) xdr_rpc_move_count_t))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/protocol/host_rpc.x
+++ b/src/protocol/host_rpc.x
@@ -9,6 +9,7 @@
 const RPC_TEXT_MAX = 1048576;
 const RPC_LEASES_MAX = 256;
 const RPC_MOVES_MAX = 256;
+const RPC_COUNTS_MAX = 256;
 const RPC_LOADS_MAX = 1024;
 const RPC_KEYS_MAX = 2048;
 const RPC_SUSPECTS_MAX = 256;
@@ -60,6 +61,22 @@
 	bool stopped;
 };
 
+/* Tries that ended, since this host first served the move's new version. */
+struct rpc_version_count_t {
+	unsigned int requests;
+	unsigned int errors;
+	unsigned int slow;
+};
+
+/* Both versions of a rollout on one route in one load band. */
+struct rpc_move_count_t {
+	rpc_name_t move;
+	rpc_name_t route;
+	unsigned int band;
+	rpc_version_count_t fresh;
+	rpc_version_count_t peer;
+};
+
 struct rpc_load_t {
 	rpc_name_t endpoint;
 	unsigned int in_flight;
@@ -75,6 +92,7 @@
 	rpc_lease_t leases<RPC_LEASES_MAX>;
 	rpc_move_step_t moves<RPC_MOVES_MAX>;
 	rpc_load_t loads<RPC_LOADS_MAX>;
+	rpc_move_count_t counts<RPC_COUNTS_MAX>;
 };
 
 struct exchange_args_t {
--- a/src/protocol/rows.h
+++ b/src/protocol/rows.h
@@ -19,6 +19,8 @@
 #define ROWS_RENEWAL "g/renewal/"
 #define ROWS_SLOT "g/slot/"
 #define ROWS_MOVE "g/move/"
+#define ROWS_MOVE_CANCEL "g/move-cancel/"
+#define ROWS_MOVES_ADMIT "g/moves-admit"
 #define ROWS_ONCE "once/"
 /* One for each version that was accepted, kept. */
 #define ROWS_CONFIG_VERSION "config/"
--- /dev/null
+++ b/tests/process/test_moves.sh
@@ -0,0 +1,172 @@
+#!/bin/sh
+# Moves over separate processes: a good version takes over, a bad one is taken
+# back, a drained endpoint gets nothing more, and a cancelled move ends as
+# taken back. Verdicts by counts in the backend servers' log.
+# usage: test_moves.sh BUILD-DIR
+set -eu
+bin=$1
+dir=$(mktemp -d)
+base=21000
+# shellcheck source=scripts/fleet.sh
+. "$(dirname "$0")/../../scripts/fleet.sh"
+trap 'stop_all; rm -rf "$dir"' EXIT
+trap 'exit 1' INT TERM
+
+fail() {
+	echo "moves: FAILED: $*"
+	grep -h 'event=move\|move\.' "$dir"/host_*.log | tail -n 40
+	tail -n 3 "$dir"/host_*.log
+	ggl 1 status --json || true
+	exit 1
+}
+
+# endpoint N NAME DOMAIN VERSION
+endpoint() {
+	cat <<END
+[endpoint $2]
+service = lettore
+domain = $3
+address = 127.0.0.1:$((base + 100 + $1))
+version = $4
+slots = 3
+END
+}
+
+text() {
+	cat <<END
+[fleet]
+hosts = 3
+lookup_ttl_sec = 1
+rollout_cap = 0.2
+shift_cap = 0.5
+[region milano]
+[region verona]
+[domain milano-a]
+region = milano
+[domain milano-b]
+region = milano
+[domain verona-a]
+region = verona
+[link milano verona]
+one_way_ms = 20
+bits_per_sec = 4000000000
+[service lettore]
+version = v1
+timeout_ms = 5000
+typical_ms = 20
+[route clips]
+service = lettore
+prefix = /
+access = open
+idempotent = yes
+[workspace sera]
+rate = 200
+burst = 200
+END
+	for v in 1 2 3; do
+		endpoint $((v * 10 + 1)) "v$v-a" milano-a "v$v"
+		endpoint $((v * 10 + 2)) "v$v-b" milano-b "v$v"
+		endpoint $((v * 10 + 3)) "v$v-c" verona-a "v$v"
+	done
+}
+
+# runs PATTERN [FROM-LINE]: lines of runs on endpoints of that name.
+runs() {
+	tail -n "+${2:-1}" "$dir/runs.log" | grep -c "^run $1" || true
+}
+
+mark() {
+	echo $(($(wc -l <"$dir/runs.log") + 1))
+}
+
+# admitted N ARGS...: like ggl, again while host N may not write yet.
+admitted() {
+	left=20
+	while [ "$left" -gt 0 ]; do
+		status=0
+		ggl "$@" >"$dir/answer" 2>&1 || status=$?
+		grep -q "not yet known" "$dir/answer" || break
+		sleep 0.5
+		left=$((left - 1))
+	done
+	cat "$dir/answer"
+	return "$status"
+}
+
+new_secret
+start_store
+for v in 1 2 3; do
+	start_backend $((v * 10 + 1)) "v$v-a" "v$v" 3
+	start_backend $((v * 10 + 2)) "v$v-b" "v$v" 3
+	start_backend $((v * 10 + 3)) "v$v-c" "v$v" 3
+done
+host_settings 1 milano-1 milano milano-a
+host_settings 2 milano-2 milano milano-b
+host_settings 3 verona-1 verona verona-a
+for n in 1 2 3; do start_host $n; done
+text >"$dir/text.ini"
+wait_until 20 timeout 15 "$bin/src/cmd/greengageloom" --secret-file \
+    "$dir/secret" --host "127.0.0.1:$((base + 21))" apply "$dir/text.ini" \
+    --wait 10 || fail "apply"
+for n in 1 2 3; do
+	wait_until 15 serving $n || fail "host $n does not serve"
+done
+start caller "$bin/tests/standin_caller" \
+    --to "$(callers 1),$(callers 2),$(callers 3)" --path /call/lettore/clip/1 \
+    --count 1000000 --rate 100 --at-once 8
+wait_until 10 test -s "$dir/runs.log" || fail "no requests run"
+sleep 1
+[ "$(runs v2)" -eq 0 ] || fail "v2 served before its rollout"
+
+# A good version is done, and the old one gets nothing more.
+admitted 1 rollout lettore --to v2 --within 40 --wait 60 >"$dir/good" ||
+    fail "good version: $(cat "$dir/good")"
+sleep 1
+from=$(mark)
+sleep 2
+[ "$(runs v2 "$from")" -gt 0 ] || fail "v2 serves nothing after its rollout"
+[ "$(runs v1 "$from")" -eq 0 ] || fail "v1 serves after the rollout"
+echo "moves: good version: $(cat "$dir/good")"
+
+# A bad version is taken back, and has had at most its cap.
+for n in 31 32 33; do
+	"$bin/tests/standin_get" "127.0.0.1:$((base + 100 + n))" \
+	    "/control?fail_permille=500" >/dev/null
+done
+from=$(mark)
+status=0
+admitted 2 rollout lettore --to v3 --within 60 --wait 60 >"$dir/bad" 2>&1 ||
+    status=$?
+[ "$status" -eq 1 ] && grep -q "taken.back" "$dir/bad" ||
+    fail "bad version: status $status: $(cat "$dir/bad")"
+bad=$(runs v3 "$from")
+all=$(runs v "$from")
+[ "$bad" -gt 0 ] || fail "the bad version was never tried"
+[ $((bad * 5)) -le "$all" ] || fail "bad version had $bad of $all requests"
+sleep 1
+from=$(mark)
+sleep 2
+[ "$(runs v3 "$from")" -eq 0 ] || fail "v3 serves after it was taken back"
+echo "moves: bad version had $bad of $all requests: $(cat "$dir/bad")"
+
+# A drained endpoint gets nothing new.
+admitted 3 drain v2-a --wait 60 >"$dir/drain" || fail "drain: $(cat "$dir/drain")"
+sleep 1
+from=$(mark)
+sleep 2
+[ "$(runs v2-a "$from")" -eq 0 ] || fail "a drained endpoint serves"
+[ "$(runs v2-b "$from")" -gt 0 ] || fail "nothing serves after the drain"
+echo "moves: $(cat "$dir/drain")"
+
+# A second move of the service is refused while one runs; that one can be
+# taken back.
+admitted 1 rollout lettore --to v1 --within 3600 >"$dir/first" ||
+    fail "second rollout: $(cat "$dir/first")"
+id=$(grep -o '[0-9a-f]\{16\}' "$dir/first" | head -n 1)
+status=0
+ggl 2 rollout lettore --to v3 --within 60 >"$dir/second" 2>&1 || status=$?
+[ "$status" -eq 4 ] || fail "operators racing: $status $(cat "$dir/second")"
+admitted 3 cancel "$id" --wait 30 >"$dir/cancel" 2>&1 ||
+    fail "cancel: $(cat "$dir/cancel")"
+ggl 1 status --json | grep -q '"reason": *"cancelled"' || fail "status"
+echo "moves: $(cat "$dir/cancel")"
--- a/tests/rpc_samples.h
+++ b/tests/rpc_samples.h
@@ -8,6 +8,8 @@
 static rpc_lease_t sample_leases[] = {{"moves", 4}, {"lender/w1", 9}};
 static rpc_move_step_t sample_steps[] = {{"m-1", 3, TRUE}};
 static rpc_load_t sample_loads[] = {{"lettore-1", 2}, {"lettore-2", 1}};
+static rpc_move_count_t sample_counts[] = {
+    {"m-1", "GET /clip", 1, {5, 2, 1}, {90, 4, 3}}};
 static rpc_withdrawal_t sample_withdrawals[] = {{"digest one", 7}, {"d2", 0}};
 static rpc_key_row_t sample_keys[] = {{"digest one", "w1", TRUE, 7}};
 static rpc_suspect_t sample_suspects[] = {
@@ -19,7 +21,7 @@
 	rpc_heartbeat_t h = {{"host-a", 12, "milano", "milano-a", "127.0.0.1:1",
 				 "127.0.0.1:2", RPC_HOST_LIVE, "0.1.0"},
 	    5, "d", 6, -1, {2, sample_leases}, {1, sample_steps},
-	    {2, sample_loads}};
+	    {2, sample_loads}, {1, sample_counts}};
 
 	return h;
 }
