--- a/src/host/host.c
+++ b/src/host/host.c
@@ -15,6 +15,7 @@
 #include "host/keyops.h"
 #include "host/limits.h"
 #include "host/lookups.h"
+#include "host/moves.h"
 #include "host/once_calls.h"
 #include "host/operate.h"
 #include "host/peers.h"
@@ -270,6 +271,7 @@
 	roster_init(&h->roster, &self);
 	h->sync.self = (replica_t){h->roster.self, incarnation};
 	freshness_joined(&h->sync.fresh, version);
+	moves_joined(h);
 	limits_configure(h);
 	log_event(LOG_INFO, "roster.joined", "host", s->id, "incarnation",
 	    log_num((long long)incarnation), NULL);
@@ -403,8 +405,11 @@
 	keysync_init(&h->sync, (replica_t){HOST_NONE, 0});
 	confspread_init(&h->spread);
 	peers_init(h);
+	h->leaving =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	operate_init(h);
 	limits_init(h);
+	moves_init(h);
 	room_init(h);
 	once_calls_init(h);
 	poison_init(&h->poison, harm_peer_id(h->settings.id));
@@ -460,10 +465,12 @@
 	store_finish(&h->store);
 	mirror_finish(&h->mirror);
 	limits_finish(h);
+	moves_finish(h);
 	room_finish(h);
 	once_calls_finish(h);
 	poison_finish(&h->poison);
 	peers_finish(h);
+	g_hash_table_destroy(h->leaving);
 	if (h->incarnation != 0)
 		roster_finish(&h->roster);
 	confspread_finish(&h->spread);
