--- a/src/host/carry.c
+++ b/src/host/carry.c
@@ -6,6 +6,7 @@
 #include "host/carry.h"
 #include "host/harm.h"
 #include "host/limits.h"
+#include "host/moves.h"
 #include "host/once_calls.h"
 #include "host/room.h"
 
@@ -45,6 +46,7 @@
 	if (!c->booked)
 		return;
 	c->booked = FALSE;
+	moves_count(c, outcome, now - c->sent_at);
 	route_end(&h->routes, &h->stats, &c->ticket, outcome,
 	    (uint32_t)(now - c->sent_at), c->answer_bytes * 8, now);
 	if (c->begun) {
@@ -149,7 +151,8 @@
 
 	if (c->workspace == NULL)
 		return TRUE;
-	v = keys_check(&h->keys, &h->fresh, &c->request.key, clock_now());
+	v = keys_check(
+	    &h->sync.keys, &h->sync.fresh, &c->request.key, clock_now());
 	if (v.kind == KEY_OK && strcmp(v.workspace, c->workspace) == 0)
 		return TRUE;
 	*why = key_refusal(v.kind);
@@ -295,7 +298,8 @@
 	*why = REFUSAL_KEY_MISSING;
 	if (!c->request.has_key)
 		return FALSE;
-	v = keys_check(&h->keys, &h->fresh, &c->request.key, clock_now());
+	v = keys_check(
+	    &h->sync.keys, &h->sync.fresh, &c->request.key, clock_now());
 	*why = key_refusal(v.kind);
 	if (v.kind != KEY_OK ||
 	    catalog_find_workspace(&h->catalog, v.workspace) == ID_NONE)
@@ -336,6 +340,7 @@
 	case HOST_DRAINING: /* cached look-ups still lead here */
 		return TRUE;
 	case HOST_STARTING:
+	case HOST_ENDING:
 		break;
 	}
 	*why = REFUSAL_NOT_READY;
