--- a/src/host/host.c
+++ b/src/host/host.c
@@ -19,6 +19,7 @@
 #include "host/operate.h"
 #include "host/peers.h"
 #include "host/room.h"
+#include "host/tls_reload.h"
 #include "protocol/text.h"
 
 #define TICK_MS 20
@@ -120,11 +121,18 @@
 	domain_id_t domain =
 	    catalog_find_domain(&h->catalog, h->settings.domain);
 	uint16_t index, hosts, near_index, near_hosts;
+	const endpoint_t *e;
+	guint i;
 
 	if (h->incarnation == 0)
 		return;
 	index = position(h, NULL, &hosts);
 	near_index = position(h, h->settings.region, &near_hosts);
+	for (i = 0; i < h->catalog.endpoints->len; i++) {
+		e = catalog_endpoint(&h->catalog, (endpoint_id_t)i);
+		http_client_limit(h->http, e->address,
+		    route_part(e->connections, index, MAX(hosts, 1)));
+	}
 	route_choice_place(
 	    &h->routes, domain, index, hosts, near_index, near_hosts);
 }
@@ -179,9 +187,18 @@
 }
 
 static void
-on_changed(void *arg, const GArray *rows, msec_t sent_at)
+on_changed(void *arg, const GArray *rows, uint64_t since, msec_t sent_at)
 {
-	control_changed(arg, rows, sent_at);
+	control_changed(arg, rows, since, sent_at);
+}
+
+/* Nothing is held, and none of our writes is under way. */
+static gboolean
+is_drained(const host_t *h, msec_t now)
+{
+	return now >= h->linger_until && h->carries->len == 0 &&
+	    http_server_connections(h->callers) == 0 &&
+	    withdrawals_settled(&h->sync.withdrawals);
 }
 
 static void
@@ -192,14 +209,14 @@
 
 	(void)fd;
 	(void)what;
+	if (h->phase == HOST_ENDING)
+		return;
 	control_tick(h, now);
 	if (h->phase != HOST_DRAINING)
 		return;
 	if (now >= h->linger_until)
 		http_server_drain(h->callers);
-	if (now >= h->drain_until ||
-	    (now >= h->linger_until && h->carries->len == 0 &&
-		http_server_connections(h->callers) == 0))
+	if (now >= h->drain_until || is_drained(h, now))
 		event_base_loopbreak(h->base);
 }
 
@@ -226,7 +243,7 @@
 	host_t *h = arg;
 
 	(void)what;
-	if (h->phase == HOST_DRAINING) {
+	if (h->phase == HOST_DRAINING || h->phase == HOST_ENDING) {
 		event_base_loopbreak(h->base);
 		return;
 	}
@@ -251,7 +268,8 @@
 	h->incarnation = incarnation;
 	h->row_version = version;
 	roster_init(&h->roster, &self);
-	freshness_joined(&h->fresh, version);
+	h->sync.self = (replica_t){h->roster.self, incarnation};
+	freshness_joined(&h->sync.fresh, version);
 	limits_configure(h);
 	log_event(LOG_INFO, "roster.joined", "host", s->id, "incarnation",
 	    log_num((long long)incarnation), NULL);
@@ -357,13 +375,15 @@
 	    .receive_ms = RECEIVE_MS,
 	};
 
-	if (!open_rpc(h, err))
+	if (!open_rpc(h, err) || !tls_reload_init(h, err))
 		return FALSE;
+	conf.tls = h->tls;
 	h->callers =
 	    http_server_new(h->base, &conf, serve_callers, refuse_body, h, err);
 	if (h->callers == NULL)
 		return FALSE;
 	conf.address = s->operators;
+	conf.tls = NULL;
 	h->operators =
 	    http_server_new(h->base, &conf, dump_serve, refuse_body, h, err);
 	return h->operators != NULL;
@@ -380,11 +400,8 @@
 	    &h->store, STORE_KIND_JSON, h->base, h->http, h->settings.store);
 	mirror_init(&h->mirror, &h->store, on_changed, h);
 	catalog_init(&h->catalog);
-	keys_init(&h->keys);
-	freshness_init(&h->fresh);
-	withdrawals_init(&h->withdrawals);
+	keysync_init(&h->sync, (replica_t){HOST_NONE, 0});
 	confspread_init(&h->spread);
-	roster_view_init(&h->view);
 	peers_init(h);
 	operate_init(h);
 	limits_init(h);
@@ -438,6 +455,7 @@
 	event_free(h->term);
 	event_free(h->interrupt);
 	event_free(h->dump_signal);
+	tls_reload_finish(h);
 	http_client_free(h->http);
 	store_finish(&h->store);
 	mirror_finish(&h->mirror);
@@ -448,12 +466,10 @@
 	peers_finish(h);
 	if (h->incarnation != 0)
 		roster_finish(&h->roster);
-	roster_view_finish(&h->view);
 	confspread_finish(&h->spread);
-	withdrawals_finish(&h->withdrawals);
 	route_choice_finish(&h->routes);
 	endpoint_stats_finish(&h->stats);
-	keys_finish(&h->keys);
+	keysync_finish(&h->sync);
 	catalog_finish(&h->catalog);
 	g_free(h->catalog_text);
 	g_ptr_array_free(h->carries, TRUE);
@@ -462,8 +478,9 @@
 	event_base_free(h->base);
 }
 
+/* Without a goodbye: others count on this host until it is retired. */
 static void
-on_gone(host_t *h)
+host_end(host_t *h)
 {
 	event_base_loopbreak(h->base);
 }
@@ -474,8 +491,11 @@
 	log_event(LOG_INFO, "host.started", "host", h->settings.id, "callers",
 	    h->settings.callers, "version", GREENGAGELOOM_VERSION, NULL);
 	event_base_dispatch(h->base);
+	h->phase = HOST_ENDING;
 	if (h->incarnation != 0 && !h->superseded) {
-		join_leave(h, TRUE, on_gone);
+		join_leave(h, TRUE,
+		    withdrawals_settled(&h->sync.withdrawals) ? peers_goodbye
+							      : host_end);
 		event_base_dispatch(h->base);
 	}
 	log_event(
--- a/src/host/limits.c
+++ b/src/host/limits.c
@@ -97,7 +97,11 @@
 
 	s->present = TRUE;
 	s->duty->wanted = TRUE;
+	s->agreed_at = 0;
 	borrower_configure(&s->borrower, &config, now);
+	/* A slot that came after the configuration was settled. */
+	if (s->settled == h->catalog.version)
+		borrower_settled(&s->borrower, now);
 	if (s->lending != 0)
 		lender_configure(&s->lender, lent_part(s), now);
 }
@@ -152,8 +156,18 @@
 {
 	uint64_t version = s->host->catalog.version;
 
-	if (!s->present || s->settled == version || !is_settled(s->host, now))
+	if (!s->present || s->settled == version)
 		return;
+	if (!is_settled(s->host, now)) {
+		s->agreed_at = 0;
+		return;
+	}
+	/* Who left the roster with an older one may still count as fresh. */
+	if (s->agreed_at == 0)
+		s->agreed_at = now;
+	if (now - s->agreed_at <= FRESH_LAPSE_MS)
+		return;
+	s->agreed_at = 0;
 	s->settled = version;
 	borrower_settled(&s->borrower, now);
 	if (s->lending != 0)
@@ -164,7 +178,7 @@
 static void
 pump(limit_share_t *s, msec_t now)
 {
-	gboolean fresh = freshness_ok(&s->host->fresh, now);
+	gboolean fresh = freshness_ok(&s->host->sync.fresh, now);
 	carry_t *c;
 	admit_t a;
 
@@ -273,7 +287,7 @@
 	follow_settling(s, now);
 	if (s->present &&
 	    borrower_ask(
-		&s->borrower, freshness_ok(&s->host->fresh, now), now, &q))
+		&s->borrower, freshness_ok(&s->host->sync.fresh, now), now, &q))
 		ask_lender(s, &q, now);
 	if (s->waiting->length > 0 && now >= s->pump_at)
 		pump(s, now);
@@ -314,7 +328,7 @@
 	if (s == NULL || !s->present)
 		return ADMIT_STALE;
 	a = borrower_admit(&s->borrower, c->arrived_at, FALSE,
-	    freshness_ok(&h->fresh, now), now);
+	    freshness_ok(&h->sync.fresh, now), now);
 	*retry_ms = MAX(a.until - now, 1);
 	if (a.kind == ADMIT_WAIT) {
 		c->share = s;
@@ -323,7 +337,7 @@
 		    s->waiting->length > 1 ? MIN(s->pump_at, a.until) : a.until;
 	}
 	if (borrower_ask(
-		&s->borrower, freshness_ok(&s->host->fresh, now), now, &q))
+		&s->borrower, freshness_ok(&s->host->sync.fresh, now), now, &q))
 		ask_lender(s, &q, now);
 	return a.kind;
 }
