--- a/src/host/host.c
+++ b/src/host/host.c
@@ -180,9 +180,18 @@
 }
 
 static void
-on_changed(void *arg, const GArray *rows, msec_t sent_at)
+on_changed(void *arg, const GArray *rows, uint64_t since, msec_t sent_at)
 {
-	control_changed(arg, rows, sent_at);
+	control_changed(arg, rows, since, sent_at);
+}
+
+/* Nothing is held, and none of our writes is under way. */
+static gboolean
+is_drained(const host_t *h, msec_t now)
+{
+	return now >= h->linger_until && h->carries->len == 0 &&
+	    http_server_connections(h->callers) == 0 &&
+	    withdrawals_settled(&h->sync.withdrawals);
 }
 
 static void
@@ -193,14 +202,14 @@
 
 	(void)fd;
 	(void)what;
+	if (h->phase == HOST_ENDING)
+		return;
 	control_tick(h, now);
 	if (h->phase != HOST_DRAINING)
 		return;
 	if (now >= h->linger_until)
 		http_server_drain(h->callers);
-	if (now >= h->drain_until ||
-	    (now >= h->linger_until && h->carries->len == 0 &&
-		http_server_connections(h->callers) == 0))
+	if (now >= h->drain_until || is_drained(h, now))
 		event_base_loopbreak(h->base);
 }
 
@@ -227,7 +236,7 @@
 	host_t *h = arg;
 
 	(void)what;
-	if (h->phase == HOST_DRAINING) {
+	if (h->phase == HOST_DRAINING || h->phase == HOST_ENDING) {
 		event_base_loopbreak(h->base);
 		return;
 	}
@@ -252,7 +261,8 @@
 	h->incarnation = incarnation;
 	h->row_version = version;
 	roster_init(&h->roster, &self);
-	freshness_joined(&h->fresh, version);
+	h->sync.self = (replica_t){h->roster.self, incarnation};
+	freshness_joined(&h->sync.fresh, version);
 	limits_configure(h);
 	log_event(LOG_INFO, "roster.joined", "host", s->id, "incarnation",
 	    log_num((long long)incarnation), NULL);
@@ -383,11 +393,8 @@
 	    &h->store, STORE_KIND_JSON, h->base, h->http, h->settings.store);
 	mirror_init(&h->mirror, &h->store, on_changed, h);
 	catalog_init(&h->catalog);
-	keys_init(&h->keys);
-	freshness_init(&h->fresh);
-	withdrawals_init(&h->withdrawals);
+	keysync_init(&h->sync, (replica_t){HOST_NONE, 0});
 	confspread_init(&h->spread);
-	roster_view_init(&h->view);
 	peers_init(h);
 	operate_init(h);
 	limits_init(h);
@@ -452,12 +459,10 @@
 	peers_finish(h);
 	if (h->incarnation != 0)
 		roster_finish(&h->roster);
-	roster_view_finish(&h->view);
 	confspread_finish(&h->spread);
-	withdrawals_finish(&h->withdrawals);
 	route_choice_finish(&h->routes);
 	endpoint_stats_finish(&h->stats);
-	keys_finish(&h->keys);
+	keysync_finish(&h->sync);
 	catalog_finish(&h->catalog);
 	g_free(h->catalog_text);
 	g_ptr_array_free(h->carries, TRUE);
@@ -466,22 +471,41 @@
 	event_base_free(h->base);
 }
 
+/* Without a goodbye: others count on this host until it is retired. */
 static void
-on_gone(host_t *h)
+host_end(host_t *h)
 {
 	event_base_loopbreak(h->base);
 }
 
+/* Lets our own calls end, probes and those to the store; none is begun. */
+static void
+finish_calls(host_t *h)
+{
+	msec_t until = clock_now() + STORE_TIMEOUT_MS;
+
+	while (h->carries->len == 0 && http_client_busy(h->http) > 0 &&
+	    clock_now() < until) {
+		event_base_loop(h->base, EVLOOP_ONCE);
+		if (event_base_got_break(h->base))
+			return;
+	}
+}
+
 int
 host_run(host_t *h)
 {
 	log_event(LOG_INFO, "host.started", "host", h->settings.id, "callers",
 	    h->settings.callers, "version", GREENGAGELOOM_VERSION, NULL);
 	event_base_dispatch(h->base);
+	h->phase = HOST_ENDING;
 	if (h->incarnation != 0 && !h->superseded) {
-		join_leave(h, TRUE, on_gone);
+		join_leave(h, TRUE,
+		    withdrawals_settled(&h->sync.withdrawals) ? peers_goodbye
+							      : host_end);
 		event_base_dispatch(h->base);
 	}
+	finish_calls(h);
 	log_event(
 	    LOG_INFO, "host.stopped", "cut", log_num(h->carries->len), NULL);
 	if (h->superseded)
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -142,6 +142,12 @@
 	g_free(client);
 }
 
+unsigned int
+http_client_busy(const http_client_t *client)
+{
+	return client->busy->len;
+}
+
 static target_t *
 target_get(http_client_t *client, const char *address)
 {
