--- a/src/host/control.c
+++ b/src/host/control.c
@@ -7,6 +7,7 @@
 #include "host/join.h"
 #include "host/keyops.h"
 #include "host/limits.h"
+#include "host/moves.h"
 #include "host/operate.h"
 #include "host/peers.h"
 #include "host/probe.h"
@@ -109,6 +110,7 @@
 	sync_keys(h, rows, since, sent_at);
 	confops_scanned(h);
 	limits_scanned(h, sent_at);
+	moves_scanned(h, rows, sent_at);
 }
 
 static void
@@ -161,6 +163,7 @@
 		confops_tick(h, now);
 		operate_tick(h, now);
 		limits_tick(h, now);
+		moves_tick(h, now);
 	}
 	check_place(h);
 	if (h->phase == HOST_STARTING && h->incarnation != 0 &&
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -70,6 +70,7 @@
 	msec_t exchange_at;
 	gboolean superseded;
 	msec_t retire_at, list_at;
+	GHashTable *leaving; /* names that the platform lists as leaving */
 	gboolean listing;
 	/* Limits. */
 	GHashTable *shares; /* workspace to limit_share_t */
@@ -77,6 +78,7 @@
 	uint16_t slot_wanted, slot_watched;
 	gboolean slot_claiming;
 	msec_t slot_at, slot_free_since;
+	struct moves *moves;
 	/* Configuration in force; version 0: none yet. */
 	catalog_t catalog;
 	char *catalog_text;
