--- a/src/host/host.c
+++ b/src/host/host.c
@@ -495,6 +495,20 @@
 	event_base_loopbreak(h->base);
 }
 
+/* Lets our own calls end, probes and those to the store; none is begun. */
+static void
+finish_calls(host_t *h)
+{
+	msec_t until = clock_now() + STORE_TIMEOUT_MS;
+
+	while (h->carries->len == 0 && http_client_busy(h->http) > 0 &&
+	    clock_now() < until) {
+		event_base_loop(h->base, EVLOOP_ONCE);
+		if (event_base_got_break(h->base))
+			return;
+	}
+}
+
 int
 host_run(host_t *h)
 {
@@ -508,6 +522,7 @@
 							      : host_end);
 		event_base_dispatch(h->base);
 	}
+	finish_calls(h);
 	log_event(
 	    LOG_INFO, "host.stopped", "cut", log_num(h->carries->len), NULL);
 	if (h->superseded)
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -59,6 +59,9 @@
  * @max_idle: most idle connections kept for each address
  */
 http_client_t *http_client_new(struct event_base *base, unsigned int max_idle);
+
+/* Calls under way, of which the caller awaits on_done. */
+unsigned int http_client_busy(const http_client_t *client);
 void http_client_free(http_client_t *client);
 
 /**
