--- a/tests/process/test_moves.sh
+++ b/tests/process/test_moves.sh
@@ -170,3 +170,36 @@
     fail "cancel: $(cat "$dir/cancel")"
 ggl 1 status --json | grep -q '"reason": *"cancelled"' || fail "status"
 echo "moves: $(cat "$dir/cancel")"
+
+# The holder dies in the middle of a rollout; the next one goes on from the
+# row, and the move is reported once.
+holder=
+for n in 1 2 3; do
+	if grep -q "duty=moves op=take .*won=yes" "$dir/host_$n.log"; then
+		holder=$n
+	fi
+done
+[ -n "$holder" ] || fail "nobody holds the duty"
+other=$((holder % 3 + 1))
+admitted "$other" rollout lettore --to v1 --within 60 >"$dir/third" ||
+    fail "third rollout: $(cat "$dir/third")"
+id=$(grep -o '[0-9a-f]\{16\}' "$dir/third" | head -n 1)
+at_cap() {
+	grep -q "move.step move=$id .*share=2000" "$dir/host_$other.log"
+}
+wait_until 20 at_cap || fail "the rollout did not begin"
+finish "host_$holder" KILL
+ended() {
+	grep -q "move.step move=$id .*state=done" "$dir/host_$other.log"
+}
+wait_until 90 ended || fail "no end after the holder was killed"
+sleep 1
+reports=$(cat "$dir"/host_*.log | grep -c "move.ended move=$id")
+[ "$reports" -eq 1 ] || fail "$reports reports of one move"
+from=$(mark)
+sleep 2
+[ "$(runs v1 "$from")" -gt 0 ] || fail "v1 serves nothing after its rollout"
+[ "$(runs v2 "$from")" -eq 0 ] || fail "v2 serves after the rollout to v1"
+finish "host_$other" TERM
+[ "$status" -eq 0 ] || fail "host $other did not stop cleanly: $status"
+echo "moves: done after its holder was killed"
