--- a/src/host/host.c
+++ b/src/host/host.c
@@ -405,6 +405,8 @@
 	keysync_init(&h->sync, (replica_t){HOST_NONE, 0});
 	confspread_init(&h->spread);
 	peers_init(h);
+	h->leaving =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	operate_init(h);
 	limits_init(h);
 	moves_init(h);
@@ -468,6 +470,7 @@
 	once_calls_finish(h);
 	poison_finish(&h->poison);
 	peers_finish(h);
+	g_hash_table_destroy(h->leaving);
 	if (h->incarnation != 0)
 		roster_finish(&h->roster);
 	confspread_finish(&h->spread);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -70,6 +70,7 @@
 	msec_t exchange_at;
 	gboolean superseded;
 	msec_t retire_at, list_at;
+	GHashTable *leaving; /* names that the platform lists as leaving */
 	gboolean listing;
 	/* Limits. */
 	GHashTable *shares; /* workspace to limit_share_t */
--- a/src/host/lookups.c
+++ b/src/host/lookups.c
@@ -26,7 +26,8 @@
 
 	if (!rows_decode(&row_host, row->value, &value, NULL))
 		return;
-	if (value.state == HOST_LIVE) {
+	if (value.state == HOST_LIVE &&
+	    !g_hash_table_contains(c->host->leaving, name)) {
 		found.name = g_strdup(name);
 		found.address = g_strdup(value.callers);
 		found.region =
--- a/src/host/moves.c
+++ b/src/host/moves.c
@@ -126,6 +126,7 @@
 set_leaving(host_t *h)
 {
 	moves_t *m = h->moves;
+	const endpoint_t *e;
 	share_t left;
 	guint i;
 
@@ -133,8 +134,9 @@
 	for (i = 0; i < h->catalog.endpoints->len; i++) {
 		left = left_to(h, (endpoint_id_t)i);
 		g_array_append_val(m->left, left);
-		endpoint_stats_set_leaving(
-		    &h->stats, (endpoint_id_t)i, left == 0);
+		e = catalog_endpoint(&h->catalog, (endpoint_id_t)i);
+		endpoint_stats_set_leaving(&h->stats, (endpoint_id_t)i,
+		    left == 0 || g_hash_table_contains(h->leaving, e->name));
 	}
 	m->left_version = h->catalog.version;
 }
--- a/src/host/retire.c
+++ b/src/host/retire.c
@@ -3,7 +3,7 @@
 #include "host/join.h"
 #include "host/retire.h"
 
-#define LIST_PERIOD_MS 5000
+#define LIST_PERIOD_MS 2000
 #define RETIRE_PERIOD_MS 500
 
 typedef struct {
@@ -75,9 +75,12 @@
 	if (err != NULL)
 		return;
 	names = g_ptr_array_new();
+	g_hash_table_remove_all(h->leaving);
 	for (i = 0; i < result->u.hosts->len; i++) {
 		host = &g_array_index(result->u.hosts, listed_host_t, i);
 		g_ptr_array_add(names, host->id);
+		if (host->leaving)
+			g_hash_table_add(h->leaving, g_strdup(host->id));
 	}
 	roster_listed(
 	    &h->roster, (const char *const *)names->pdata, names->len);
