--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -5,11 +5,16 @@
 
 pids=
 
+# Fleets on one machine run one after another, so that ports do not collide.
+# The lock is dropped with the last process that holds descriptor 9 open.
+exec 9>"${TMPDIR:-/tmp}/greengageloom-fleet.lock"
+flock -w 280 9 || { echo "another fleet runs on this machine"; exit 1; }
+
 # start NAME COMMAND...: runs in the background; its id in pid_NAME.
 start() {
 	name=$1
 	shift
-	"$@" >>"$dir/$name.log" 2>&1 &
+	"$@" >>"$dir/$name.log" 2>&1 9>&- &
 	eval "pid_$name=$!"
 	pids="$pids $!"
 }
--- a/src/host/peers.c
+++ b/src/host/peers.c
@@ -309,7 +309,8 @@
 	id = roster_find(&h->roster, from->id);
 	word = keysync_say(&h->sync, (replica_t){id, from->incarnation}, now);
 	id = roster_asked(&h->roster, &row, args->sequence,
-	    args->want_vouch && word.vouch && !limits_withholds(h, from->id),
+	    args->want_vouch && word.vouch && !limits_withholds(h, from->id) &&
+		!moves_withholds(h, from->id),
 	    now, &reply);
 	if (id != HOST_NONE && id != h->roster.self) {
 		peer = peer_at(h, from->id, from->rpc_address);
