--- a/src/host/lookups.c
+++ b/src/host/lookups.c
@@ -17,6 +17,19 @@
 	GArray *found; /* lookup_host_t, names and addresses owned */
 } collect_t;
 
+/* Neither silent nor listed by the platform as leaving. */
+static gboolean
+is_heard(const host_t *h, const char *name)
+{
+	host_id_t id;
+
+	if (h->incarnation == 0 || g_hash_table_contains(h->leaving, name))
+		return FALSE;
+	id = roster_find(&h->roster, name);
+	return id != HOST_NONE &&
+	    (id == h->roster.self || roster_live(&h->roster, id, clock_now()));
+}
+
 static void
 collect_host(void *arg, const char *name, const mirror_row_t *row)
 {
@@ -26,8 +39,7 @@
 
 	if (!rows_decode(&row_host, row->value, &value, NULL))
 		return;
-	if (value.state == HOST_LIVE &&
-	    !g_hash_table_contains(c->host->leaving, name)) {
+	if (value.state == HOST_LIVE && is_heard(c->host, name)) {
 		found.name = g_strdup(name);
 		found.address = g_strdup(value.callers);
 		found.region =
