Leases of 4 s in place of 9

Cause: with the lender of a workspace killed, its tokens stay unlent until the lease lapses; the measures show a failure domain down as the worst scene. Ruled out: the wait of the taker (its vouches run out in 3 s, at the same time).

--- a/src/coordination/lease.c
+++ b/src/coordination/lease.c
@@ -3,11 +3,11 @@
 #include "coordination/lease.h"
 
 const lease_terms_t lease_default_terms = {
-    .lease_ms = 9 * MSEC_PER_SEC,
+    .lease_ms = 4 * MSEC_PER_SEC,
     .vouch_ms = 3 * MSEC_PER_SEC,
-    .margin_ms = 500,
-    .renew_ms = 2500,
-    .poll_ms = 2 * MSEC_PER_SEC,
+    .margin_ms = 250,
+    .renew_ms = 1200,
+    .poll_ms = 1 * MSEC_PER_SEC,
     .retry_ms = 250,
 };
 
