--- a/src/host/host.h
+++ b/src/host/host.h
@@ -128,6 +128,19 @@
  */
 int host_run(host_t *h);
 
+/**
+ * host_register_metrics() - Register the counters of @m.
+ * @h: the host
+ */
+void host_register_metrics(host_t *h);
+
+/**
+ * host_open_ports() - Listen for callers, hosts and operators.
+ * @h: the host, its state set up
+ * @err: set if a port can't be bound, or a certificate or secret not read
+ */
+gboolean host_open_ports(host_t *h, GError **err);
+
 /**
  * host_joined() - This process has its place in the roster.
  * @h: the host
--- /dev/null
+++ b/src/host/host_ports.c
@@ -0,0 +1,131 @@
+#include <sys/queue.h>
+
+#include <string.h>
+
+#include "host/carry.h"
+#include "host/confops.h"
+#include "host/dump.h"
+#include "host/harm.h"
+#include "host/host.h"
+#include "host/keyops.h"
+#include "host/limits.h"
+#include "host/lookups.h"
+#include "host/operate.h"
+#include "host/peers.h"
+#include "host/tls_reload.h"
+
+#define HEAD_MAX_BYTES 32768
+#define RECEIVE_MS 30000
+
+static void
+serve_callers(void *arg, http_exchange_t *x)
+{
+	const struct evhttp_uri *uri =
+	    evhttp_request_get_evhttp_uri(http_exchange_request(x));
+	const char *path = evhttp_uri_get_path(uri);
+
+	if (path != NULL && g_str_has_prefix(path, LOOKUPS_PREFIX))
+		lookups_serve(arg, x);
+	else
+		carry_begin(arg, x);
+}
+
+static char *
+refuse_body(const char *reason)
+{
+	return refusal_body(reason, RUN_NOT);
+}
+
+static void
+serve_rpc(
+    void *arg, rpc_call_id_t id, const char *caller, const rpc_args_t *args)
+{
+	host_t *h = arg;
+
+	if (h->incarnation == 0 && args->proc != RPC_PROC_OPERATE) {
+		rpc_server_refuse(&h->rpc_server, id);
+		return;
+	}
+	switch (args->proc) {
+	case RPC_PROC_EXCHANGE:
+		peers_answer(h, id, caller, &args->u.exchange);
+		break;
+	case RPC_PROC_WITHDRAW:
+		keyops_serve_withdraw(h, id, &args->u.withdraw);
+		break;
+	case RPC_PROC_FETCH_KEYS:
+		keyops_serve_fetch(h, id, &args->u.fetch_keys);
+		break;
+	case RPC_PROC_FETCH_CONFIG:
+		confops_serve_fetch(h, id, &args->u.fetch_config);
+		break;
+	case RPC_PROC_OPERATE:
+		operate_serve(h, id, &args->u.operate);
+		break;
+	case RPC_PROC_BORROW:
+		limits_serve_borrow(h, id, caller, &args->u.borrow);
+		break;
+	case RPC_PROC_SUSPECT:
+		harm_serve(h, id, caller, &args->u.suspect);
+		break;
+	case RPC_PROC_NULL:
+		rpc_server_refuse(&h->rpc_server, id);
+		break;
+	}
+}
+
+static gboolean
+open_rpc(host_t *h, GError **err)
+{
+	const rpc_client_config_t client = {
+	    .base = h->base,
+	    .key = &h->rpc_key,
+	    .id = h->settings.id,
+	    .metrics = &h->metrics,
+	    .version = HOST_VERSION,
+	};
+	const rpc_server_config_t server = {
+	    .base = h->base,
+	    .key = &h->rpc_key,
+	    .self = {h->settings.id, h->settings.rpc},
+	    .metrics = &h->metrics,
+	    .handler = serve_rpc,
+	    .arg = h,
+	};
+
+	if (!rpc_key_load(&h->rpc_key, h->settings.secret_file, err))
+		return FALSE;
+	rpc_client_init(&h->rpc_client, &client);
+	h->rpc_open =
+	    rpc_server_init(&h->rpc_server, &server, h->settings.rpc, err);
+	if (!h->rpc_open)
+		rpc_client_finish(&h->rpc_client);
+	return h->rpc_open;
+}
+
+gboolean
+host_open_ports(host_t *h, GError **err)
+{
+	const settings_t *s = &h->settings;
+	http_server_conf_t conf = {
+	    .address = s->callers,
+	    .max_head_bytes = HEAD_MAX_BYTES,
+	    .max_body_bytes = (size_t)s->max_body_bytes,
+	    .body_memory_bytes = (size_t)s->body_memory_bytes,
+	    .max_connections = (unsigned int)s->max_connections,
+	    .receive_ms = RECEIVE_MS,
+	};
+
+	if (!open_rpc(h, err) || !tls_reload_init(h, err))
+		return FALSE;
+	conf.tls = h->tls;
+	h->callers =
+	    http_server_new(h->base, &conf, serve_callers, refuse_body, h, err);
+	if (h->callers == NULL)
+		return FALSE;
+	conf.address = s->operators;
+	conf.tls = NULL;
+	h->operators =
+	    http_server_new(h->base, &conf, dump_serve, refuse_body, h, err);
+	return h->operators != NULL;
+}
--- a/tests/fuzz/byte_feed.h
+++ b/tests/fuzz/byte_feed.h
@@ -62,4 +62,22 @@
 	}
 }
 
+/*
+ * One input of libFuzzer, with no rule broken: aborts where the oracle finds
+ * a violation.
+ */
+static inline int
+feed_input(const char *target, const uint8_t *data, size_t size,
+    const char *(*run)(byte_feed_t *f, int broken))
+{
+	byte_feed_t f = {data, size, 0};
+	const char *violation = run(&f, 0);
+
+	if (violation != NULL) {
+		fprintf(stderr, "%s: %s\n", target, violation);
+		abort();
+	}
+	return 0;
+}
+
 #endif
--- a/tests/fuzz/fuzz_lease.c
+++ b/tests/fuzz/fuzz_lease.c
@@ -466,12 +466,5 @@
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	byte_feed_t f = {data, size, 0};
-	const char *violation = run(&f, RULES_KEPT);
-
-	if (violation != NULL) {
-		fprintf(stderr, "fuzz_lease: %s\n", violation);
-		abort();
-	}
-	return 0;
+	return feed_input("fuzz_lease", data, size, run);
 }
