Text: what concerns the whole text in a file of its own; one feed of weighted events

text.c held two jobs in 498 lines: reading groups, and judging the whole (dependencies, cycles, served versions, capacities). The second is now text_check, 346 and 163 lines. test_limits and test_roster drew their random events by the same loop; it is now fuzz/weighted_ops.h, with the same draws in the same order.

test_text, test_examples, test_limits, test_roster, test_config, test_cli pass.

--- a/src/cmd/cli_commands.c
+++ b/src/cmd/cli_commands.c
@@ -7,6 +7,7 @@
 #include "cmd/cli_print.h"
 #include "protocol/ini.h"
 #include "protocol/text.h"
+#include "protocol/text_check.h"
 #include "state/digest.h"
 #include "state/key_text.h"
 
--- a/src/protocol/text.h
+++ b/src/protocol/text.h
@@ -26,15 +26,4 @@
 int text_parse(
     catalog_t *c, const char *name, const char *text, GPtrArray *errors);
 
-/**
- * text_warnings() - Judge whether the capacities can carry the load.
- * @c: a catalog that text_parse() took
- * @warnings: takes a line (char *) for each doubt
- *
- * Compares, for each service whose typical request time is stated, the sum of
- * the workspaces' rates with what its slots serve, whole and with the largest
- * failure domain down.
- */
-void text_warnings(const catalog_t *c, GPtrArray *warnings);
-
 #endif
--- a/tests/test_examples.c
+++ b/tests/test_examples.c
@@ -4,6 +4,7 @@
 #include "host/settings.h"
 #include "protocol/ini.h"
 #include "protocol/text.h"
+#include "protocol/text_check.h"
 #include "suite.h"
 
 #define TEXT_MAX_BYTES (1024 * 1024)
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "fuzz/limits_model.h"
+#include "fuzz/weighted_ops.h"
 #include "suite.h"
 
 /* Runs the model over random bytes until it notices a violation. */
@@ -8,28 +9,22 @@
 runs_until_violated(
     model_break_t broken, int runs, long *admitted, long *refused)
 {
-	/* Faults are rarer than what makes progress. */
 	static const uint8_t ops[] = {EV_TIME, EV_TIME, EV_REQUESTS,
 	    EV_REQUESTS, EV_ASK, EV_ASK, EV_ASK, EV_DELIVER, EV_DELIVER,
 	    EV_DELIVER, EV_DELIVER, EV_DOUBLE, EV_LOSE, EV_TAKE_LEASE,
 	    EV_RENEW_LEASE, EV_FRESHEN, EV_ADOPT, EV_SETTLE, EV_CALM, EV_CALM};
 	static const uint8_t faults[] = {EV_PAUSE, EV_PAUSE, EV_KILL, EV_JOIN,
 	    EV_JOIN, EV_CONFIG, EV_CONFIG};
+	static const weighted_ops_t events = {
+	    ops, G_N_ELEMENTS(ops), faults, G_N_ELEMENTS(faults), 12};
 	static model_t m;
 	GRand *rand = g_rand_new_with_seed(1);
 	uint8_t data[257];
-	size_t j;
 	int i;
 
 	for (i = 0; i < runs; i++) {
 		data[0] = (uint8_t)i;
-		for (j = 1; j < sizeof(data); j += 2) {
-			data[j] = ops[g_rand_int_range(rand, 0, sizeof(ops))];
-			if (g_rand_int_range(rand, 0, 12) == 0)
-				data[j] = faults[g_rand_int_range(
-				    rand, 0, sizeof(faults))];
-			data[j + 1] = (uint8_t)g_rand_int_range(rand, 0, 256);
-		}
+		weighted_fill(&events, rand, data + 1, sizeof(data) - 1);
 		model_run(&m, broken, data, sizeof(data));
 		*admitted += m.admitted;
 		*refused += m.refused;
--- a/tests/test_roster.c
+++ b/tests/test_roster.c
@@ -1,30 +1,25 @@
 #include <stdlib.h>
 
 #include "fuzz/roster_model.h"
+#include "fuzz/weighted_ops.h"
 #include "suite.h"
 
 /* Runs the model over random bytes until it notices a violation. */
 static int
 runs_until_violated(model_break_t broken, int runs, int *writes, int *vouched)
 {
-	/* Faults are rarer than what makes progress. */
 	static const uint8_t ops[] = {0, 0, 0, 1, 1, 2, 2, 2, 2, 2, 2, 3, 4, 5,
 	    8, 8, 9, 9, 10, 10, 10, 10, 11, 15, 15, 15};
 	static const uint8_t faults[] = {5, 6, 7, 7, 11, 12, 13, 14};
+	static const weighted_ops_t events = {
+	    ops, G_N_ELEMENTS(ops), faults, G_N_ELEMENTS(faults), 16};
 	static model_t m;
 	GRand *rand = g_rand_new_with_seed(1);
 	uint8_t data[256];
-	size_t j;
 	int i;
 
 	for (i = 0; i < runs; i++) {
-		for (j = 0; j < sizeof(data); j += 2) {
-			data[j] = ops[g_rand_int_range(rand, 0, sizeof(ops))];
-			if (g_rand_int_range(rand, 0, 16) == 0)
-				data[j] = faults[g_rand_int_range(
-				    rand, 0, sizeof(faults))];
-			data[j + 1] = (uint8_t)g_rand_int_range(rand, 0, 256);
-		}
+		weighted_fill(&events, rand, data, sizeof(data));
 		model_run(&m, broken, data, sizeof(data));
 		*writes += m.effective;
 		*vouched += m.vouched;
