Settings: no key without an effect: seeds is gone

[fleet] seeds was checked and used nowhere: hosts find each other by the store's rows, and a host that can't reach the store gets no incarnation, so addresses of others would not help it to serve.

--- a/src/host/settings.c
+++ b/src/host/settings.c
@@ -61,20 +61,11 @@
 static void
 read_fleet(settings_t *s, const ini_t *ini)
 {
-	char *seeds = NULL;
 	const ini_field_t fields[] = {
-	    {"seeds", INI_STRING, FALSE, 0, 4096, &seeds},
 	    {"secret_file", INI_STRING, TRUE, 1, PATH_CHARS, &s->secret_file},
 	};
-	size_t i;
 
 	ini_group(ini, "fleet", fields, G_N_ELEMENTS(fields));
-	s->seeds = g_strsplit_set(seeds != NULL ? seeds : "", " ", -1);
-	for (i = 0; s->seeds[i] != NULL; i++) {
-		if (*s->seeds[i] != '\0')
-			check_address(ini, "fleet", "seeds", s->seeds[i]);
-	}
-	g_free(seeds);
 }
 
 static void
@@ -186,7 +177,6 @@
 	g_free(s->rpc);
 	g_free(s->operators);
 	g_free(s->store);
-	g_strfreev(s->seeds);
 	g_free(s->secret_file);
 	g_free(s->certificate);
 	g_free(s->key);
--- a/src/host/settings.h
+++ b/src/host/settings.h
@@ -18,7 +18,6 @@
 	/* [store] */
 	char *store; /* "IP:PORT" */
 	/* [fleet] */
-	char **seeds; /* "IP:PORT" of other hosts' RPC; may be empty */
 	char *secret_file;
 	/* [limits] */
 	gint64 max_body_bytes;
