Fleets wait for each other only on the same ports

One lock kept every fleet of a machine apart, so that a test of one checkout waited for any test of another: process_test_settings_check took 61 s for 0.2 s of work, process_test_secrets 34 s for 8. Ports are all they share; the lock is now one for each first port, and the ranges don't overlap.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -5,10 +5,10 @@
 
 pids=
 
-# Fleets on one machine run one after another, so that ports do not collide.
-# The lock is dropped with the last process that holds descriptor 9 open.
-exec 9>"${TMPDIR:-/tmp}/greengageloom-fleet.lock"
-flock -w 280 9 || { echo "another fleet runs on this machine"; exit 1; }
+# Fleets on the same ports run one after another. The lock is dropped with the
+# last process that holds descriptor 9 open.
+exec 9>"${TMPDIR:-/tmp}/greengageloom-fleet-$base.lock"
+flock -w 280 9 || { echo "another fleet runs on ports $base and up"; exit 1; }
 
 # start NAME COMMAND...: runs in the background; its id in pid_NAME.
 start() {
--- a/tests/process/test_settings_check.sh
+++ b/tests/process/test_settings_check.sh
@@ -5,7 +5,7 @@
 set -eu
 bin=$1
 dir=$(mktemp -d)
-base=22010
+base=22200
 # shellcheck source=scripts/fleet.sh
 . "$(dirname "$0")/../../scripts/fleet.sh"
 trap 'rm -rf "$dir"' EXIT
