Moves: a conflict only by a scan sent after the question

Cause: a host judged a new move by its copy of the store, up to 1 s old. Who was told through one host that a move had ended was refused by another that still had the move as running. The version that a rollout replaces came from the same copy, once, before the wait; now it is asked for at each admission.

A conflict by a copy older than the question is looked up again; without an answer of the store within 10 s the request is refused as having had no effect. The request's reading gets a file of its own.

Ruled out: scanning before every start, which would refuse with the store down only after the wait, where now the write says so at once.

Test: six starts, each through another host than the cancellation before.

--- a/src/host/move_ops.c
+++ b/src/host/move_ops.c
@@ -5,11 +5,11 @@
 #include "base/log.h"
 #include "host/fenced.h"
 #include "host/move_ops.h"
+#include "host/move_request.h"
 #include "protocol/move_json.h"
 
 /* In the rows that say no more than that they are there. */
 #define PRESENT "1"
-#define PERMILLE 1000
 
 static void
 op_end(move_op_t *op, move_op_state_t state, const char *why)
@@ -23,6 +23,15 @@
 	    "reason", why, NULL);
 }
 
+/* Goes on by what a scan that is sent from now on shows. */
+static void
+op_look(move_op_t *op)
+{
+	op->state = MOVE_OP_WAITING;
+	op->ended_at = clock_now();
+	mirror_scan(&op->host->mirror);
+}
+
 /* What had no effect itself may follow a write that still has one. */
 static void
 op_refuse(move_op_t *op, const char *why)
@@ -35,6 +44,13 @@
 	op_end(op, MOVE_OP_REFUSED, why);
 }
 
+/* The copy of the store may be older than what the operator was told. */
+static gboolean
+is_old_copy(const move_op_t *op)
+{
+	return op->host->mirror.sent_at <= op->asked_at;
+}
+
 static char *
 op_key(const move_op_t *op)
 {
@@ -129,9 +145,13 @@
 	char *text;
 
 	mirror_each(&h->mirror, ROWS_MOVE, add_row, rows);
+	move_request_set_base(h, &op->request);
 	ok = move_admit(rows, &op->request, &h->catalog.caps, clock_wall(),
 	    &row, &again, &err);
-	if (!ok && err->code == ERROR_CONFLICT) {
+	if (!ok && err->code == ERROR_CONFLICT && is_old_copy(op)) {
+		g_error_free(err);
+		op_look(op);
+	} else if (!ok && err->code == ERROR_CONFLICT) {
 		/* The other one's row of admissions keeps a late write of
 		 * this one from taking effect. */
 		op_end(op, MOVE_OP_CONFLICT, err->message);
@@ -182,9 +202,14 @@
 void
 move_ops_tick(move_op_t *op)
 {
-	if (op->state != MOVE_OP_WAITING ||
-	    op->host->mirror.sent_at <= op->ended_at)
+	if (op->state != MOVE_OP_WAITING)
+		return;
+	if (op->host->mirror.sent_at <= op->ended_at) {
+		if (op->tries == 0 && clock_now() - op->asked_at > MOVE_LOOK_MS)
+			op_end(
+			    op, MOVE_OP_REFUSED, "the store can't be reached");
 		return;
+	}
 	if (is_written(op))
 		op_end(op, MOVE_OP_ACCEPTED, NULL);
 	else if (op->tries >= MOVE_ADMIT_TRIES && !op->unsure)
@@ -195,87 +220,13 @@
 		write_start(op);
 }
 
-static gboolean
-has_version(const catalog_t *c, service_id_t service, const char *version)
-{
-	const endpoint_t *e;
-	guint i;
-
-	for (i = 0; i < c->endpoints->len; i++) {
-		e = catalog_endpoint(c, (endpoint_id_t)i);
-		if (e->service == service && strcmp(e->version, version) == 0)
-			return TRUE;
-	}
-	return FALSE;
-}
-
-/* What a drain empties, by its name. */
-static const char *
-drain_scope(const host_t *h, const char *name, move_request_t *q)
-{
-	const catalog_t *c = &h->catalog;
-	endpoint_id_t endpoint = catalog_find_endpoint(c, name);
-
-	q->service = g_strdup("*");
-	if (endpoint != ID_NONE) {
-		g_free((char *)(uintptr_t)q->service);
-		q->scope = MOVE_ENDPOINT;
-		q->service = g_strdup(
-		    catalog_service(c, catalog_endpoint(c, endpoint)->service)
-			->name);
-	} else if (catalog_find_domain(c, name) != ID_NONE) {
-		q->scope = MOVE_DOMAIN;
-	} else if (catalog_find_region(c, name) != ID_NONE) {
-		q->scope = MOVE_REGION;
-	} else if (roster_find(&h->roster, name) != HOST_NONE) {
-		q->scope = MOVE_HOST;
-	} else {
-		return "no endpoint, failure domain, region or host has "
-		       "this name";
-	}
-	q->from = g_strdup(name);
-	return NULL;
-}
-
-static const char *
-fill_request(const host_t *h, const operate_move_start_t *a, move_request_t *q)
-{
-	const catalog_t *c = &h->catalog;
-	service_id_t service = catalog_find_service(c, a->service);
-
-	q->within_sec = a->within_sec;
-	q->goal = (share_t)((uint64_t)a->share_permille * SHARE_ONE / PERMILLE);
-	q->to = g_strdup(a->to);
-	if (a->kind == RPC_MOVE_DRAIN) {
-		q->kind = MOVE_DRAIN;
-		return drain_scope(h, a->from, q);
-	}
-	q->service = g_strdup(a->service);
-	if (service == ID_NONE)
-		return "no such service in force here";
-	if (a->kind == RPC_MOVE_SHIFT) {
-		q->kind = MOVE_SHIFT;
-		q->scope = MOVE_REGION;
-		q->from = g_strdup(a->from);
-		return catalog_find_region(c, a->from) == ID_NONE ||
-			catalog_find_region(c, a->to) == ID_NONE
-		    ? "no such region in force here"
-		    : NULL;
-	}
-	q->kind = MOVE_ROLLOUT;
-	q->scope = MOVE_VERSION;
-	q->from = g_strdup(moves_base_version(h, service));
-	return has_version(c, service, a->to)
-	    ? NULL
-	    : "no endpoint of the service has this version";
-}
-
 static move_op_t *
 op_new(host_t *h, const char *id)
 {
 	move_op_t *op = g_new0(move_op_t, 1);
 
 	op->host = h;
+	op->asked_at = clock_now();
 	op->id = g_strdup(id);
 	op->request.id = op->id;
 	return op;
@@ -285,7 +236,7 @@
 move_ops_start(host_t *h, const operate_move_start_t *a, const char *id)
 {
 	move_op_t *op = op_new(h, id);
-	const char *why = fill_request(h, a, &op->request);
+	const char *why = move_request_fill(h, a, &op->request);
 
 	if (why != NULL)
 		op_end(op, MOVE_OP_REFUSED, why);
@@ -305,9 +256,7 @@
 		return op;
 	}
 	/* It may have been started within the last scan's period. */
-	op->state = MOVE_OP_WAITING;
-	op->ended_at = clock_now();
-	mirror_scan(&h->mirror);
+	op_look(op);
 	return op;
 }
 
@@ -317,9 +266,7 @@
 	op->forgotten = TRUE;
 	if (op->waiting)
 		return;
-	g_free((char *)(uintptr_t)op->request.service);
-	g_free((char *)(uintptr_t)op->request.from);
-	g_free((char *)(uintptr_t)op->request.to);
+	move_request_finish(&op->request);
 	g_free(op->id);
 	g_free(op->why);
 	g_free(op);
--- a/src/host/move_ops.h
+++ b/src/host/move_ops.h
@@ -8,6 +8,9 @@
 
 /* Most tries to admit a move against others that are started at once. */
 #define MOVE_ADMIT_TRIES 5
+/* Longest wait for a first look at the store; less than an operator waits for
+ * an acceptance. */
+#define MOVE_LOOK_MS (10 * MSEC_PER_SEC)
 
 typedef enum {
 	MOVE_OP_WRITING,
@@ -27,7 +30,8 @@
 	char *why;	 /* of a refusal, or NULL */
 	gboolean unsure; /* a write may have taken effect, or still may */
 	guint tries;
-	msec_t ended_at; /* of the last write */
+	msec_t asked_at; /* by the operator */
+	msec_t ended_at; /* of the last write, or when a look was needed */
 	gboolean waiting, forgotten;
 } move_op_t;
 
--- a/tests/process/test_moves.sh
+++ b/tests/process/test_moves.sh
@@ -171,6 +171,15 @@
 ggl 1 status --json | grep -q '"reason": *"cancelled"' || fail "status"
 echo "moves: $(cat "$dir/cancel")"
 
+# Who was told that a move ended can start the next one through any host.
+for n in 1 2 3 2 1 3; do
+	admitted "$n" rollout lettore --to v1 --within 3600 >"$dir/next" ||
+	    fail "after the end was told, host $n: $(cat "$dir/next")"
+	id=$(grep -o '[0-9a-f]\{16\}' "$dir/next" | head -n 1)
+	admitted "$n" cancel "$id" --wait 30 >"$dir/cancel" 2>&1 ||
+	    fail "cancel through host $n: $(cat "$dir/cancel")"
+done
+
 # The holder dies in the middle of a rollout; the next one goes on from the
 # row, and the move is reported once.
 holder=
