What an ended host told stops counting

poison_peer_gone() and endpoint_stats_peer_gone() had no caller: the claim of a host that had died held its suspect up for 30 s on all others, and its counts stood for 2 s. They are called now when an incarnation has left the roster or another has taken its place. A host that is only silent may still have its requests under way, so its claims stand until they lapse (POISON_CLAIM_MS).

--- a/src/host/peers.c
+++ b/src/host/peers.c
@@ -6,6 +6,7 @@
 #include "host/keyops.h"
 #include "host/limits.h"
 #include "host/moves.h"
+#include "host/peer_counts.h"
 #include "host/peers.h"
 
 static void
@@ -104,30 +105,6 @@
 	return HOST_GONE;
 }
 
-static void
-take_loads(host_t *h, const rpc_heartbeat_t *beat, host_id_t id, msec_t at)
-{
-	const endpoint_stat_t *stat;
-	endpoint_id_t endpoint;
-	guint i, k;
-
-	for (i = 0; i < h->catalog.endpoints->len; i++) {
-		endpoint = (endpoint_id_t)i;
-		stat = endpoint_stats_row(&h->stats, endpoint);
-		for (k = 0; k < beat->loads.loads_len; k++) {
-			if (strcmp(stat->name,
-				beat->loads.loads_val[k].endpoint) == 0)
-				break;
-		}
-		endpoint_stats_peer(&h->stats, endpoint, id,
-		    k < beat->loads.loads_len
-			? (uint16_t)MIN(
-			      beat->loads.loads_val[k].in_flight, UINT16_MAX)
-			: 0,
-		    at);
-	}
-}
-
 static void
 take_steps(peer_t *peer, const rpc_heartbeat_t *beat)
 {
@@ -158,7 +135,7 @@
 	peer->heard_incarnation = beat->host.incarnation;
 	take_steps(peer, beat);
 	if (id != h->roster.self)
-		take_loads(h, beat, id, at);
+		peer_counts_take(h, beat, id, at);
 	confops_heard(h, id, beat, now);
 	if (id != h->roster.self)
 		moves_heard(h, beat, asked ? at : MOVES_UNASKED);
@@ -187,6 +164,7 @@
 	reply.acknowledges = r->knows_incarnation;
 	reply.superseded = r->superseded;
 	roster_replied(&h->roster, id, &reply, peer->sent_at, now);
+	peer_counts_forget(h);
 	take_heartbeat(h, peer, id, &r->heartbeat, TRUE, peer->sent_at, now);
 	keyops_heard(h, peer, &r->heartbeat);
 }
@@ -273,6 +251,7 @@
 	    log_num((long long)beat->host.incarnation), NULL);
 	keysync_goodbye(&h->sync, beat->keys_version);
 	roster_gone(&h->roster, beat->host.id, beat->host.incarnation, now);
+	peer_counts_forget(h);
 	host_place_routes(h);
 }
 
@@ -314,6 +293,7 @@
 	    now, &reply);
 	if (id != HOST_NONE && id != h->roster.self) {
 		peer = peer_at(h, from->id, from->rpc_address);
+		peer_counts_forget(h);
 		if (peer != NULL)
 			take_heartbeat(
 			    h, peer, id, &args->heartbeat, FALSE, now, now);
@@ -378,6 +358,7 @@
 	roster_scan_begin(&h->roster);
 	mirror_each(&h->mirror, ROWS_HOST, take_row, &scan);
 	roster_scan_end(&h->roster, last.last, scan.now);
+	peer_counts_forget(h);
 	return scan.replicas;
 }
 
--- a/src/host/peers.h
+++ b/src/host/peers.h
@@ -24,6 +24,7 @@
 	gboolean fetching_keys;
 	msec_t heard_at;
 	uint64_t heard_incarnation;
+	uint64_t counted_incarnation; /* whose counts and claims are kept */
 	GArray *steps; /* peer_step_t: what it has confirmed of moves */
 } peer_t;
 
--- a/tests/process/test_poison.sh
+++ b/tests/process/test_poison.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # A request that crashes each backend server that runs it, sent again through
 # all hosts at once: at most two servers die of it, then every host refuses
-# it; other requests are answered and never refused for it.
+# it; other requests are answered and never refused for it. What a host that
+# has died had claimed for a suspect does not hold the suspect up.
 # usage: test_poison.sh BUILD-DIR
 set -eu
 base=22500
@@ -95,3 +96,22 @@
 done
 # A clip may be sent again, so that each is answered.
 expect clips answered 400
+
+# A suspect runs alone for a host that dies; the host comes back without it.
+mark="--path /call/prenota/mark --method POST --key-file $dir/good"
+# shellcheck disable=SC2086
+kill_by mark "$(callers 1)" 1 10 $mark
+end_ask mark
+sleep 0.3
+revive
+# shellcheck disable=SC2086
+ask held "$(callers 1)" 1 10 --fault hang --tries 1 $mark
+sleep 1.5
+finish host_1 KILL
+end_ask held
+start_host 1
+wait_until 15 serving 1 || fail "host 1 does not come back"
+# shellcheck disable=SC2086
+ask freed "$(callers 2)" 1 10 --tries 1 $mark
+end_ask freed
+expect freed answered 1
