--- a/src/host/carry_place.c
+++ b/src/host/carry_place.c
@@ -24,10 +24,11 @@
 	return FALSE;
 }
 
-/* Endpoints tried before, those a suspect has to itself, and, for a suspect,
- * those with other requests. */
+/* Endpoints of the service that were tried before, those a suspect has to
+ * itself, and, for a suspect, those with other requests. */
 static guint
-excluded(const carry_t *c, gboolean alone, endpoint_id_t *ids, guint max)
+excluded(const carry_t *c, service_id_t service, gboolean alone,
+    endpoint_id_t *ids, guint max)
 {
 	const host_t *h = c->host;
 	msec_t now = clock_now();
@@ -38,6 +39,8 @@
 	for (i = 0; i < h->catalog.endpoints->len && n < max; i++) {
 		e = catalog_endpoint(&h->catalog, (endpoint_id_t)i);
 		name = e->name;
+		if (e->service != service)
+			continue;
 		if (was_tried(c, name) ||
 		    http_client_full(h->http, e->address) ||
 		    poison_endpoint_apart(&h->poison, name, now) ||
@@ -90,7 +93,8 @@
 
 	if (want.service == ID_NONE)
 		return ROUTE_NONE;
-	want.n_tried = excluded(c, alone, leave_out, EXCLUDED_MAX);
+	want.n_tried =
+	    excluded(c, want.service, alone, leave_out, EXCLUDED_MAX);
 	drained = drained_away(h, want.service, leave_out + want.n_tried,
 	    EXCLUDED_MAX - want.n_tried);
 	want.n_tried += drained;
