Full endpoints are told as no room, not as no server

A request whose service's endpoints were all at their limit of connections, or held by suspects, was refused at once with no-server. The stand-in's log tells ends and shed answers as well as runs.

--- a/src/host/carry_place.c
+++ b/src/host/carry_place.c
@@ -24,30 +24,47 @@
 	return FALSE;
 }
 
-/* Endpoints of the service that were tried before, those a suspect has to
- * itself, and, for a suspect, those with other requests. */
-static guint
-excluded(const carry_t *c, service_id_t service, gboolean alone,
-    endpoint_id_t *ids, guint max)
+/* Endpoints that a request is kept from. */
+typedef struct {
+	endpoint_id_t ids[EXCLUDED_MAX];
+	guint n;
+	gboolean for_room; /* some of them for now only */
+} left_out_t;
+
+/* Whether the endpoint may take this request, but not at this moment. */
+static gboolean
+lacks_room(const carry_t *c, const endpoint_t *e, gboolean alone)
+{
+	const host_t *h = c->host;
+
+	return http_client_full(h->http, e->address) ||
+	    poison_endpoint_apart(&h->poison, e->name, clock_now()) ||
+	    (alone && poison_endpoint_busy(&h->poison, e->name));
+}
+
+/* Endpoints of the service that were tried before, those at their limit of
+ * connections, those a suspect has to itself, and, for a suspect, those with
+ * other requests. */
+static void
+leave_out(
+    const carry_t *c, service_id_t service, gboolean alone, left_out_t *out)
 {
 	const host_t *h = c->host;
-	msec_t now = clock_now();
 	const endpoint_t *e;
-	const char *name;
-	guint i, n = 0;
+	gboolean tried;
+	guint i;
 
-	for (i = 0; i < h->catalog.endpoints->len && n < max; i++) {
+	for (i = 0; i < h->catalog.endpoints->len && out->n < EXCLUDED_MAX;
+	     i++) {
 		e = catalog_endpoint(&h->catalog, (endpoint_id_t)i);
-		name = e->name;
 		if (e->service != service)
 			continue;
-		if (was_tried(c, name) ||
-		    http_client_full(h->http, e->address) ||
-		    poison_endpoint_apart(&h->poison, name, now) ||
-		    (alone && poison_endpoint_busy(&h->poison, name)))
-			ids[n++] = (endpoint_id_t)i;
+		tried = was_tried(c, e->name);
+		if (!tried && !lacks_room(c, e, alone))
+			continue;
+		out->ids[out->n++] = (endpoint_id_t)i;
+		out->for_room |= !tried;
 	}
-	return n;
 }
 
 /* Endpoints of the service whose partial drain takes this request away. */
@@ -82,10 +99,10 @@
 book(carry_t *c, gboolean alone)
 {
 	host_t *h = c->host;
-	endpoint_id_t leave_out[EXCLUDED_MAX];
+	left_out_t out = {.n = 0};
 	route_request_t want = {
 	    .service = catalog_find_service(&h->catalog, c->request.service),
-	    .tried = leave_out,
+	    .tried = out.ids,
 	};
 	const endpoint_t *e;
 	route_result_t r;
@@ -93,21 +110,23 @@
 
 	if (want.service == ID_NONE)
 		return ROUTE_NONE;
-	want.n_tried =
-	    excluded(c, want.service, alone, leave_out, EXCLUDED_MAX);
-	drained = drained_away(h, want.service, leave_out + want.n_tried,
-	    EXCLUDED_MAX - want.n_tried);
-	want.n_tried += drained;
+	leave_out(c, want.service, alone, &out);
+	drained = drained_away(
+	    h, want.service, out.ids + out.n, EXCLUDED_MAX - out.n);
+	want.n_tried = out.n + drained;
 	want.bits = evbuffer_get_length(c->request.body) * 8;
 	moves_route(h, want.service);
 	r = route_choose(
 	    &h->routes, &h->stats, &h->catalog, &want, clock_now());
 	/* A partial drain leaves a request where nobody else can take it. */
 	if (r.kind != ROUTE_SENT && drained > 0) {
-		want.n_tried -= drained;
+		want.n_tried = out.n;
 		r = route_choose(
 		    &h->routes, &h->stats, &h->catalog, &want, clock_now());
 	}
+	/* A suspect looks again by itself and holds up no queue. */
+	if (r.kind == ROUTE_NONE && out.for_room && !alone)
+		return ROUTE_FULL;
 	if (r.kind != ROUTE_SENT)
 		return r.kind;
 	e = catalog_endpoint(&h->catalog, r.endpoint);
--- a/tests/standins/standin_backend.c
+++ b/tests/standins/standin_backend.c
@@ -1,7 +1,7 @@
 /*
  * Stands in for a backend server: answers "NAME VERSION ID\n", holds each
- * request for a while, sheds when its slots are full, and writes a line for
- * each run to its log, from which tests count.
+ * request for a while, sheds when its slots are full, and writes lines to its
+ * log, from which tests count: run, end, shed, crash, key-seen.
  *
  * Per request, by the header X-Fault:
  *   crash      exit at once
@@ -149,6 +149,7 @@
 	(void)fd;
 	(void)what;
 	running--;
+	log_line("end", run->id);
 	if (run->fault != NULL && strcmp(run->fault, "truncate") == 0)
 		answer_truncated(run->req);
 	else if (run->fault != NULL && strcmp(run->fault, "drop") == 0)
@@ -162,8 +163,9 @@
 }
 
 static void
-shed(struct evhttp_request *req)
+shed(struct evhttp_request *req, const char *id)
 {
+	log_line("shed", id);
 	evhttp_add_header(evhttp_request_get_output_headers(req),
 	    "Greengageloom-Shed", "not-run");
 	evhttp_add_header(
@@ -206,7 +208,7 @@
 	run_t *run;
 
 	if (running >= slots) {
-		shed(req);
+		shed(req, id != NULL ? id : "-");
 		return;
 	}
 	log_run(req, id != NULL ? id : "-");
