Spill caps are split over the hosts that can use them

Cause of no-room refusals though there was room, seen while a host stopped: not the stop. A region's spill slots were split over all live hosts, those of the region too, which never spill into it: of the demonstration's one slot in Verona (cap 0.5 of 3) the part fell to the host in Verona. The cap is split over the live hosts outside of the region now; its sum is what it was. What is refused still is beyond the cap, or beyond the host's part of it. process_test_room: 24 slow requests through the two hosts of a full region had 2 at once in the other before (failed), 4 of the cap's 4 after (one run each); no shed answer there, 60 of 60 of its own answered. test_routing, fuzz_route pass.

--- a/src/host/host_place.c
+++ b/src/host/host_place.c
@@ -8,31 +8,58 @@
 	return strcmp(*(char *const *)a, *(char *const *)b);
 }
 
-/* Counts the live hosts and finds this one's position among them. */
-static uint16_t
-position(const host_t *h, const char *region, uint16_t *n)
+typedef enum {
+	IN_ANY,
+	INSIDE,
+	OUTSIDE,
+} side_t;
+
+static gboolean
+is_on(const roster_host_t *row, side_t side, const char *region)
+{
+	return side == IN_ANY ||
+	    (strcmp(row->region, region) == 0) == (side == INSIDE);
+}
+
+/* This host's position among the live ones inside or outside a region. */
+static route_place_t
+place_among(const host_t *h, side_t side, const char *region)
 {
 	GPtrArray *names = g_ptr_array_new();
+	route_place_t place = {0, 1};
 	const roster_host_t *row;
 	msec_t now = clock_now();
-	uint16_t at = 0;
 	guint i;
 
 	for (i = 0; i < h->roster.hosts->len; i++) {
 		row = roster_host(&h->roster, (host_id_t)i);
 		if ((i == h->roster.self ||
 			roster_live(&h->roster, (host_id_t)i, now)) &&
-		    (region == NULL || strcmp(row->region, region) == 0))
+		    is_on(row, side, region))
 			g_ptr_array_add(names, row->name);
 	}
 	g_ptr_array_sort(names, by_name);
 	for (i = 0; i < names->len; i++) {
 		if (strcmp(g_ptr_array_index(names, i), h->settings.id) == 0)
-			at = (uint16_t)i;
+			place.index = (uint16_t)i;
 	}
-	*n = (uint16_t)names->len;
+	place.hosts = (uint16_t)MAX(names->len, 1);
 	g_ptr_array_free(names, TRUE);
-	return at;
+	return place;
+}
+
+static void
+place_spills(host_t *h)
+{
+	const char *region;
+	guint i;
+
+	for (i = 0; i < h->catalog.regions->len; i++) {
+		region = catalog_region(&h->catalog, (region_id_t)i)->name;
+		if (strcmp(region, h->settings.region) != 0)
+			route_choice_away(&h->routes, (region_id_t)i,
+			    place_among(h, OUTSIDE, region));
+	}
 }
 
 void
@@ -40,19 +67,20 @@
 {
 	domain_id_t domain =
 	    catalog_find_domain(&h->catalog, h->settings.domain);
-	uint16_t index, hosts, near_index, near_hosts;
+	route_place_t all, near;
 	const endpoint_t *e;
 	guint i;
 
 	if (h->incarnation == 0)
 		return;
-	index = position(h, NULL, &hosts);
-	near_index = position(h, h->settings.region, &near_hosts);
+	all = place_among(h, IN_ANY, NULL);
+	near = place_among(h, INSIDE, h->settings.region);
 	for (i = 0; i < h->catalog.endpoints->len; i++) {
 		e = catalog_endpoint(&h->catalog, (endpoint_id_t)i);
 		http_client_limit(h->http, e->address,
-		    route_part(e->connections, index, MAX(hosts, 1)));
+		    route_part(e->connections, all.index, all.hosts));
 	}
 	route_choice_place(
-	    &h->routes, domain, index, hosts, near_index, near_hosts);
+	    &h->routes, domain, all.index, all.hosts, near.index, near.hosts);
+	place_spills(h);
 }
--- a/src/state/route_choice.c
+++ b/src/state/route_choice.c
@@ -44,11 +44,22 @@
 route_choice_place(route_choice_t *rc, domain_id_t domain, uint16_t index,
     uint16_t hosts, uint16_t near_index, uint16_t near_hosts)
 {
+	guint i;
+
 	rc->domain = domain;
 	rc->index = index;
 	rc->hosts = MAX(hosts, 1);
 	rc->near_index = near_index;
 	rc->near_hosts = MAX(near_hosts, 1);
+	for (i = 0; i < ROUTE_REGIONS_MAX; i++)
+		rc->away[i] = (route_place_t){rc->index, rc->hosts};
+}
+
+void
+route_choice_away(route_choice_t *rc, region_id_t region, route_place_t place)
+{
+	if (region < ROUTE_REGIONS_MAX)
+		rc->away[region] = place;
 }
 
 static route_service_t *
--- a/src/state/route_choice.h
+++ b/src/state/route_choice.h
@@ -63,12 +63,21 @@
 	msec_t filled_at;
 } route_link_t;
 
+#define ROUTE_REGIONS_MAX 16
+
+/* Of the hosts that share something, this one is number @index. */
+typedef struct {
+	uint16_t index;
+	uint16_t hosts; /* at least 1 */
+} route_place_t;
+
 typedef struct {
 	domain_id_t domain;  /* this host's, in the catalog in force */
 	uint16_t index;	     /* its position among the live entry hosts */
 	uint16_t hosts;	     /* how many there are; at least 1 */
 	uint16_t near_index; /* the same among those of its region */
 	uint16_t near_hosts;
+	route_place_t away[ROUTE_REGIONS_MAX]; /* by region: hosts outside it */
 	route_policy_kind_t kind;
 	uint64_t seed;
 	GHashTable *services; /* name to route_service_t */
@@ -98,11 +107,21 @@
  * @near_hosts: how many those are
  *
  * Called after every change of catalog or membership. Spill caps, link budgets
- * and held slots are split by these positions.
+ * and held slots are split by these positions; spill caps over all hosts until
+ * route_choice_away() tells more.
  */
 void route_choice_place(route_choice_t *rc, domain_id_t domain, uint16_t index,
     uint16_t hosts, uint16_t near_index, uint16_t near_hosts);
 
+/**
+ * route_choice_away() - Tell who shares the spill cap of a region.
+ * @rc: the state, after route_choice_place()
+ * @region: another region than this host's
+ * @place: this host's place among the live entry hosts outside of it
+ */
+void route_choice_away(
+    route_choice_t *rc, region_id_t region, route_place_t place);
+
 /**
  * route_choice_versions() - Set the shares of a service's versions.
  * @rc: the state
--- a/src/state/route_spill.c
+++ b/src/state/route_spill.c
@@ -131,6 +131,7 @@
 {
 	const char *name = catalog_service(c, service)->name;
 	const endpoint_t *e;
+	route_place_t place = {rc->index, rc->hosts};
 	uint32_t slots = 0, part;
 	route_spill_t *s;
 	uint16_t row;
@@ -142,8 +143,11 @@
 		    catalog_domain(c, e->domain)->region == region)
 			slots += e->slots;
 	}
+	/* Nobody spills into the own region: its hosts have no part. */
+	if (region < ROUTE_REGIONS_MAX)
+		place = rc->away[region];
 	part = route_part((uint32_t)(c->caps.spill_cap * slots),
-	    rc->index + region, rc->hosts);
+	    place.index + region, place.hosts);
 	row = spill_row(rc, name, catalog_region(c, region)->name);
 	s = &g_array_index(rc->spills, route_spill_t, row);
 	return s->in_flight < part;
--- a/src/state/route_spill.h
+++ b/src/state/route_spill.h
@@ -10,7 +10,6 @@
  * link's budget is split in the same way.
  */
 
-#define ROUTE_REGIONS_MAX 16
 
 void route_spill_init(route_choice_t *rc);
 void route_spill_finish(route_choice_t *rc);
--- a/tests/process/test_room.sh
+++ b/tests/process/test_room.sh
@@ -42,6 +42,15 @@
 [ "$(reasons limit no-room)" = 1 ] ||
 	fail "at the limit of connections: $(cat "$dir/caller_limit.log")"
 
+# The hosts of the full region have the whole cap of the other between them.
+for h in 1 2; do
+	ask "slow_$h" "$(callers $h)" 12 100 --path /call/lettore/clip \
+	    --fault late=2000 --tries 1 --at-once 12
+done
+for h in 1 2; do end_ask "slow_$h"; done
+at_once=$(most lettore-2 'milano-[12]')
+[ "$at_once" = $spill ] || fail "slow: $at_once spilled at once"
+
 # Twice what one region holds, and half of what the other does.
 for h in 1 2; do
 	ask "full_$h" "$(callers $h)" 400 80 --path /call/lettore/clip \
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -216,14 +216,16 @@
 		const char *name;
 		double cap, load;
 		uint64_t bits_per_sec;
-		unsigned int hosts;
-		int expected; /* beyond the own region's six slots */
+		uint16_t hosts;
+		uint16_t away; /* of them outside the other region; 0: all */
+		int expected;  /* beyond the own region's six slots */
 	} rows[] = {
-	    {"no cap, no spill", 0, 0, 0, 1, 0},
-	    {"half of six", 0.5, 0, 0, 1, 3},
-	    {"split over hosts", 0.5, 0, 0, 3, 1},
-	    {"no spare room", 0.5, 1, 0, 1, 0},
-	    {"link budget of two requests", 0.5, 0, 10000, 1, 2},
+	    {"no cap, no spill", 0, 0, 0, 1, 0, 0},
+	    {"half of six", 0.5, 0, 0, 1, 0, 3},
+	    {"split over hosts", 0.5, 0, 0, 3, 0, 1},
+	    {"split over those outside", 0.5, 0, 0, 3, 1, 3},
+	    {"no spare room", 0.5, 1, 0, 1, 0, 0},
+	    {"link budget of two requests", 0.5, 0, 10000, 1, 0, 2},
 	};
 	catalog_shape_t shape = {2, 4, 3, 0, 0, NULL};
 	route_result_t r;
@@ -236,6 +238,9 @@
 		shape.bits_per_sec = rows[i].bits_per_sec;
 		world_init(&w, &shape, ROUTE_TWO_CHOICES);
 		route_choice_place(&w.rc, 0, 0, rows[i].hosts, 0, 1);
+		if (rows[i].away > 0)
+			route_choice_away(
+			    &w.rc, 1, (route_place_t){0, rows[i].away});
 		all_report_empty(&w, 0);
 		report(&w, 2, TRUE, FALSE, rows[i].load, 0);
 		report(&w, 3, TRUE, FALSE, rows[i].load, 0);
