A cut answer ends in a reset on the wire too

http_reply_abort() asked for a reset at close, but evhttp ends the connection in order before it closes it, so that a caller saw an orderly end after a part of an answer. To an HTTP/1.0 caller, who gets an answer of chunks as bytes up to the end, the part was a whole one.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -492,11 +492,13 @@
 void
 http_reply_abort(http_exchange_t *x)
 {
-	/* A reset, since an orderly end may pass for the end of the body. */
-	struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	/*
+	 * A reset, since an orderly end may pass for the end of the body. It
+	 * can't wait for the close, before which evhttp sends such an end.
+	 */
+	struct sockaddr none = {.sa_family = AF_UNSPEC};
 
-	setsockopt(bufferevent_getfd(x->conn->bev), SOL_SOCKET, SO_LINGER,
-	    &reset, sizeof(reset));
+	(void)connect(bufferevent_getfd(x->conn->bev), &none, sizeof(none));
 	x->ended = TRUE;
 	evhttp_connection_free(x->evcon);
 }
--- a/tests/standins/standin_backend.c
+++ b/tests/standins/standin_backend.c
@@ -7,6 +7,9 @@
  *   crash      exit at once
  *   late=MS    answer after MS more
  *   truncate   close in the middle of the answer
+ *   cut        the same, a while after a part of it was sent
+ *   cut-chunks the same of an answer in chunks
+ *   crossed    answer with number and body of the request before
  *   hang       never answer
  *   drop       run, then close without an answer
  *   fail       answer 500
@@ -34,11 +37,15 @@
 #include "base/clock.h"
 #include "state/key_text.h"
 
+#define ANSWER "HTTP/1.1 200 OK\r\n"
+#define CUT_AFTER_MS 300
+
 static struct event_base *base;
 static char *name = "backend", *version_name = "v1", *log_path;
 static int port, slots = 3, hold_ms = 5, fail_permille;
 static int running;
 static uint64_t runs;
+static char *last_id; /* of the request answered last */
 static const char *health = "ok";
 static FILE *log_file;
 
@@ -83,16 +90,26 @@
 }
 
 static void
-answer_truncated(struct evhttp_request *req)
+drop_later(evutil_socket_t fd, short what, void *arg)
 {
+	(void)fd;
+	(void)what;
+	drop_connection(arg);
+}
+
+static void
+answer_cut(struct evhttp_request *req, const char *answer, int pause_ms)
+{
+	struct timeval tv = {0, pause_ms * 1000};
 	struct bufferevent *bev = evhttp_connection_get_bufferevent(
 	    evhttp_request_get_connection(req));
-	static const char head[] =
-	    "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nhalf";
 
 	/* Written past evhttp, which would not send a short body. */
-	(void)!write(bufferevent_getfd(bev), head, sizeof(head) - 1);
-	drop_connection(req);
+	(void)!write(bufferevent_getfd(bev), answer, strlen(answer));
+	if (pause_ms == 0)
+		drop_connection(req);
+	else
+		event_base_once(base, -1, EV_TIMEOUT, drop_later, req, &tv);
 }
 
 static void
@@ -145,20 +162,36 @@
 finish_run(evutil_socket_t fd, short what, void *arg)
 {
 	run_t *run = arg;
+	char *swap;
 
 	(void)fd;
 	(void)what;
 	running--;
 	log_line("end", run->id);
-	if (run->fault != NULL && strcmp(run->fault, "truncate") == 0)
-		answer_truncated(run->req);
-	else if (run->fault != NULL && strcmp(run->fault, "drop") == 0)
+	if (g_strcmp0(run->fault, "crossed") == 0) {
+		swap = run->id;
+		run->id = last_id;
+		last_id = swap;
+	}
+	if (g_strcmp0(run->fault, "truncate") == 0)
+		answer_cut(
+		    run->req, ANSWER "Content-Length: 1000\r\n\r\nhalf", 0);
+	else if (g_strcmp0(run->fault, "cut") == 0)
+		answer_cut(run->req, ANSWER "Content-Length: 1000\r\n\r\nhalf",
+		    CUT_AFTER_MS);
+	else if (g_strcmp0(run->fault, "cut-chunks") == 0)
+		answer_cut(run->req,
+		    ANSWER "Transfer-Encoding: chunked\r\n\r\n"
+			   "4\r\nhalf\r\n",
+		    CUT_AFTER_MS);
+	else if (g_strcmp0(run->fault, "drop") == 0)
 		drop_connection(run->req);
 	else
 		answer_whole(run);
 	event_free(run->timer);
 	g_free(run->fault);
-	g_free(run->id);
+	g_free(last_id);
+	last_id = run->id;
 	g_free(run);
 }
 
@@ -316,6 +349,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	if (log_path != NULL)
 		log_file = fopen(log_path, "a");
+	last_id = g_strdup("none-before");
 	base = event_base_new();
 	http = evhttp_new(base);
 	evhttp_set_allowed_methods(http, 0xffff);
--- a/tests/standins/standin_raw.c
+++ b/tests/standins/standin_raw.c
@@ -1,6 +1,7 @@
 /*
  * Sends standard input as it is to IP:PORT and prints what comes back until
- * the other side closes, for at most ten seconds: standin_raw IP:PORT.
+ * the other side closes, for at most ten seconds: standin_raw IP:PORT. Says
+ * "reset" on standard error where the end was not an orderly one.
  */
 #include <arpa/inet.h>
 #include <poll.h>
@@ -33,7 +34,7 @@
 {
 	struct pollfd p = {.events = POLLIN};
 	char bytes[8192];
-	ssize_t n;
+	ssize_t n = 0;
 
 	p.fd = argc == 2 ? dial(argv[1]) : -1;
 	if (p.fd < 0)
@@ -45,6 +46,8 @@
 	while (poll(&p, 1, WAIT_MS) == 1 &&
 	    (n = read(p.fd, bytes, sizeof(bytes))) > 0)
 		fwrite(bytes, 1, (size_t)n, stdout);
+	if (n < 0)
+		fprintf(stderr, "reset\n");
 	close(p.fd);
 	return 0;
 }
