A baseline to measure against, by the setting policy of [measure]

The choice baseline of a host's settings takes backend servers in turn without ejecting any, by the routing policies' union (ROUTE_ROUND_ROBIN), and gives the slots the whole of each rate, so that nothing is lent. Without the key nothing changes.

Ruled out: a build of its own (the table would compare two programs), a key of the text (it would be in force for real fleets by one mistake).

--- a/src/host/host.c
+++ b/src/host/host.c
@@ -205,7 +205,9 @@
 	endpoint_stats_init(&h->stats);
 	randombytes_buf(&h->token, sizeof(h->token));
 	h->token >>= 1; /* fits the store's signed numbers */
-	route_choice_init(&h->routes, ROUTE_HELD_SLOTS, h->token | 1);
+	route_choice_init(&h->routes,
+	    h->settings.baseline ? ROUTE_ROUND_ROBIN : ROUTE_HELD_SLOTS,
+	    h->token | 1);
 	h->carries = g_ptr_array_new();
 	h->budgets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/host/limits.c
+++ b/src/host/limits.c
@@ -34,6 +34,15 @@
 	g_hash_table_destroy(h->shares);
 }
 
+/* By the baseline the slots hold all, and nothing is lent. */
+static shares_t
+slot_shares(const host_t *h)
+{
+	const shares_t fixed = {1000, 0};
+
+	return h->settings.baseline ? fixed : borrower_shares();
+}
+
 static limit_share_t *
 share_new(host_t *h, const char *workspace)
 {
@@ -46,7 +55,7 @@
 	s->duty->wanted = TRUE;
 	s->waiting = g_queue_new();
 	borrower_init(&s->borrower, h->roster.self, h->incarnation,
-	    borrower_shares(), clock_now());
+	    slot_shares(h), clock_now());
 	lender_init(&s->lender);
 	g_hash_table_insert(h->shares, s->workspace, s);
 	g_free(duty);
@@ -81,7 +90,7 @@
 	const workspace_t *w =
 	    catalog_workspace(c, catalog_find_workspace(c, s->workspace));
 
-	return limit_lent(limit_make(w->rate, w->burst), borrower_shares(),
+	return limit_lent(limit_make(w->rate, w->burst), slot_shares(s->host),
 	    c->caps.hosts, s->settled == c->version);
 }
 
--- a/src/host/settings.c
+++ b/src/host/settings.c
@@ -9,7 +9,7 @@
 #define PATH_CHARS 4096
 
 static const char *const groups[] = {
-    "host", "store", "fleet", "limits", "tls", "log"};
+    "host", "store", "fleet", "limits", "tls", "measure", "log"};
 
 static void
 check_address(
@@ -96,6 +96,25 @@
 		ini_group(ini, "tls", fields, G_N_ELEMENTS(fields));
 }
 
+static void
+read_measure(settings_t *s, const ini_t *ini)
+{
+	char *policy = NULL;
+	const ini_field_t fields[] = {
+	    {"policy", INI_STRING, TRUE, 1, NAME_CHARS, &policy},
+	};
+
+	if (!g_key_file_has_group(ini->file, "measure"))
+		return;
+	ini_group(ini, "measure", fields, G_N_ELEMENTS(fields));
+	s->baseline = g_strcmp0(policy, "baseline") == 0;
+	if (policy != NULL && !s->baseline && strcmp(policy, "chosen") != 0)
+		ini_error(ini, "measure", "policy",
+		    "policy: expected chosen or baseline, found \"%s\"",
+		    policy);
+	g_free(policy);
+}
+
 static void
 read_log(settings_t *s, const ini_t *ini)
 {
@@ -160,6 +179,7 @@
 		read_fleet(s, &ini);
 		read_limits(s, &ini);
 		read_tls(s, &ini);
+		read_measure(s, &ini);
 		read_log(s, &ini);
 	}
 	ini_finish(&ini);
--- a/src/host/settings.h
+++ b/src/host/settings.h
@@ -27,6 +27,8 @@
 	/* [tls], both NULL where callers use plain HTTP */
 	char *certificate;
 	char *key;
+	/* [measure] */
+	gboolean baseline; /* the simple policies, for comparison */
 	/* [log] */
 	log_level_t log_level;
 } settings_t;
--- a/src/state/route_choice.c
+++ b/src/state/route_choice.c
@@ -144,6 +144,10 @@
 			    base, row.slots, rc->near_index, rc->near_hosts);
 			base += row.slots;
 		}
+		/* In turn means whatever is known: nothing is ejected. */
+		if (rc->kind == ROUTE_ROUND_ROBIN &&
+		    row.state != ENDPOINT_LEAVING)
+			row.state = ENDPOINT_USABLE;
 		if (row.state != ENDPOINT_LEAVING)
 			g_array_append_val(rc->scratch, row);
 	}
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -350,6 +350,29 @@
 	}
 }
 
+static void
+only_the_baseline_ejects_nothing(void)
+{
+	static const struct {
+		route_policy_kind_t kind;
+		int sent_to_failing;
+	} rows[] = {{ROUTE_ROUND_ROBIN, 2}, {ROUTE_HELD_SLOTS, 0}};
+	catalog_shape_t shape = {1, 4, 4, 0, 0, NULL};
+	world_t w;
+	size_t i;
+	int n, found;
+
+	for (i = 0; i < N_OF(rows); i++) {
+		world_init(&w, &shape, rows[i].kind);
+		outcomes(&w, 0, OUTCOME_ERROR, 5, 0);
+		found = 0;
+		for (n = 0; n < 8; n++)
+			found += choose(&w, 1).endpoint == 0;
+		ck_assert_int_eq(found, rows[i].sent_to_failing);
+		world_finish(&w);
+	}
+}
+
 int
 main(void)
 {
@@ -368,6 +391,8 @@
 		held_slots_are_split_without_overlap},
 	    {"each policy respects slots and exclusions",
 		each_policy_respects_slots_and_exclusions},
+	    {"only the baseline ejects nothing",
+		only_the_baseline_ejects_nothing},
 	};
 
 	return suite_run("routing", cases, N_OF(cases));
