--- a/tests/standins/standin_caller.c
+++ b/tests/standins/standin_caller.c
@@ -5,6 +5,9 @@
  *   standin_caller --to IP:PORT[,IP:PORT...] --path /call/S/P [--method POST]
  *	[--key-file F] [--count N] [--rate N] [--at-once N] [--log FILE]
  *
+ * Hosts are used in turn; with --random, at random; with --lookup S[?region=R]
+ * as the hosts' own look-ups say, asked again when their time is over.
+ *
  * A request that was refused "not-run", or could not be sent, is sent again
  * to the next host for up to --tries times. The last line on standard output
  * is: sent=N answered=N refused_not_run=N unknown=N
@@ -18,20 +21,24 @@
 
 #include <event2/event.h>
 #include <glib.h>
+#include <jansson.h>
 #include <popt.h>
 
 #include "base/clock.h"
 #include "transport/http_client.h"
 
 static char *to, *path = "/", *method = "GET", *key_file, *log_path, *body_text;
-static char *fault, *once;
-static int count = 1, rate = 100, at_once = 4, tries = 3, timeout_ms = 10000;
+static char *fault, *once, *lookup;
+static int count = 1, rate = 100, at_once = 4, tries = 3, timeout_ms = 10000,
+	   at_random;
 
 static struct event_base *base;
 static http_client_t *http;
 static struct event *pacer;
 static char **hosts;
 static guint n_hosts, next_host;
+static json_t *named; /* hosts of the newest look-up, or NULL */
+static struct event *again;
 static char *authorization;
 static FILE *log_file;
 static int started, running, ended;
@@ -41,6 +48,7 @@
 typedef struct {
 	int number;
 	int tries_left;
+	uint32_t tried; /* bits of the newest look-up's hosts */
 	msec_t began_at;
 } job_t;
 
@@ -114,6 +122,104 @@
 	}
 }
 
+/* Of the hosts not yet tried: by weight, else the first. */
+static const char *
+pick_named(job_t *job)
+{
+	int sum = 0, k, chosen = -1;
+	json_t *host;
+	size_t i;
+
+	json_array_foreach(named, i, host)
+	{
+		if (!(job->tried >> i & 1))
+			sum += (int)json_integer_value(
+			    json_object_get(host, "weight"));
+	}
+	k = sum > 0 ? g_random_int_range(0, sum) : 0;
+	json_array_foreach(named, i, host)
+	{
+		if (job->tried >> i & 1)
+			continue;
+		chosen = (int)i;
+		k -= (int)json_integer_value(json_object_get(host, "weight"));
+		if (k < 0 || sum == 0)
+			break;
+	}
+	chosen = MAX(chosen, 0);
+	job->tried |= 1U << chosen;
+	return json_string_value(
+	    json_object_get(json_array_get(named, (size_t)chosen), "address"));
+}
+
+static const char *
+pick_host(job_t *job)
+{
+	if (named != NULL)
+		return pick_named(job);
+	if (at_random)
+		return hosts[g_random_int_range(0, (gint)n_hosts)];
+	return hosts[next_host++ % n_hosts];
+}
+
+static void
+ask_again_in(long ms)
+{
+	const struct timeval tv = {ms / 1000, ms % 1000 * 1000};
+
+	event_add(again, &tv);
+}
+
+static void
+on_named(void *arg, http_outcome_t outcome, int status,
+    const struct evkeyvalq *headers, struct evbuffer *body)
+{
+	json_t *root = NULL, *list;
+
+	(void)arg;
+	(void)headers;
+	if (outcome == HTTP_ANSWERED && status == 200)
+		root = json_loadb((const char *)evbuffer_pullup(body, -1),
+		    evbuffer_get_length(body), 0, NULL);
+	list = json_object_get(root, "hosts");
+	if (json_array_size(list) == 0 || json_array_size(list) > 32) {
+		json_decref(root);
+		ask_again_in(10);
+		return;
+	}
+	json_decref(named);
+	named = json_incref(list);
+	ask_again_in(
+	    1000 * (long)json_integer_value(json_object_get(root, "ttl_sec")));
+	json_decref(root);
+}
+
+static void
+on_again(evutil_socket_t fd, short what, void *arg)
+{
+	http_handler_t handler = {.on_done = on_named};
+	struct evkeyvalq headers;
+	char *target = g_strconcat("/lookup/", lookup, NULL);
+	http_request_t request = {
+	    .address = hosts[next_host++ % n_hosts],
+	    .method = EVHTTP_REQ_GET,
+	    .path = target,
+	    .headers = &headers,
+	    .timeout_ms = MSEC_PER_SEC,
+	};
+
+	(void)fd;
+	(void)what;
+	(void)arg;
+	TAILQ_INIT(&headers);
+	if (authorization != NULL)
+		evhttp_add_header(&headers, "Authorization", authorization);
+	if (http_call(http, &request, &handler) == NULL)
+		abort();
+	evhttp_clear_headers(&headers);
+	g_free(target);
+}
+
 static void
 send_job(job_t *job)
 {
@@ -121,7 +227,7 @@
 	struct evbuffer *body = evbuffer_new();
 	struct evkeyvalq headers;
 	http_request_t request = {
-	    .address = hosts[next_host++ % n_hosts],
+	    .address = pick_host(job),
 	    .method =
 		strcmp(method, "POST") == 0 ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
 	    .path = path,
@@ -157,7 +263,8 @@
 	(void)fd;
 	(void)what;
 	(void)arg;
-	if (started == count || running >= at_once)
+	if (started == count || running >= at_once ||
+	    (lookup != NULL && named == NULL))
 		return;
 	job = g_new0(job_t, 1);
 	job->number = started++;
@@ -180,6 +287,8 @@
     {"rate", 'r', POPT_ARG_INT, &rate, 0, "requests a second", "N"},
     {"at-once", 'a', POPT_ARG_INT, &at_once, 0, "at a time", "N"},
     {"tries", 0, POPT_ARG_INT, &tries, 0, "tries of each", "N"},
+    {"random", 0, POPT_ARG_NONE, &at_random, 0, "hosts at random", NULL},
+    {"lookup", 0, POPT_ARG_STRING, &lookup, 0, "ask for hosts", "SERVICE"},
     {"timeout", 0, POPT_ARG_INT, &timeout_ms, 0, "of one try", "MS"},
     POPT_AUTOHELP POPT_TABLEEND,
 };
@@ -235,9 +344,14 @@
 	tv.tv_sec = 1 / rate;
 	tv.tv_usec = 1000000 / rate % 1000000;
 	event_add(pacer, &tv);
+	again = event_new(base, -1, 0, on_again, NULL);
+	if (lookup != NULL)
+		ask_again_in(0);
 	event_base_dispatch(base);
 	print_counts();
 	event_free(pacer);
+	event_free(again);
+	json_decref(named);
 	http_client_free(http);
 	event_base_free(base);
 	g_hash_table_destroy(reasons);
