Stand-in callers try a refused request at another host

Cause of process_test_poison's one failure in eight runs (clips: one of 400 refused no-room, eight tries in all): while two clip servers are down, a host whose part of the spill cap is none refuses after its queue's 1.5 s, and a request's next try went to whichever host the shared turn had come to, at times the same one three times. Callers are asked to go to another host (docs/CALLERS.md), and the stand-in's own comment says the next. A request keeps its own turn now. The check is as it was.

--- a/tests/standins/standin_caller.c
+++ b/tests/standins/standin_caller.c
@@ -49,6 +49,7 @@
 	int number;
 	int tries_left;
 	uint32_t tried; /* bits of the newest look-up's hosts */
+	guint host;	/* of the list, for the next try */
 	msec_t began_at;
 } job_t;
 
@@ -159,7 +160,7 @@
 		return pick_named(job);
 	if (at_random)
 		return hosts[g_random_int_range(0, (gint)n_hosts)];
-	return hosts[next_host++ % n_hosts];
+	return hosts[job->host++ % n_hosts];
 }
 
 static void
@@ -268,6 +269,7 @@
 		return;
 	job = g_new0(job_t, 1);
 	job->number = started++;
+	job->host = next_host++;
 	job->tries_left = tries;
 	job->began_at = clock_now();
 	running++;
