--- a/src/state/route_spill.h
+++ b/src/state/route_spill.h
@@ -10,7 +10,6 @@
  * link's budget is split in the same way.
  */
 
-
 void route_spill_init(route_choice_t *rc);
 void route_spill_finish(route_choice_t *rc);
 
