Rows of idempotency keys and of moves taken back are removed when their time is over

Cause: nothing removed rows below once/, one for each request with an Idempotency-Key, nor those of moves that were taken back and of cancellations.

Taken: the host that holds the lease of the moves pushes the store's version as a mark each hour (mark_sec); a row not over the mark before the last 24 is over 24 hours old by that host's steady clock, whoever wrote it and whatever any time of day says. It looks at 1/4096 of the keys a second and removes up to 64 rows a write, each with a check of its version: at most 1 scan and 1 write a second. Rows of moves taken back, and cancellations of ended moves, go after 168 hours in a write that fails older starts and cancellations. Rows of done moves stay: what is done is in force by them.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -76,6 +76,7 @@
 drain_sec = 10
 [store]
 address = $store_address
+mark_sec = ${mark_sec:-3600}
 [fleet]
 secret_file = $dir/secret
 [log]
--- a/src/coordination/move_host.c
+++ b/src/coordination/move_host.c
@@ -114,6 +114,15 @@
 		l->stopped = TRUE;
 }
 
+void
+move_host_forget(move_host_t *h, const char *id)
+{
+	move_local_t *l = find(h, id);
+
+	if (l != NULL && l->row.step > 0 && l->row.state == MOVE_TAKEN_BACK)
+		g_array_remove_index(h->moves, (guint)(l - local_at(h, 0)));
+}
+
 gboolean
 move_host_stopped(const move_host_t *h, const char *id)
 {
--- a/src/coordination/move_host.h
+++ b/src/coordination/move_host.h
@@ -67,6 +67,13 @@
 void move_host_stop(
     move_host_t *h, const char *id, move_stop_t by, uint64_t epoch);
 
+/**
+ * move_host_forget() - The row of a move has been removed from the store.
+ * @h: the host's moves
+ * @id: of the move; it is kept unless it was taken back
+ */
+void move_host_forget(move_host_t *h, const char *id);
+
 /** move_host_stopped() - Whether the move was stopped here. */
 gboolean move_host_stopped(const move_host_t *h, const char *id);
 
--- a/src/coordination/once.c
+++ b/src/coordination/once.c
@@ -221,22 +221,24 @@
 }
 
 static once_action_t
-run(const once_t *o, once_id_t id)
+run(const once_t *o, once_id_t id, msec_t now)
 {
 	if (entry_at(o, id)->abandoned)
 		return release(o, id);
+	if (now - entry_at(o, id)->since > ONCE_CLAIM_MS)
+		return refuse_and_release(o, id);
 	entry_at(o, id)->phase = ONCE_RUNNING;
 	return act(o, ONCE_RUN, id);
 }
 
 static once_action_t
-taken(const once_t *o, once_id_t id, const once_row_t *row)
+taken(const once_t *o, once_id_t id, const once_row_t *row, msec_t now)
 {
 	once_entry_t *e = entry_at(o, id);
 	once_action_t a;
 
 	if (row->token == e->row.token)
-		return run(o, id);
+		return run(o, id, now);
 	a = act(o, ONCE_NOTHING, ONCE_NONE);
 	if (!e->abandoned)
 		a = refuse_by_row(o, ONCE_NONE, row, &e->row.request);
@@ -279,11 +281,11 @@
 }
 
 static once_action_t
-claiming_step(const once_t *o, once_id_t id, const once_event_t *ev)
+claiming_step(const once_t *o, once_id_t id, const once_event_t *ev, msec_t now)
 {
 	switch (ev->kind) {
 	case ONCE_CLAIM_DONE:
-		return run(o, id);
+		return run(o, id, now);
 	case ONCE_CLAIM_TAKEN:
 	case ONCE_CLAIM_UNKNOWN:
 		entry_at(o, id)->phase = ONCE_READING;
@@ -298,11 +300,11 @@
 }
 
 static once_action_t
-reading_step(const once_t *o, once_id_t id, const once_event_t *ev)
+reading_step(const once_t *o, once_id_t id, const once_event_t *ev, msec_t now)
 {
 	switch (ev->kind) {
 	case ONCE_READ_ROW:
-		return taken(o, id, &ev->u.row);
+		return taken(o, id, &ev->u.row, now);
 	case ONCE_READ_ABSENT:
 		return claim_again(o, id);
 	case ONCE_READ_FAILED:
@@ -358,9 +360,9 @@
 {
 	switch (entry_at(o, id)->phase) {
 	case ONCE_CLAIMING:
-		return claiming_step(o, id, e);
+		return claiming_step(o, id, e, now);
 	case ONCE_READING:
-		return reading_step(o, id, e);
+		return reading_step(o, id, e, now);
 	case ONCE_RUNNING:
 		return running_step(o, id, e, now);
 	case ONCE_RECORDING:
--- a/src/coordination/once.h
+++ b/src/coordination/once.h
@@ -13,13 +13,16 @@
  * Requests that carry an Idempotency-Key on a route that is not idempotent.
  * Before such a request runs, its key is claimed by a conditional write of a
  * row in the store; whoever finds the row taken does not run it. A row is
- * removed again only by the host that claimed it, and only with proof that the
- * request did not run.
+ * removed again by the host that claimed it, with proof that the request did
+ * not run, or by anybody SWEEP_ONCE_PERIODS after its last write
+ * (coordination/sweep.h). A claim that took longer than ONCE_CLAIM_MS is not
+ * used, so no request runs after its row may have been removed.
  */
 
 #define ONCE_ENTRIES_MAX 4096
 #define ONCE_RETAIN_MS 600000 /* for which an answer can be replayed */
 #define ONCE_CLAIM_TRIES 3
+#define ONCE_CLAIM_MS 60000
 #define ONCE_WRITE_RETRY_MS 1000
 
 typedef uint32_t once_id_t;
@@ -56,7 +59,7 @@
 	gboolean abandoned; /* nobody waits; release what may be claimed */
 	unsigned int claims;
 	once_row_t row; /* as this host wrote or would write it */
-	msec_t since;
+	msec_t since;	/* of its beginning, then of its end */
 } once_entry_t;
 
 typedef struct {
--- a/src/host/control.c
+++ b/src/host/control.c
@@ -13,6 +13,7 @@
 #include "host/probe.h"
 #include "host/retire.h"
 #include "host/room.h"
+#include "host/sweep.h"
 
 /* Reads the row of a key. Its workspace is to be freed with row_clear(). */
 static gboolean
@@ -164,6 +165,7 @@
 		operate_tick(h, now);
 		limits_tick(h, now);
 		moves_tick(h, now);
+		sweep_tick(h, now);
 	}
 	check_place(h);
 	if (h->phase == HOST_STARTING && h->incarnation != 0 &&
--- a/src/host/fenced.h
+++ b/src/host/fenced.h
@@ -10,7 +10,7 @@
  */
 
 /* More checks than the roster row's that one write may have. */
-#define FENCED_CHECKS_MAX 4
+#define FENCED_CHECKS_MAX 64
 
 /**
  * typedef fenced_done_t - Told once for each write.
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -18,6 +18,7 @@
 #include "host/peers.h"
 #include "host/probe.h"
 #include "host/room.h"
+#include "host/sweep.h"
 #include "host/tls_reload.h"
 #include "protocol/text.h"
 
@@ -198,6 +199,7 @@
 	moves_init(h);
 	room_init(h);
 	once_calls_init(h);
+	sweep_init(h);
 	probe_init(h);
 	poison_init(&h->poison, harm_peer_id(h->settings.id));
 	h->slot = SLOT_NONE;
@@ -257,6 +259,7 @@
 	moves_finish(h);
 	room_finish(h);
 	once_calls_finish(h);
+	sweep_finish(h);
 	poison_finish(&h->poison);
 	probe_finish(h);
 	peers_finish(h);
--- a/src/host/moves.c
+++ b/src/host/moves.c
@@ -64,8 +64,11 @@
 	GError *err = NULL;
 	move_row_t value;
 
-	if (row->value == NULL)
-		return; /* rows of moves are never deleted */
+	if (row->value == NULL) {
+		move_host_forget(
+		    &h->moves->in_force, row->key + strlen(ROWS_MOVE));
+		return;
+	}
 	if (move_json_decode(row->value, &value, &err)) {
 		moves_apply(h, &value);
 		return;
--- a/src/host/settings.c
+++ b/src/host/settings.c
@@ -45,12 +45,15 @@
 read_store(settings_t *s, const ini_t *ini)
 {
 	char *kind = NULL;
+	gint64 mark_sec = 3600;
 	const ini_field_t fields[] = {
 	    {"kind", INI_STRING, FALSE, 1, NAME_CHARS, &kind},
 	    {"address", INI_STRING, TRUE, 1, NAME_CHARS, &s->store},
+	    {"mark_sec", INI_NUMBER, FALSE, 1, 3600, &mark_sec},
 	};
 
 	ini_group(ini, "store", fields, G_N_ELEMENTS(fields));
+	s->mark_ms = mark_sec * 1000;
 	check_address(ini, "store", "address", s->store);
 	if (kind != NULL && strcmp(kind, "json") != 0)
 		ini_error(ini, "store", "kind",
--- a/src/host/settings.h
+++ b/src/host/settings.h
@@ -16,7 +16,8 @@
 	char *operators; /* "IP:PORT" for counters and state over HTTP */
 	gint64 drain_ms; /* bound of a graceful stop */
 	/* [store] */
-	char *store; /* "IP:PORT" */
+	char *store;	/* "IP:PORT" */
+	gint64 mark_ms; /* period by which rows are aged */
 	/* [fleet] */
 	char *secret_file;
 	/* [limits] */
--- a/src/protocol/rows.c
+++ b/src/protocol/rows.c
@@ -42,6 +42,10 @@
     ROW_FIELD(slot_row_t, incarnation, ROW_NUMBER),
 };
 
+static const row_field_t marks_fields[] = {
+    ROW_FIELD(marks_row_t, versions, ROW_TEXT),
+};
+
 static const row_field_t once_fields[] = {
     ROW_FIELD(once_store_row_t, token, ROW_NUMBER),
     ROW_FIELD(once_store_row_t, request, ROW_DIGEST),
@@ -61,6 +65,7 @@
 const row_type_t row_fence = ROW_TYPE(fence_fields);
 const row_type_t row_renewal = ROW_TYPE(renewal_fields);
 const row_type_t row_slot = ROW_TYPE(slot_fields);
+const row_type_t row_marks = ROW_TYPE(marks_fields);
 const row_type_t row_once = ROW_TYPE(once_fields);
 
 char *
--- a/src/protocol/rows.h
+++ b/src/protocol/rows.h
@@ -21,6 +21,7 @@
 #define ROWS_MOVE "g/move/"
 #define ROWS_MOVE_CANCEL "g/move-cancel/"
 #define ROWS_MOVES_ADMIT "g/moves-admit"
+#define ROWS_MARKS "g/marks"
 #define ROWS_ONCE "once/"
 /* One for each version that was accepted, kept. */
 #define ROWS_CONFIG_VERSION "config/"
@@ -76,6 +77,11 @@
 	uint64_t incarnation;
 } slot_row_t;
 
+/* g/marks: versions of the store by which rows are aged, oldest first. */
+typedef struct {
+	char *versions;
+} marks_row_t;
+
 /* once/DIGEST: what became of the request with an idempotency key. */
 typedef struct {
 	uint64_t token; /* of the claim */
@@ -90,7 +96,7 @@
 } row_type_t;
 
 extern const row_type_t row_host, row_incarnation, row_key, row_config,
-    row_fence, row_renewal, row_slot, row_once;
+    row_fence, row_renewal, row_slot, row_marks, row_once;
 
 /* Encoding and decoding by type; see row_codec.h. */
 char *rows_encode(const row_type_t *type, const void *row);
--- a/tests/standins/standin_store.c
+++ b/tests/standins/standin_store.c
@@ -7,6 +7,7 @@
  *   GET /control?mode=refuse  answer 503 before any effect
  *   GET /control?delay_ms=N   answer N ms late
  *   GET /control?hosts=a,b,-c what /v1/hosts says ("-": leaving)
+ *   GET /control?count=P      how many rows are below a prefix
  *   GET /control              counts of reads and writes
  */
 #include <sys/queue.h>
@@ -143,6 +144,9 @@
 	scan_t *scan = arg;
 	const row_t *row = value;
 
+	/* Who asks for all has no use for what is gone. */
+	if (row->value == NULL && scan->since == 0)
+		return FALSE;
 	if (g_str_has_prefix(key, scan->prefix) && row->version > scan->since)
 		json_array_append_new(scan->found, row_json(key, row));
 	return FALSE;
@@ -293,6 +297,18 @@
 	}
 }
 
+static size_t
+count_rows(const char *prefix)
+{
+	scan_t scan = {prefix, 0, json_array()};
+	size_t n;
+
+	g_tree_foreach(rows, scan_row, &scan);
+	n = json_array_size(scan.found);
+	json_decref(scan.found);
+	return n;
+}
+
 static void
 control(struct evhttp_request *req, const char *query)
 {
@@ -312,6 +328,9 @@
 		g_free(listed);
 		listed = g_strdup(value);
 	}
+	value = evhttp_find_header(&args, "count");
+	if (value != NULL)
+		evbuffer_add_printf(body, "rows=%zu ", count_rows(value));
 	evhttp_clear_headers(&args);
 	evbuffer_add_printf(body,
 	    "reads=%" G_GUINT64_FORMAT " writes=%" G_GUINT64_FORMAT "\n",
--- a/tests/test_once.c
+++ b/tests/test_once.c
@@ -156,6 +156,26 @@
 	once_finish(&o);
 }
 
+/* Its row may be gone by then, and another copy may have run. */
+static void
+a_claim_answered_late_does_not_run(void)
+{
+	once_event_t e = {.kind = ONCE_CLAIM_DONE};
+	once_action_t a;
+	once_id_t id;
+	once_t o;
+
+	once_init(&o);
+	id = begin(&o, 1, 2, 0).id;
+	ck_assert_int_eq(once_step(&o, id, &e, ONCE_CLAIM_MS).kind, ONCE_RUN);
+	id = begin(&o, 2, 2, 0).id;
+	a = once_step(&o, id, &e, ONCE_CLAIM_MS + 1);
+	ck_assert_int_eq(a.kind, ONCE_REFUSE);
+	ck_assert_int_eq(a.ran, RAN_NO);
+	ck_assert(once_release_due(&o, id));
+	once_finish(&o);
+}
+
 static void
 answers_make_room_for_new_keys(void)
 {
@@ -185,6 +205,8 @@
 	    {"resend at the same host", resend_at_the_same_host},
 	    {"what did not run is released first",
 		what_did_not_run_is_released_first},
+	    {"a claim answered late does not run",
+		a_claim_answered_late_does_not_run},
 	    {"answers make room for new keys", answers_make_room_for_new_keys},
 	};
 
