--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -157,23 +157,33 @@
 }
 
 static void
-raw_open(raw_t *raw)
+raw_open_from(raw_t *raw, in_addr_t address)
 {
 	struct sockaddr_in to = {
 	    .sin_family = AF_INET,
 	    .sin_port = htons(PORT),
 	};
+	struct sockaddr_in from = {.sin_family = AF_INET};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
+	from.sin_addr.s_addr = htonl(address);
+	ck_assert(bind(fd, (struct sockaddr *)&from, sizeof(from)) == 0);
 	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	raw->in = g_string_new(NULL);
 	raw->closed = FALSE;
-	raw->bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+	raw->bev = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(raw->bev, on_raw_read, NULL, on_raw_event, raw);
 	bufferevent_enable(raw->bev, EV_READ | EV_WRITE);
 	bufferevent_socket_connect(
 	    raw->bev, (struct sockaddr *)&to, sizeof(to));
 }
 
+static void
+raw_open(raw_t *raw)
+{
+	raw_open_from(raw, INADDR_LOOPBACK);
+}
+
 static void
 raw_close(raw_t *raw)
 {
@@ -436,6 +446,50 @@
 	finish();
 }
 
+/* One sender fills the memory with bodies that it never ends. */
+static void
+memory_for_bodies_is_shared(void)
+{
+	static const char head[] = POST "Content-Length: 19000\r\n\r\n";
+	static const struct {
+		const char *name;
+		in_addr_t from;
+		size_t fill; /* bytes of each of five unfinished bodies */
+		size_t length;
+	} cases[] = {
+	    {"another address", INADDR_LOOPBACK + 1, 18000, 1000},
+	    {"another address, many connections", INADDR_LOOPBACK + 1, 11900,
+		1000},
+	    {"a smaller one of the same address", INADDR_LOOPBACK, 18000, 1000},
+	};
+	char block[18000], small[100];
+	raw_t raws[5], other;
+	size_t i, k;
+
+	memset(block, 'a', sizeof(block));
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		start(10);
+		for (k = 0; k < 5; k++) {
+			raw_open(&raws[k]);
+			bufferevent_write(raws[k].bev, head, sizeof(head) - 1);
+			bufferevent_write(raws[k].bev, block, cases[i].fill);
+			run_loop(20);
+		}
+		raw_open_from(&other, cases[i].from);
+		g_snprintf(small, sizeof(small),
+		    POST "Content-Length: %zu\r\n\r\n", cases[i].length);
+		bufferevent_write(other.bev, small, strlen(small));
+		bufferevent_write(other.bev, block, cases[i].length);
+		ck_assert_msg(wait_answers(&other, 1), "%s", cases[i].name);
+		ck_assert_msg(strstr(other.in->str, "</a>") != NULL, "%s: %s",
+		    cases[i].name, other.in->str);
+		for (k = 0; k < 5; k++)
+			raw_close(&raws[k]);
+		raw_close(&other);
+		finish();
+	}
+}
+
 static void
 connections_are_bounded(void)
 {
@@ -483,6 +537,7 @@
 	    {"malformed input is refused", malformed_input_is_refused},
 	    {"endless input is refused", endless_input_is_refused},
 	    {"memory for bodies is bounded", memory_for_bodies_is_bounded},
+	    {"memory for bodies is shared", memory_for_bodies_is_shared},
 	    {"connections are bounded", connections_are_bounded},
 	    {"hang-up is seen while a request runs",
 		hang_up_is_seen_while_a_request_runs},
