Look-ups name eight hosts at most, from rows that are read only when they change

Cause: each look-up decoded the rows of all hosts, looked each up in the roster by name, and answered with all of them.

Taken: hosts' rows are kept read, with their place in the roster, until a scan brings a row of a host or a configuration comes in force; whether a host is heard is still asked each time. Of the ordered hosts six with a weight are sampled for each answer, so that many answers together keep each host's part and each region its weight in every answer; two more follow, of another failure domain than the first's and of another region where there is one. Ruled out: the best eight by rank, by which all callers without a key would use the same ones.

--- a/src/coordination/lookup.h
+++ b/src/coordination/lookup.h
@@ -16,9 +16,14 @@
 /* Weights of all hosts of a look-up add up to this. */
 #define LOOKUP_WEIGHT_SUM 1000
 
+/* Hosts that an answer names, and how many of these have a weight. */
+#define LOOKUP_NAMED_MAX 8
+#define LOOKUP_WEIGHED_MAX 6
+
 typedef struct {
 	const char *name;
 	const char *address; /* for callers, "IP:PORT" */
+	const char *domain;  /* its failure domain */
 	region_id_t region;
 	uint32_t one_way_ms; /* set by lookup_order() */
 	uint32_t rank;	     /* the same */
@@ -51,4 +56,19 @@
  */
 void lookup_order(const lookup_query_t *q, lookup_host_t *hosts, size_t n);
 
+/**
+ * lookup_cut() - Leave the hosts that one answer names.
+ * @hosts: ordered and weighed; those left come first, in the same order
+ * @n: how many
+ * @salt: random, so that many answers together name all hosts with a weight,
+ *	each in proportion to it
+ *
+ * Each region keeps its weight. Where there is one, a host of another failure
+ * domain than the first's and a host of another region are among those left.
+ *
+ * Return: how many are left; LOOKUP_NAMED_MAX, or two more than the regions
+ * that have a weight, at most.
+ */
+size_t lookup_cut(lookup_host_t *hosts, size_t n, uint32_t salt);
+
 #endif
--- a/src/host/control.c
+++ b/src/host/control.c
@@ -7,6 +7,7 @@
 #include "host/join.h"
 #include "host/keyops.h"
 #include "host/limits.h"
+#include "host/lookups.h"
 #include "host/moves.h"
 #include "host/operate.h"
 #include "host/peers.h"
@@ -112,6 +113,7 @@
 	confops_scanned(h);
 	limits_scanned(h, sent_at);
 	moves_scanned(h, rows, sent_at);
+	lookups_scanned(h, rows);
 }
 
 static void
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -12,6 +12,7 @@
 #include "host/host.h"
 #include "host/join.h"
 #include "host/limits.h"
+#include "host/lookups.h"
 #include "host/moves.h"
 #include "host/once_calls.h"
 #include "host/operate.h"
@@ -200,6 +201,7 @@
 	room_init(h);
 	once_calls_init(h);
 	sweep_init(h);
+	lookups_init(h);
 	probe_init(h);
 	poison_init(&h->poison, harm_peer_id(h->settings.id));
 	h->slot = SLOT_NONE;
@@ -260,6 +262,7 @@
 	room_finish(h);
 	once_calls_finish(h);
 	sweep_finish(h);
+	lookups_finish(h);
 	poison_finish(&h->poison);
 	probe_finish(h);
 	peers_finish(h);
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -98,6 +98,7 @@
 	GHashTable *once_kept;	  /* entry to an answer to be replayed */
 	size_t once_kept_bytes;
 	struct sweep *sweep;
+	struct lookups *lookups;
 	GHashTable *budgets; /* service name to retry_budget_t */
 	GPtrArray *carries;  /* carry_t under way */
 	uint64_t next_request;
--- a/src/host/lookups.c
+++ b/src/host/lookups.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <jansson.h>
+#include <sodium.h>
 
 #include "coordination/lookup.h"
 #include "coordination/roster.h"
@@ -12,50 +13,116 @@
 #include "host/refusal.h"
 #include "state/digest.h"
 
+/* A host's row as look-ups need it. */
 typedef struct {
-	host_t *host;
-	GArray *found; /* lookup_host_t, names and addresses owned */
-} collect_t;
+	lookup_host_t host; /* names and address owned */
+	host_id_t id;	    /* HOST_NONE: not in the roster yet */
+} entry_t;
 
-/* Neither silent nor listed by the platform as leaving. */
-static gboolean
-is_heard(const host_t *h, const char *name)
+typedef struct lookups {
+	GArray *entries;	  /* entry_t */
+	gboolean stale;		  /* a row has changed */
+	uint64_t catalog_version; /* for which regions are known */
+} lookups_t;
+
+static void
+entry_clear(void *p)
+{
+	entry_t *e = p;
+
+	g_free((char *)(uintptr_t)e->host.name);
+	g_free((char *)(uintptr_t)e->host.address);
+	g_free((char *)(uintptr_t)e->host.domain);
+}
+
+void
+lookups_init(host_t *h)
+{
+	h->lookups = g_new0(lookups_t, 1);
+	h->lookups->entries = g_array_new(FALSE, TRUE, sizeof(entry_t));
+	h->lookups->stale = TRUE;
+	g_array_set_clear_func(h->lookups->entries, entry_clear);
+}
+
+void
+lookups_finish(host_t *h)
+{
+	g_array_free(h->lookups->entries, TRUE);
+	g_free(h->lookups);
+}
+
+void
+lookups_scanned(host_t *h, const GArray *rows)
 {
-	host_id_t id;
+	guint i;
 
-	if (h->incarnation == 0 || g_hash_table_contains(h->leaving, name))
-		return FALSE;
-	id = roster_find(&h->roster, name);
-	return id != HOST_NONE &&
-	    (id == h->roster.self || roster_live(&h->roster, id, clock_now()));
+	for (i = 0; i < rows->len && !h->lookups->stale; i++)
+		h->lookups->stale = g_str_has_prefix(
+		    g_array_index(rows, store_row_t, i).key, ROWS_HOST);
 }
 
 static void
-collect_host(void *arg, const char *name, const mirror_row_t *row)
+add_entry(void *arg, const char *name, const mirror_row_t *row)
 {
-	collect_t *c = arg;
+	const host_t *h = arg;
 	host_row_t value = {0};
-	lookup_host_t found = {0};
+	entry_t e = {.id = HOST_NONE};
 
 	if (!rows_decode(&row_host, row->value, &value, NULL))
 		return;
-	if (value.state == HOST_LIVE && is_heard(c->host, name)) {
-		found.name = g_strdup(name);
-		found.address = g_strdup(value.callers);
-		found.region =
-		    catalog_find_region(&c->host->catalog, value.region);
-		g_array_append_val(c->found, found);
+	if (value.state == HOST_LIVE) {
+		e.host.name = g_strdup(name);
+		e.host.address = g_strdup(value.callers);
+		e.host.domain = g_strdup(value.domain);
+		e.host.region = catalog_find_region(&h->catalog, value.region);
+		if (h->incarnation != 0)
+			e.id = roster_find(&h->roster, name);
+		/* The roster may learn of it after the mirror. */
+		if (e.id == HOST_NONE)
+			h->lookups->stale = TRUE;
+		g_array_append_val(h->lookups->entries, e);
 	}
 	rows_clear(&row_host, &value);
 }
 
 static void
-found_clear(void *p)
+rebuild(host_t *h)
 {
-	lookup_host_t *found = p;
+	lookups_t *l = h->lookups;
+
+	if (!l->stale && l->catalog_version == h->catalog.version)
+		return;
+	l->stale = FALSE;
+	l->catalog_version = h->catalog.version;
+	g_array_set_size(l->entries, 0);
+	mirror_each(&h->mirror, ROWS_HOST, add_entry, h);
+}
 
-	g_free((char *)(uintptr_t)found->name);
-	g_free((char *)(uintptr_t)found->address);
+/* Neither silent nor listed by the platform as leaving. */
+static gboolean
+is_heard(const host_t *h, const entry_t *e, msec_t now)
+{
+	return e->id != HOST_NONE &&
+	    !g_hash_table_contains(h->leaving, e->host.name) &&
+	    (e->id == h->roster.self || roster_live(&h->roster, e->id, now));
+}
+
+/* The hosts that may be named: lookup_host_t, whose names the index owns. */
+static GArray *
+collect(host_t *h)
+{
+	GArray *found = g_array_new(FALSE, TRUE, sizeof(lookup_host_t));
+	msec_t now = clock_now();
+	const entry_t *e;
+	guint i;
+
+	rebuild(h);
+	for (i = 0; i < h->lookups->entries->len; i++) {
+		e = &g_array_index(h->lookups->entries, entry_t, i);
+		if (is_heard(h, e, now))
+			g_array_append_val(found, e->host);
+	}
+	return found;
 }
 
 /* The workspace of the key, if the caller presents one that is known. */
@@ -147,7 +214,7 @@
 	const struct evhttp_uri *uri =
 	    evhttp_request_get_evhttp_uri(http_exchange_request(x));
 	const char *service = evhttp_uri_get_path(uri) + strlen(LOOKUPS_PREFIX);
-	collect_t collect = {h, NULL};
+	GArray *found;
 	lookup_query_t q = {.catalog = &h->catalog};
 
 	metrics_count(&h->metrics, h->m.lookups, 1);
@@ -159,12 +226,13 @@
 		refusal_send(x, REFUSAL_UNKNOWN_SERVICE, RUN_NOT, 0);
 		return;
 	}
-	collect.found = g_array_new(FALSE, TRUE, sizeof(lookup_host_t));
-	g_array_set_clear_func(collect.found, found_clear);
-	mirror_each(&h->mirror, ROWS_HOST, collect_host, &collect);
+	found = collect(h);
 	q.from = region_asked(h, x);
 	q.affinity = affinity_of(h, x, service, &q.part);
-	moves_lookup(h, service, &q, collect.found);
-	send_hosts(x, service, h->catalog.caps.lookup_ttl_sec, collect.found);
-	g_array_free(collect.found, TRUE);
+	moves_lookup(h, service, &q, found);
+	g_array_set_size(found,
+	    (guint)lookup_cut((lookup_host_t *)(void *)found->data, found->len,
+		randombytes_random()));
+	send_hosts(x, service, h->catalog.caps.lookup_ttl_sec, found);
+	g_array_free(found, TRUE);
 }
--- a/src/host/lookups.h
+++ b/src/host/lookups.h
@@ -7,6 +7,16 @@
 
 #define LOOKUPS_PREFIX "/lookup/"
 
+void lookups_init(host_t *h);
+void lookups_finish(host_t *h);
+
+/**
+ * lookups_scanned() - Note whether rows of hosts have changed.
+ * @h: the host
+ * @rows: store_row_t that a scan brought
+ */
+void lookups_scanned(host_t *h, const GArray *rows);
+
 /**
  * lookups_serve() - Answer one look-up.
  * @h: the host
--- a/tests/bench/bench_decisions.c
+++ b/tests/bench/bench_decisions.c
@@ -177,6 +177,7 @@
 measure_lookup(size_t n)
 {
 	lookup_host_t *hosts = g_new0(lookup_host_t, n);
+	lookup_host_t *copy = g_new0(lookup_host_t, n);
 	lookup_query_t q = {.affinity = "sera", .part = 0.1};
 	catalog_t c;
 	double began;
@@ -188,6 +189,7 @@
 	for (i = 0; i < n; i++) {
 		hosts[i].name = g_strdup_printf("host-%zu", i);
 		hosts[i].address = "127.0.0.1:1";
+		hosts[i].domain = "d";
 		hosts[i].region = (region_id_t)(i % REGIONS);
 	}
 	began = now_nsec();
@@ -196,6 +198,13 @@
 		sink += hosts[0].weight;
 	}
 	print_row("look-up order", n, (now_nsec() - began) / LOOKUP_ROUNDS, 0);
+	began = now_nsec();
+	for (i = 0; i < LOOKUP_ROUNDS; i++) {
+		memcpy(copy, hosts, n * sizeof(*hosts));
+		sink += lookup_cut(copy, n, (uint32_t)i);
+	}
+	print_row("look-up cut", n, (now_nsec() - began) / LOOKUP_ROUNDS, 0);
+	g_free(copy);
 	for (i = 0; i < n; i++)
 		g_free((char *)hosts[i].name);
 	g_free(hosts);
