--- a/tests/process/test_routing_oracles.sh
+++ b/tests/process/test_routing_oracles.sh
@@ -38,6 +38,7 @@
 fuzz_once release
 fuzz_fair_queue charge
 fuzz_fair_queue cancel
+fuzz_block_map half
 END
 echo "$missed broken rules not noticed"
 [ "$missed" -eq 0 ]
