--- a/tests/process/fixture.sh
+++ b/tests/process/fixture.sh
@@ -45,10 +45,10 @@
 	all="$(callers 1),$(callers 2),$(callers 3)"
 }
 
-# issue_key NAME: into $dir/NAME, accepted by all hosts.
+# issue_key NAME [WORKSPACE]: into $dir/NAME, accepted by all hosts.
 issue_key() {
 	timeout 30 "$bin/src/cmd/greengageloom" --secret-file "$dir/secret" \
-	    --host "127.0.0.1:$((base + 21))" key issue sera --wait 15 \
+	    --host "127.0.0.1:$((base + 21))" key issue "${2:-sera}" --wait 15 \
 	    >"$dir/issued" 2>&1 || fail "key issue: $(cat "$dir/issued")"
 	grep -o 'ggl_[A-Za-z0-9_-]*' "$dir/issued" | head -n 1 >"$dir/$1"
 }
--- a/tests/process/test_keys.sh
+++ b/tests/process/test_keys.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Keys under faults: an outage with all hosts in reach refuses nobody; a key
+# Two workspaces at once are kept apart. Keys under faults: an outage with all hosts in reach refuses nobody; a key
 # withdrawn before it is refused by each host, also by one that is restarted
 # or paused meanwhile.
 # usage: test_keys.sh BUILD-DIR
@@ -8,8 +8,50 @@
 # shellcheck source=tests/process/fixture.sh
 . "$(dirname "$0")/fixture.sh"
 
-start_fleet
+# own WORKSPACE: the workspace's callers got the answers of its own requests,
+# and whatever ran in its name was sent by them.
+own() {
+	awk -v path="/$1" 'FILENAME ~ /runs.log$/ { ran[$3] = $6; next }
+	/^answered/ { sub("]", "", $4); if (ran[$4] != path) print }' \
+	    "$dir/runs.log" "$dir/$1.told" >"$dir/crossed"
+	[ ! -s "$dir/crossed" ] || fail "$1: $(head -n 3 "$dir/crossed")"
+	n=$(grep -c "^run .* /$1\$" "$dir/runs.log" || true)
+	told=$(grep -c '^answered' "$dir/$1.told" || true)
+	[ "$n" -eq "$told" ] || fail "$1: $n runs, $told answered"
+}
+
+# as WORKSPACE KEY HOSTS COUNT ARGS...: the path tells the workspace.
+as() {
+	name=$1 key=$2 to=$3 count=$4
+	shift 4
+	ask "$name" "$to" "$count" 30 --path "/call/prenota/$name" \
+	    --method POST --tries 1 --key-file "$dir/$key" "$@"
+}
+
+start_fleet 's/^\[workspace sera\]/[workspace alba]\nrate = 10\nburst = 10\n&/'
 issue_key good
+issue_key alba alba
+
+# Only the workspace that sends more than its rate is refused for it, and the
+# same idempotency key of both is two keys.
+as sera good "$all" 200 --log "$dir/sera.told"
+as alba alba "$all" 200 --log "$dir/alba.told"
+end_ask sera
+end_ask alba
+expect sera answered 200
+[ "$(reasons alba over-rate)" -gt 0 ] || fail "alba was not refused"
+[ "$(field answered alba)" -gt 0 ] || fail "alba was not served"
+own sera
+own alba
+: >"$dir/runs.log"
+sleep 2
+for turn in sera,good alba,alba; do
+	w=${turn%,*}
+	as "$w" "${turn#*,}" "$(callers 1)" 1 --once k
+	end_ask "$w"
+	expect "$w" answered 1
+	grep -q "^run .* /$w\$" "$dir/runs.log" || fail "$w: k did not run"
+done
 issue_key bad
 issue_key worse
 
--- a/tests/standins/standin_backend.c
+++ b/tests/standins/standin_backend.c
@@ -71,13 +71,14 @@
 	return evhttp_find_header(evhttp_request_get_input_headers(req), key);
 }
 
-/* With the number that its caller gave it, to count runs, and the time. */
+/* With the number that its caller gave it, to count runs, time and path. */
 static void
 log_run(struct evhttp_request *req, const char *id)
 {
 	const char *number = header(req, "X-Caller-Number");
-	char *line = g_strdup_printf(
-	    "%s %s %lld", id, number ? number : "-", (long long)clock_now());
+	char *line = g_strdup_printf("%s %s %lld %s", id, number ? number : "-",
+	    (long long)clock_now(),
+	    evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req)));
 
 	log_line("run", line);
 	g_free(line);
