Rollouts: a good version that lacks only load is not taken back as late

Cause: the judge calls a version good only for the load bands that it has seen, and the router spreads it over all its endpoints. Where the old one's endpoints are busier than the cap can make the new one's, no time is long enough: the rollout waited for judgement until its deadline and was taken back.

Now, after 80 % of the time, a version of which only a load band is unseen grows by its cap at each step and is judged anew at each. The holder logs what a move waits for: move.waits.

Test: the first rollout of process_test_moves runs against an old version whose answers take 60 ms (5 of 9 slots busy).

--- a/src/coordination/move_holder.c
+++ b/src/coordination/move_holder.c
@@ -167,7 +167,8 @@
 {
 	move_pace_t pace = {.wall_now = in->wall_now,
 	    .step_ms = m->step_ms,
-	    .verdict = in->verdict};
+	    .verdict = in->verdict,
+	    .lacks_load = in->lacks_load};
 	gboolean proven;
 	move_action_t a;
 	share_t next;
--- a/src/coordination/move_holder.h
+++ b/src/coordination/move_holder.h
@@ -35,10 +35,11 @@
 	unsigned int n_reports;
 	move_room_t room; /* of the side that receives at present */
 	judge_verdict_t verdict;
-	msec_t sample_ms;   /* in which the new version, at its present share,
-			       gets JUDGE_MIN_STEP requests; 0: unknown */
-	gboolean cancelled; /* by an operator */
-	msec_t settle_ms;   /* until a step shows: caches of look-ups */
+	gboolean lacks_load; /* see judge_lacks_load() */
+	msec_t sample_ms;    /* in which the new version, at its present share,
+				gets JUDGE_MIN_STEP requests; 0: unknown */
+	gboolean cancelled;  /* by an operator */
+	msec_t settle_ms;    /* until a step shows: caches of look-ups */
 } move_input_t;
 
 typedef enum {
--- a/src/coordination/move_plan.c
+++ b/src/coordination/move_plan.c
@@ -34,17 +34,22 @@
 static share_t
 rollout_next(const move_row_t *row, const move_pace_t *pace, gboolean *proven)
 {
+	share_t next;
+
 	if (row->share < row->cap && !row->proven) {
 		if (row->share == 0)
 			return least(row->cap, MOVE_FIRST_SHARE);
 		return row->cap;
 	}
-	if (pace->verdict != JUDGE_GOOD)
+	if (pace->verdict != JUDGE_GOOD && !pace->lacks_load)
 		return row->share;
 	if (!row->proven && pace->wall_now < soak_end(row))
 		return row->share;
 	*proven = TRUE;
-	return spread(row, pace);
+	next = spread(row, pace);
+	if (pace->verdict != JUDGE_GOOD)
+		next = least(next, row->share + row->cap);
+	return next;
 }
 
 share_t
--- a/src/coordination/move_plan.h
+++ b/src/coordination/move_plan.h
@@ -15,6 +15,7 @@
 	int64_t wall_now;
 	msec_t step_ms; /* that one step is expected to take */
 	judge_verdict_t verdict;
+	gboolean lacks_load; /* see judge_lacks_load() */
 } move_pace_t;
 
 /**
@@ -23,6 +24,9 @@
  * @pace: time and judgement
  * @proven: set to TRUE when the new version may pass its cap
  *
+ * A version that is good but for load that its share can't bring it grows by
+ * its cap at most, and is judged anew at each step.
+ *
  * Steps are spread over the time left, so that each is as small as the
  * deadline allows.
  *
--- a/src/host/move_duty.c
+++ b/src/host/move_duty.c
@@ -262,6 +262,18 @@
 	    row->late ? "yes" : "no", NULL);
 }
 
+/* So that the log tells afterwards what a move stood for. */
+static void
+tell_wait(move_held_t *held)
+{
+	if (held->m.wait == held->told_wait)
+		return;
+	held->told_wait = held->m.wait;
+	log_event(LOG_INFO, "move.waits", "move", held->m.row.id, "for",
+	    move_wait_name(held->m.wait), "step", log_num(held->m.row.step),
+	    NULL);
+}
+
 static void
 advance(move_held_t *held)
 {
@@ -271,6 +283,7 @@
 		return;
 	action = move_held_decide(held);
 	held->action = action;
+	tell_wait(held);
 	switch (action.act) {
 	case MOVE_ACT_NONE:
 		break;
--- a/src/host/move_duty.h
+++ b/src/host/move_duty.h
@@ -19,7 +19,8 @@
 	move_action_t action; /* under way */
 	judge_t judge;
 	judge_feed_t feed;
-	GPtrArray *routes; /* names, by the judge's numbers */
+	GPtrArray *routes;     /* names, by the judge's numbers */
+	move_wait_t told_wait; /* as last logged */
 	share_t judged_share;
 	msec_t step_at; /* when that share began */
 	gboolean waiting, forgotten;
--- a/src/host/move_input.c
+++ b/src/host/move_input.c
@@ -97,6 +97,7 @@
 	    .n_reports = reports->len,
 	    .room = move_measure(h, &held->m.row, now),
 	    .verdict = judge_verdict(&held->judge),
+	    .lacks_load = judge_lacks_load(&held->judge),
 	    .sample_ms = sample_ms(held, now),
 	    .cancelled = is_cancelled(h, held->m.row.id),
 	    .settle_ms = settle_ms(h, &held->m.row),
--- a/src/state/judge.c
+++ b/src/state/judge.c
@@ -170,26 +170,47 @@
 	    mixture(c, JUDGE_SLOW) < j->log_threshold - JUDGE_UNCLEAR;
 }
 
-judge_verdict_t
-judge_verdict(const judge_t *j)
+/* Whether all is good but for load that the new version has not seen. */
+static gboolean
+is_clear(const judge_t *j)
 {
 	const judge_cell_t *c;
 	unsigned int i;
 
-	if (j->bad)
-		return JUDGE_BAD;
-	if (j->step_requests < JUDGE_MIN_STEP ||
+	if (j->bad || j->step_requests < JUDGE_MIN_STEP ||
 	    j->cells[j->routes].fresh_requests < JUDGE_MIN_REQUESTS)
-		return JUDGE_WAIT;
+		return FALSE;
 	for (i = 0; i <= j->routes; i++) {
 		c = &j->cells[i];
 		if (!cell_is_clear(j, c) ||
 		    unseen(j, c->peer_requests, c->fresh_requests))
-			return JUDGE_WAIT;
+			return FALSE;
 	}
+	return TRUE;
+}
+
+static gboolean
+lacks_band(const judge_t *j)
+{
+	unsigned int i;
+
 	for (i = 0; i < JUDGE_BANDS; i++) {
 		if (unseen(j, j->band_peer[i], j->band_fresh[i]))
-			return JUDGE_WAIT;
+			return TRUE;
 	}
-	return JUDGE_GOOD;
+	return FALSE;
+}
+
+judge_verdict_t
+judge_verdict(const judge_t *j)
+{
+	if (j->bad)
+		return JUDGE_BAD;
+	return is_clear(j) && !lacks_band(j) ? JUDGE_GOOD : JUDGE_WAIT;
+}
+
+gboolean
+judge_lacks_load(const judge_t *j)
+{
+	return is_clear(j) && lacks_band(j);
 }
--- a/src/state/judge.h
+++ b/src/state/judge.h
@@ -96,4 +96,13 @@
 /** judge_verdict() - What can be said now. */
 judge_verdict_t judge_verdict(const judge_t *j);
 
+/**
+ * judge_lacks_load() - Whether only load stands between it and JUDGE_GOOD.
+ * @j: the judgement
+ *
+ * At a small share a new version may never be as busy as its peer; then no
+ * time is long enough to call it good at that share.
+ */
+gboolean judge_lacks_load(const judge_t *j);
+
 #endif
--- a/tests/bench/bench_moves.c
+++ b/tests/bench/bench_moves.c
@@ -260,6 +260,7 @@
 		.slots = 100,
 		.demand = 60},
 	    .verdict = judge_verdict(&w->judge),
+	    .lacks_load = judge_lacks_load(&w->judge),
 	    .sample_ms = sample_ms(w),
 	    .settle_ms = SETTLE_MS};
 	move_action_t a;
--- a/tests/process/test_moves.sh
+++ b/tests/process/test_moves.sh
@@ -118,9 +118,18 @@
 sleep 1
 [ "$(runs v2)" -eq 0 ] || fail "v2 served before its rollout"
 
-# A good version is done, and the old one gets nothing more.
+# A good version is done, and the old one gets nothing more. The old one has
+# more load on each endpoint than the new one's cap can bring.
+hold() {
+	for n in 11 12 13 21 22 23; do
+		"$bin/tests/standin_get" "127.0.0.1:$((base + 100 + n))" \
+		    "/control?hold_ms=$1" >/dev/null
+	done
+}
+hold 60
 admitted 1 rollout lettore --to v2 --within 40 --wait 60 >"$dir/good" ||
     fail "good version: $(cat "$dir/good")"
+hold 5
 sleep 1
 from=$(mark)
 sleep 2
--- a/tests/test_judge.c
+++ b/tests/test_judge.c
@@ -145,6 +145,7 @@
 		judge_window(&j, (const judge_sample_t(*)[JUDGE_BANDS])samples);
 	}
 	ck_assert_int_eq(judge_verdict(&j), JUDGE_WAIT);
+	ck_assert(judge_lacks_load(&j));
 	judge_init(&j, ROUTES, WINDOWS, ALPHA);
 	for (w = 0; w < 200; w++) {
 		for (r = 0; r < ROUTES; r++) {
@@ -154,6 +155,7 @@
 		judge_window(&j, (const judge_sample_t(*)[JUDGE_BANDS])samples);
 	}
 	ck_assert_int_eq(judge_verdict(&j), JUDGE_WAIT);
+	ck_assert(!judge_lacks_load(&j));
 }
 
 /* Reports lost, doubled, old, and of a host started anew. */
--- a/tests/test_move.c
+++ b/tests/test_move.c
@@ -111,16 +111,21 @@
 		int64_t wall;
 		judge_verdict_t verdict;
 		share_t next;
+		gboolean lacks_load;
 	} rows[] = {
-	    {0, FALSE, 0, JUDGE_WAIT, 100},
-	    {100, FALSE, 5000, JUDGE_WAIT, 500},
-	    {500, FALSE, 79999, JUDGE_GOOD, 500}, /* soaks 80 s of 100 */
-	    {500, FALSE, 80000, JUDGE_WAIT, 500},
-	    {500, FALSE, 80000, JUDGE_GOOD, 3500}, /* no more than a step */
-	    {5000, TRUE, 70000, JUDGE_GOOD, 6000}, /* 5 steps left */
-	    {5000, TRUE, 90000, JUDGE_WAIT, 5000},
-	    {5000, TRUE, 90000, JUDGE_GOOD, 8000},
-	    {9900, TRUE, 50000, JUDGE_GOOD, 10000},
+	    {0, FALSE, 0, JUDGE_WAIT, 100, FALSE},
+	    {100, FALSE, 5000, JUDGE_WAIT, 500, FALSE},
+	    {500, FALSE, 79999, JUDGE_GOOD, 500, FALSE}, /* soaks 80 s of 100 */
+	    {500, FALSE, 80000, JUDGE_WAIT, 500, FALSE},
+	    {500, FALSE, 80000, JUDGE_GOOD, 3500,
+		FALSE}, /* no more than a step */
+	    {500, FALSE, 79999, JUDGE_WAIT, 500, TRUE},
+	    {500, FALSE, 80000, JUDGE_WAIT, 1000, TRUE}, /* its cap */
+	    {1000, TRUE, 80000, JUDGE_WAIT, 1500, TRUE},
+	    {5000, TRUE, 70000, JUDGE_GOOD, 6000, FALSE}, /* 5 steps left */
+	    {5000, TRUE, 90000, JUDGE_WAIT, 5000, FALSE},
+	    {5000, TRUE, 90000, JUDGE_GOOD, 8000, FALSE},
+	    {9900, TRUE, 50000, JUDGE_GOOD, 10000, FALSE},
 	};
 	move_row_t row = admitted(&rollout);
 	move_pace_t pace = {.step_ms = 5000};
@@ -132,6 +137,7 @@
 		row.proven = rows[i].proven;
 		pace.wall_now = rows[i].wall;
 		pace.verdict = rows[i].verdict;
+		pace.lacks_load = rows[i].lacks_load;
 		ck_assert_uint_eq(
 		    move_plan_next(&row, &pace, &proven), rows[i].next);
 		ck_assert_int_eq(
