--- a/tests/process/test_keys.sh
+++ b/tests/process/test_keys.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Two workspaces at once are kept apart. Keys under faults: an outage with all hosts in reach refuses nobody; a key
-# withdrawn before it is refused by each host, also by one that is restarted
-# or paused meanwhile.
+# Two workspaces at once are kept apart. Keys under faults: an outage with all
+# hosts in reach refuses nobody; a key withdrawn before it is refused by each
+# host, also by one that is restarted or paused meanwhile.
 # usage: test_keys.sh BUILD-DIR
 set -eu
 base=22100
@@ -11,7 +11,11 @@
 # own WORKSPACE: the workspace's callers got the answers of its own requests,
 # and whatever ran in its name was sent by them.
 own() {
-	awk -v path="/$1" 'FILENAME ~ /runs.log$/ { ran[$3] = $6; next }
+	awk -v path="/$1" 'FILENAME ~ /runs.log$/ {
+		if ($1 == "run")
+			ran[$3] = $6
+		next
+	}
 	/^answered/ { sub("]", "", $4); if (ran[$4] != path) print }' \
 	    "$dir/runs.log" "$dir/$1.told" >"$dir/crossed"
 	[ ! -s "$dir/crossed" ] || fail "$1: $(head -n 3 "$dir/crossed")"
