A host serves once it knows who leaves and where it stands

A host that came back took requests before it had asked the backend servers and the platform's list, and sent some to a server that had been draining for 5 s. Until its next scan it also took itself for the only host, in the text's first failure domain, with whole spill caps and limits of connections: its place was told only when it had joined already.

--- a/src/host/control.c
+++ b/src/host/control.c
@@ -110,6 +110,7 @@
 {
 	join_changed(h);
 	sync_keys(h, rows, since, sent_at);
+	host_place_routes(h);
 	confops_scanned(h);
 	limits_scanned(h, sent_at);
 	moves_scanned(h, rows, sent_at);
@@ -129,7 +130,8 @@
 static void
 probe_when_due(host_t *h, msec_t now)
 {
-	if (now < h->probe_at)
+	if (now < h->probe_at &&
+	    (h->catalog.version == 0 || h->first_probe_at != 0))
 		return;
 	h->probe_at = now + PROBE_PERIOD_MS;
 	probe_all(h);
@@ -151,6 +153,15 @@
 	host_stop(h);
 }
 
+/* Not before it is known which backend servers leave. */
+static gboolean
+may_serve(const host_t *h, msec_t now)
+{
+	return h->incarnation != 0 && h->catalog.version != 0 &&
+	    freshness_ok(&h->sync.fresh, now) && h->listed &&
+	    probe_known(h, now);
+}
+
 void
 control_tick(host_t *h, msec_t now)
 {
@@ -170,7 +181,6 @@
 		sweep_tick(h, now);
 	}
 	check_place(h);
-	if (h->phase == HOST_STARTING && h->incarnation != 0 &&
-	    h->catalog.version != 0 && freshness_ok(&h->sync.fresh, now))
+	if (h->phase == HOST_STARTING && may_serve(h, now))
 		h->phase = HOST_SERVING;
 }
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -72,6 +72,7 @@
 	msec_t retire_at, list_at;
 	GHashTable *leaving; /* names that the platform lists as leaving */
 	gboolean listing;
+	gboolean listed; /* the platform's list was asked for, with an outcome */
 	/* Limits. */
 	GHashTable *shares; /* workspace to limit_share_t */
 	uint16_t slot;	    /* SLOT_NONE: none held */
@@ -92,7 +93,8 @@
 	GHashTable *waiting; /* request number to carry_t */
 	struct event *pumper;
 	poison_t poison;
-	GHashTable *probes; /* those under way */
+	GHashTable *probes;    /* those under way */
+	msec_t first_probe_at; /* of a catalog's endpoints; 0: not yet */
 	once_t once;
 	GHashTable *once_carries; /* entry to carry_t */
 	GHashTable *once_kept;	  /* entry to an answer to be replayed */
--- a/src/host/probe.c
+++ b/src/host/probe.c
@@ -138,11 +138,21 @@
 {
 	guint i;
 
+	if (h->first_probe_at == 0 && h->catalog.version != 0)
+		h->first_probe_at = clock_now();
 	for (i = 0; i < h->catalog.endpoints->len; i++)
 		probe_one(
 		    h, catalog_endpoint(&h->catalog, (endpoint_id_t)i), 0);
 }
 
+gboolean
+probe_known(const host_t *h, msec_t now)
+{
+	return h->first_probe_at != 0 &&
+	    (g_hash_table_size(h->probes) == 0 ||
+		now - h->first_probe_at >= PROBE_TIMEOUT_MS);
+}
+
 void
 probe_endpoint(host_t *h, const char *name)
 {
--- a/src/host/probe.h
+++ b/src/host/probe.h
@@ -16,6 +16,13 @@
  */
 void probe_all(host_t *h);
 
+/**
+ * probe_known() - Whether each endpoint has had the time to tell its health.
+ * @h: the host
+ * @now: present time
+ */
+gboolean probe_known(const host_t *h, msec_t now);
+
 /**
  * probe_endpoint() - Ask one endpoint at once.
  * @h: the host
--- a/src/host/retire.c
+++ b/src/host/retire.c
@@ -1,6 +1,7 @@
 #include "base/log.h"
 #include "host/fenced.h"
 #include "host/join.h"
+#include "host/moves.h"
 #include "host/retire.h"
 
 #define LIST_PERIOD_MS 2000
@@ -72,6 +73,7 @@
 	guint i;
 
 	h->listing = FALSE;
+	h->listed = TRUE;
 	if (err != NULL)
 		return;
 	names = g_ptr_array_new();
@@ -85,6 +87,7 @@
 	roster_listed(
 	    &h->roster, (const char *const *)names->pdata, names->len);
 	g_ptr_array_free(names, TRUE);
+	h->moves->tick_at = 0; /* it marks the endpoints that leave */
 }
 
 void
--- a/src/state/route_choice.c
+++ b/src/state/route_choice.c
@@ -19,8 +19,7 @@
 route_choice_init(route_choice_t *rc, route_policy_kind_t kind, uint64_t seed)
 {
 	memset(rc, 0, sizeof(*rc));
-	rc->hosts = 1;
-	rc->near_hosts = 1;
+	route_choice_place(rc, 0, 0, 1, 0, 1);
 	rc->kind = kind;
 	rc->seed = seed;
 	rc->services = g_hash_table_new_full(
