The crashing request through three hosts at one instant

At one instant no host has heard of a death, and a request that is no suspect is not held: the bound of two can't hold for it.

--- a/tests/process/test_poison.sh
+++ b/tests/process/test_poison.sh
@@ -97,6 +97,11 @@
 # A clip may be sent again, so that each is answered.
 expect clips answered 400
 
+# At one instant no host knows of a death yet: one server for each sending that
+# was under way, and none after these.
+scene "at one instant" 3 all --path /call/prenota/instant --method POST \
+    --key-file "$dir/good"
+
 # A suspect runs alone for a host that dies; the host comes back without it.
 mark="--path /call/prenota/mark --method POST --key-file $dir/good"
 # shellcheck disable=SC2086
