Requests soon after the start wait for their tokens

Cause: after the first configuration 429 over-rate for a handful of requests far inside the rate, which tests hid behind a sleep of 2 s. Four things met: - A lender waits 1.02 s and starts empty, also the first of all, before which nobody can have lent. - A question sent while no lender was known held up the next one for 400 ms, though the lender became known meanwhile, and counted as lost: after two of them nobody waited. - What is known of leases came with the scan of each second. - Until a configuration is settled, some 4 s, only a fifth of the rate is lent, also under version 1, which has no forerunner.

Now the lender of epoch 1 starts full and at once, once in its life; version 1 is settled at once; the first look at a lease and a missing lender bring the next scan forward (100 ms); a new epoch in a scan is asked at once; and for 3 s after a workspace's first configuration at a host, requests wait for tokens, bounded by the caller's deadline, rather than be refused.

"only the first lender of all starts full" and "first requests wait for a lender" in test_limits; fuzz_limits lets a lease that lapsed be kept, and the self-test a lender that starts full again (BREAK_FULL) is noticed.

Tests changed: "questions are answered once" starts the lender twice, since its rows are about one that has forerunners. fixture.sh no longer sleeps 2 s.

--- a/src/coordination/borrower.c
+++ b/src/coordination/borrower.c
@@ -89,6 +89,8 @@
 	borrower_tick(b, now);
 	if (config_equal(config, &b->config))
 		return;
+	if (b->config.slots == 0)
+		b->start_until = now + START_WAIT_MS;
 	if (config->slot != b->config.slot) {
 		/* The slot's last holder may have pledged its reserve. */
 		bucket_init(&b->floor, b->floor.limit, now);
@@ -188,8 +190,11 @@
 	msec_t ready_at = MIN(bucket_ready_at(&b->floor, UTOKEN),
 	    bucket_ready_at(&b->reserve, UTOKEN));
 	admit_t verdict = {ADMIT_REFUSE, MIN(ready_at, now + MSEC_PER_SEC)};
-	gboolean hopeless = b->lost >= BORROW_LOST_MAX && ready_at > deadline;
+	gboolean hopeless;
 
+	deadline = MAX(deadline, b->start_until);
+	hopeless = now >= b->start_until && b->lost >= BORROW_LOST_MAX &&
+	    ready_at > deadline;
 	if (now >= deadline || hopeless || b->waiting > WAITING_MAX)
 		return verdict;
 	verdict.kind = ADMIT_WAIT;
--- a/src/coordination/borrower.h
+++ b/src/coordination/borrower.h
@@ -30,6 +30,11 @@
 /* Bounds of the time that a request waits for tokens. */
 #define WAIT_MIN_MS 25
 #define WAIT_MAX_MS 250
+/*
+ * For this long after a host's first configuration, requests wait for tokens:
+ * a lender must be found, and the slots' parts get to it.
+ */
+#define START_WAIT_MS 3000
 /* Requests that may wait at once. */
 #define WAITING_MAX 64
 /* Step by which the record of demand fades. */
@@ -79,7 +84,8 @@
 	shares_t shares;
 	borrower_config_t config; /* in force here */
 	slots_t settled;
-	msec_t settle_at; /* when @config counts as settled */
+	msec_t settle_at;   /* when @config counts as settled */
+	msec_t start_until; /* until then requests wait for tokens */
 	bucket_t floor;
 	bucket_t reserve;
 	msec_t reserve_from; /* it may have been pledged until then */
--- a/src/coordination/lease.h
+++ b/src/coordination/lease.h
@@ -23,6 +23,8 @@
 #define LEASE_SENT_MAX 4
 #define LEASE_NEVER (INT64_MIN / 2)
 #define LEASE_ANY_VERSION UINT64_MAX
+/* Epoch of the first take of all; fence rows are never deleted. */
+#define LEASE_FIRST_EPOCH 1
 
 typedef struct {
 	msec_t lease_ms;  /* validity of a write, from when it was sent */
--- a/src/coordination/lender.c
+++ b/src/coordination/lender.c
@@ -24,11 +24,17 @@
 void
 lender_start(lender_t *l, uint64_t epoch, lendable_t limit, msec_t now)
 {
+	gboolean first = epoch == LEASE_FIRST_EPOCH && l->newest == 0;
+
 	lender_stop(l);
-	l->epoch = epoch;
+	l->epoch = l->newest = epoch;
 	l->limit = limit;
 	bucket_init(&l->bucket, limit.base, now);
 	l->prior_until = now + GRANT_TTL_MS + GRANT_DRIFT_MS;
+	if (first) {
+		l->prior_until = now - 1;
+		l->bucket.level = limit.base.burst;
+	}
 }
 
 void
--- a/src/coordination/lender.h
+++ b/src/coordination/lender.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "coordination/lease.h"
 #include "coordination/roster.h"
 #include "state/bucket.h"
 
@@ -78,7 +79,8 @@
 } loan_t;
 
 typedef struct {
-	uint64_t epoch; /* 0: not the lender */
+	uint64_t epoch;	 /* 0: not the lender */
+	uint64_t newest; /* under which we have lent; 0: never */
 	lendable_t limit;
 	bucket_t bucket;    /* base and pledges */
 	GArray *loans;	    /* loan_t */
@@ -96,6 +98,10 @@
  * @limit: what may be lent of the workspace's limit
  * @now: a time at which the lease of the epoch before had ended, for instance
  *	that of learning that the lease is won
+ *
+ * Starts empty, and waits for the loans of forerunners to expire; under the
+ * first epoch of all there are none, so that it starts full at once. A lease
+ * that lapsed and was kept has its epoch again: its own loans are forerunners.
  */
 void lender_start(lender_t *l, uint64_t epoch, lendable_t limit, msec_t now);
 
--- a/src/host/control.c
+++ b/src/host/control.c
@@ -16,6 +16,9 @@
 #include "host/room.h"
 #include "host/sweep.h"
 
+/* Least time between scans that are wanted sooner. */
+#define SCAN_SOON_MS 100
+
 /* Reads the row of a key. Its workspace is to be freed with row_clear(). */
 static gboolean
 read_key(const store_row_t *row, key_store_row_t *value, key_row_t *key)
@@ -127,6 +130,12 @@
 	mirror_scan(&h->mirror);
 }
 
+void
+control_scan_soon(host_t *h, msec_t now)
+{
+	h->scan_at = MIN(h->scan_at, now + SCAN_SOON_MS);
+}
+
 static void
 probe_when_due(host_t *h, msec_t now)
 {
--- a/src/host/control.h
+++ b/src/host/control.h
@@ -22,4 +22,11 @@
  */
 void control_tick(host_t *h, msec_t now);
 
+/**
+ * control_scan_soon() - Something is missed that the next scan may bring.
+ * @h: the host
+ * @now: present time
+ */
+void control_scan_soon(host_t *h, msec_t now);
+
 #endif
--- a/src/host/duty.c
+++ b/src/host/duty.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "host/control.h"
 #include "host/duty.h"
 #include "host/fenced.h"
 
@@ -232,6 +233,8 @@
 	case LEASE_READ:
 		d->reading = TRUE;
 		d->read_at = now;
+		if (!d->lease.known)
+			control_scan_soon(d->host, now);
 		break;
 	case LEASE_TAKE:
 	case LEASE_RENEW:
--- a/src/host/limits.c
+++ b/src/host/limits.c
@@ -2,12 +2,15 @@
 
 #include "base/log.h"
 #include "host/carry.h"
+#include "host/control.h"
 #include "host/limits.h"
 #include "host/peers.h"
 #include "host/slots.h"
 
 #define DUTY_PREFIX "lend/"
 #define BORROW_CALL_MS 400
+/* No host has had another one in force: there is nothing to wait for. */
+#define CONFIG_FIRST_VERSION 1
 
 static void
 share_free(void *p)
@@ -164,17 +167,18 @@
 follow_settling(limit_share_t *s, msec_t now)
 {
 	uint64_t version = s->host->catalog.version;
+	gboolean first = version == CONFIG_FIRST_VERSION;
 
 	if (!s->present || s->settled == version)
 		return;
-	if (!is_settled(s->host, now)) {
+	if (!first && !is_settled(s->host, now)) {
 		s->agreed_at = 0;
 		return;
 	}
 	/* Who left the roster with an older one may still count as fresh. */
 	if (s->agreed_at == 0)
 		s->agreed_at = now;
-	if (now - s->agreed_at <= FRESH_LAPSE_MS)
+	if (!first && now - s->agreed_at <= FRESH_LAPSE_MS)
 		return;
 	s->agreed_at = 0;
 	s->settled = version;
@@ -205,6 +209,24 @@
 	s->pump_at = INT64_MAX;
 }
 
+/* Ends waiting requests whose caller's deadline has passed. */
+static void
+end_overdue(limit_share_t *s, msec_t now)
+{
+	GList *link = s->waiting->head, *next;
+	carry_t *c;
+
+	for (; link != NULL; link = next) {
+		next = link->next;
+		c = link->data;
+		if (c->request.timeout_ms == 0 ||
+		    now < c->arrived_at + c->request.timeout_ms)
+			continue;
+		limits_forget(c);
+		carry_refuse(c, REFUSAL_DEADLINE, RUN_NOT, 0);
+	}
+}
+
 static void
 take_answer(limit_share_t *s, const borrow_answer_t *answer)
 {
@@ -281,7 +303,9 @@
 	}
 	lender = duty_holder(h, s->duty->name, &epoch);
 	borrower_epoch(&s->borrower, epoch, now);
-	if (lender != NULL && strcmp(lender, h->settings.id) != 0)
+	if (lender == NULL)
+		control_scan_soon(h, now);
+	else if (strcmp(lender, h->settings.id) != 0)
 		ask_peer(s, lender, q);
 	g_free(lender);
 }
@@ -298,6 +322,7 @@
 	    borrower_ask(
 		&s->borrower, freshness_ok(&s->host->sync.fresh, now), now, &q))
 		ask_lender(s, &q, now);
+	end_overdue(s, now);
 	if (s->waiting->length > 0 && now >= s->pump_at)
 		pump(s, now);
 }
@@ -318,11 +343,18 @@
 limits_scanned(host_t *h, msec_t sent_at)
 {
 	GHashTableIter iter;
+	limit_share_t *s;
+	uint64_t epoch;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, h->shares);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		duty_scanned(((limit_share_t *)value)->duty, sent_at);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		s = value;
+		duty_scanned(s->duty, sent_at);
+		/* A question that went to nobody is not waited for. */
+		g_free(duty_holder(h, s->duty->name, &epoch));
+		borrower_epoch(&s->borrower, epoch, clock_now());
+	}
 }
 
 admit_kind_t
--- a/tests/fuzz/limits_model.h
+++ b/tests/fuzz/limits_model.h
@@ -34,6 +34,7 @@
 	BREAK_SETTLED, /* what grows doesn't wait for the others */
 	BREAK_ECHO,    /* a pledge counts from its receipt */
 	BREAK_PLEDGED, /* a host uses what it has pledged */
+	BREAK_FULL,    /* a lender that starts again starts full */
 } model_break_t;
 
 /* Events; their argument picks a process, a message or an amount. */
@@ -300,13 +301,20 @@
 		p->lender.prior_until = 0;
 }
 
+/* One that lapsed is valid again, under its epoch, if no other took it. */
 static void
 proc_renew_lease(model_t *m, int i)
 {
 	proc_t *p = &m->procs[i];
 
-	if (i != m->holder || m->now >= m->lease_end || p->superseded)
+	if (i != m->holder || p->superseded)
 		return;
+	if (m->now >= m->lease_end) {
+		if (m->broken == BREAK_FULL)
+			p->lender.newest = 0;
+		lender_start(
+		    &p->lender, m->epoch, proc_lent(m, p), model_clock(m, p));
+	}
 	m->lease_end = m->now + LEASE_MS;
 	p->valid_until = model_clock(m, p) + LEASE_MS;
 }
--- a/tests/process/fixture.sh
+++ b/tests/process/fixture.sh
@@ -41,7 +41,6 @@
 	for n in 1 2 3; do
 		wait_until 15 serving $n || fail "host $n does not serve"
 	done
-	sleep 2 # until rates are lent
 	all="$(callers 1),$(callers 2),$(callers 3)"
 }
 
--- a/tests/process/test_limits.sh
+++ b/tests/process/test_limits.sh
@@ -60,6 +60,13 @@
 
 start_fleet "s/^rate = .*/rate = $rate/; s/^burst = .*/burst = $burst/"
 issue_key good
+# At once after the start and inside the rate, nothing is refused for it.
+for h in 1 2 3; do seats "early_$h" "$(callers $h)" 4 4 good; done
+for h in 1 2 3; do
+	end_ask "early_$h"
+	expect "early_$h" answered 4
+done
+echo "soon after the start: 12 of 12 answered"
 wait_until 10 grep -q event=limit.lending "$dir"/host_*.log || fail "no lender"
 killed=$(lender)
 paused=$((killed % 3 + 1))
--- a/tests/process/test_stop.sh
+++ b/tests/process/test_stop.sh
@@ -40,6 +40,11 @@
 
 start_fleet
 issue_key good
+# A host takes operators, and a slot, once all have acknowledged it.
+for n in 1 2 3; do
+	wait_until 10 grep -q event=slot.held "$dir/host_$n.log" ||
+	    fail "host $n holds no slot"
+done
 
 # Two operators at once, from the same version.
 text 201
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -175,6 +175,25 @@
 	}
 }
 
+/* Nobody takes over: the lender has its epoch again, its loans live on. */
+static void
+the_lease_lapses_and_is_kept(model_t *m)
+{
+	int i;
+
+	for (i = 0; m->now < m->lease_end; i++) {
+		model_event(m, EV_TIME, 5);
+		model_event(m, EV_FRESHEN, i % NAMES);
+		model_event(m, EV_REQUESTS, MANY(i % NAMES));
+		exchange(m, i % NAMES);
+	}
+	model_event(m, EV_RENEW_LEASE, m->holder);
+	model_event(m, EV_TIME, 13);
+	many_requests(m);
+	for (i = 0; i < NAMES; i++)
+		exchange(m, i);
+}
+
 /* A host is replaced, and its forerunner lives on. */
 static void
 two_hold_a_slot(model_t *m)
@@ -260,6 +279,7 @@
 	    {BREAK_SETTLED, STEADY, one_keeps_the_old_configuration},
 	    {BREAK_ECHO, STEADY, a_pledge_is_late},
 	    {BREAK_PLEDGED, STEADY, many_come_after_none},
+	    {BREAK_FULL, FAST_MANY_SLOTS, the_lease_lapses_and_is_kept},
 	};
 	static model_t m;
 	size_t i;
@@ -398,6 +418,8 @@
 	size_t i;
 
 	lender_init(&l);
+	/* The lease lapsed and was kept. */
+	lender_start(&l, 1, limit, -5000);
 	lender_start(&l, 1, limit, 0);
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
 		memset(&answer, 0, sizeof(answer));
@@ -424,6 +446,33 @@
 	lender_finish(&l);
 }
 
+static void
+only_the_first_lender_of_all_starts_full(void)
+{
+	static const struct {
+		uint64_t epoch;
+		utoken_t level; /* whole tokens at once */
+	} rows[] = {{1, 10}, {1, 0}, {2, 0}};
+	const lendable_t limit = {limit_make(100, 10), {0, 0}};
+	lender_t first, other;
+	size_t i;
+
+	lender_init(&first);
+	lender_init(&other);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		lender_start(&first, rows[i].epoch, limit, 5000);
+		ck_assert_msg(
+		    lender_level(&first, 5000) / UTOKEN == rows[i].level,
+		    "row %zu", i);
+		ck_assert_int_eq(lender_level(&first, 5000 + GRANT_TTL_MS),
+		    rows[i].level * UTOKEN);
+	}
+	lender_start(&other, 2, limit, 5000);
+	ck_assert_int_eq(lender_level(&other, 5000), 0);
+	lender_finish(&first);
+	lender_finish(&other);
+}
+
 static void
 the_first_to_ask_leaves_enough_for_others(void)
 {
@@ -457,6 +506,40 @@
 	}
 }
 
+static void
+first_requests_wait_for_a_lender(void)
+{
+	const borrower_config_t config = {limit_make(100, 20), 3, SLOT_NONE};
+	borrow_answer_t answer = {2, 1, 1, 0, 5};
+	borrow_request_t request;
+	borrower_t b;
+	msec_t now;
+
+	borrower_init(&b, 1, 1, borrower_shares(), 0);
+	borrower_configure(&b, &config, 0);
+	ck_assert_int_eq(
+	    borrower_admit(&b, 0, FALSE, TRUE, 0).kind, ADMIT_WAIT);
+	/* Questions for which there is no lender yet. */
+	for (now = 0; now < START_WAIT_MS; now += BORROW_TIMEOUT_MS)
+		ck_assert(borrower_ask(&b, TRUE, now, &request));
+	now = START_WAIT_MS - 1;
+	ck_assert_int_eq(
+	    borrower_admit(&b, 0, TRUE, TRUE, now).kind, ADMIT_WAIT);
+	/* One is known: it is asked at once. */
+	borrower_epoch(&b, 1, now);
+	ck_assert(borrower_ask(&b, TRUE, now, &request));
+	ck_assert_int_eq(request.wanted, 1);
+	answer.sequence = request.sequence;
+	ck_assert(borrower_answered(&b, &answer, now));
+	ck_assert_int_eq(borrower_admit(&b, 0, TRUE, TRUE, now).kind, ADMIT);
+	ck_assert_int_eq(
+	    borrower_admit(&b, now, FALSE, TRUE, now).kind, ADMIT_WAIT);
+	/* Never beyond the bound. */
+	ck_assert_int_eq(
+	    borrower_admit(&b, now, TRUE, TRUE, now + WAIT_MAX_MS).kind,
+	    ADMIT_REFUSE);
+}
+
 static void
 requests_wait_about_an_exchange(void)
 {
@@ -618,8 +701,12 @@
 	    {"buckets fill and empty", buckets_fill_and_empty},
 	    {"parts never exceed the whole", parts_never_exceed_the_whole},
 	    {"questions are answered once", questions_are_answered_once},
+	    {"only the first lender of all starts full",
+		only_the_first_lender_of_all_starts_full},
 	    {"the first to ask leaves enough for others",
 		the_first_to_ask_leaves_enough_for_others},
+	    {"first requests wait for a lender",
+		first_requests_wait_for_a_lender},
 	    {"requests wait about an exchange",
 		requests_wait_about_an_exchange},
 	    {"a lost lender is not waited for",
