--- a/src/coordination/borrower.c
+++ b/src/coordination/borrower.c
@@ -302,20 +302,6 @@
 	return TRUE;
 }
 
-msec_t
-borrower_ask_at(const borrower_t *b)
-{
-	if (b->asking)
-		return b->asked_at + BORROW_TIMEOUT_MS;
-	if (holding_low(b))
-		return b->asked_at + BORROW_PERIOD_MS / 4;
-	if (b->unreported || b->demand > 0 || b->holding.tokens > 0)
-		return b->asked_at + BORROW_PERIOD_MS;
-	if (b->reserve.limit.burst > 0)
-		return b->asked_at + PLEDGE_PERIOD_MS;
-	return INT64_MAX;
-}
-
 gboolean
 borrower_answered(borrower_t *b, const borrow_answer_t *answer, msec_t now)
 {
--- a/src/coordination/borrower.h
+++ b/src/coordination/borrower.h
@@ -165,13 +165,6 @@
 gboolean borrower_ask(
     borrower_t *b, gboolean fresh, msec_t now, borrow_request_t *request);
 
-/**
- * borrower_ask_at() - When is borrower_ask() worth the next call?
- *
- * Return: the time; INT64_MAX if not before the next request.
- */
-msec_t borrower_ask_at(const borrower_t *b);
-
 /**
  * borrower_answered() - Take in the lender's answer.
  *
