--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -1,7 +1,6 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
-#include <netdb.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,6 +11,7 @@
 #include <openssl/ssl.h>
 
 #include "base/error.h"
+#include "transport/body_memory.h"
 #include "transport/http_check.h"
 #include "transport/http_server.h"
 
@@ -22,20 +22,6 @@
 	(EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | \
 	    EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH)
 
-/*
- * One address may hold this many times what is left of the memory for bodies:
- * alone eight ninths of it, beside another that wants as much 8/17. So there
- * is always some left for an address that holds little.
- */
-#define PEER_SHARE 8
-
-/* An address that callers connect from. */
-typedef struct {
-	char *address;
-	size_t held; /* by all of its connections */
-	guint conns;
-} peer_t;
-
 /*
  * One connection of a caller. evhttp tells nobody about a connection before
  * its first whole request, so the server makes the bufferevent itself, holds
@@ -44,9 +30,8 @@
 typedef struct {
 	http_server_t *server;
 	struct bufferevent *bev;
-	peer_t *peer;		/* NULL: nothing has come yet */
 	struct event *deadline; /* for the whole of a request to come in */
-	size_t held;		/* bytes received of the present request */
+	body_part_t body;	/* bytes received of the present request */
 	http_exchange_t *x;	/* the request being answered */
 	gboolean receiving;
 	gboolean refused; /* over the bound on connections */
@@ -74,75 +59,18 @@
 	http_refuse_t refuse;
 	void *arg;
 	GHashTable *conns; /* bufferevent to conn_t */
-	GHashTable *peers; /* address to peer_t */
 	struct event *sweeper;
-	size_t held;
+	body_memory_t bodies;
 	unsigned int exchanges;
 	gboolean draining;
 };
 
-static void
-release(conn_t *conn)
-{
-	conn->server->held -= conn->held;
-	if (conn->peer != NULL)
-		conn->peer->held -= conn->held;
-	conn->held = 0;
-}
-
-static void
-peer_free(void *p)
-{
-	peer_t *peer = p;
-
-	g_free(peer->address);
-	g_free(peer);
-}
-
-/* Without the port. */
-static char *
-address_of(const struct bufferevent *bev)
-{
-	struct sockaddr_storage from = {0};
-	char host[NI_MAXHOST] = "";
-	socklen_t len = sizeof(from);
-
-	if (getpeername(bufferevent_getfd((struct bufferevent *)(uintptr_t)bev),
-		(struct sockaddr *)&from, &len) == 0)
-		getnameinfo((struct sockaddr *)&from, len, host, sizeof(host),
-		    NULL, 0, NI_NUMERICHOST);
-	return g_strdup(host);
-}
-
-static peer_t *
-peer_join(http_server_t *server, const struct bufferevent *bev)
-{
-	char *address = address_of(bev);
-	peer_t *peer = g_hash_table_lookup(server->peers, address);
-
-	if (peer == NULL) {
-		peer = g_new0(peer_t, 1);
-		peer->address = g_strdup(address);
-		g_hash_table_insert(server->peers, peer->address, peer);
-	}
-	peer->conns++;
-	g_free(address);
-	return peer;
-}
-
-static void
-peer_leave(conn_t *conn)
-{
-	if (conn->peer != NULL && --conn->peer->conns == 0)
-		g_hash_table_remove(conn->server->peers, conn->peer->address);
-}
-
 static void
 exchange_free(http_exchange_t *x)
 {
 	x->conn->x = NULL;
 	x->conn->server->exchanges--;
-	release(x->conn);
+	body_memory_release(&x->conn->server->bodies, &x->conn->body);
 	evhttp_connection_set_closecb(x->evcon, NULL, NULL);
 	if (x->closed != NULL)
 		event_free(x->closed);
@@ -154,8 +82,7 @@
 {
 	conn_t *conn = p;
 
-	release(conn);
-	peer_leave(conn);
+	body_memory_drop(&conn->server->bodies, &conn->body);
 	event_free(conn->deadline);
 	bufferevent_decref(conn->bev);
 	g_free(conn);
@@ -221,18 +148,9 @@
 	event_add(conn->deadline, &tv);
 }
 
-static gboolean
-holds_too_much(const http_server_t *server, const peer_t *peer)
-{
-	size_t bound = server->conf.body_memory_bytes;
-
-	return server->held > bound ||
-	    peer->held > PEER_SHARE * (bound - server->held);
-}
-
 /* Of the requests that an address is still sending, the one that holds most. */
 static conn_t *
-largest_of(const http_server_t *server, const peer_t *peer)
+largest_of(const http_server_t *server, const body_peer_t *peer)
 {
 	conn_t *conn, *largest = NULL;
 	GHashTableIter it;
@@ -241,8 +159,8 @@
 	g_hash_table_iter_init(&it, server->conns);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		conn = value;
-		if (conn->peer == peer && conn->receiving && !conn->shed &&
-		    (largest == NULL || conn->held > largest->held))
+		if (conn->body.peer == peer && conn->receiving && !conn->shed &&
+		    (largest == NULL || conn->body.held > largest->body.held))
 			largest = conn;
 	}
 	return largest;
@@ -252,7 +170,7 @@
 shed(conn_t *conn)
 {
 	conn->shed = TRUE;
-	release(conn);
+	body_memory_release(&conn->server->bodies, &conn->body);
 	refuse_raw(conn, 503, "body-memory-full");
 }
 
@@ -262,8 +180,8 @@
 	const http_server_t *server = conn->server;
 	conn_t *largest;
 
-	while (!conn->shed && holds_too_much(server, conn->peer)) {
-		largest = largest_of(server, conn->peer);
+	while (!conn->shed && body_memory_over(&server->bodies, &conn->body)) {
+		largest = largest_of(server, conn->body.peer);
 		shed(largest != NULL ? largest : conn);
 	}
 }
@@ -278,11 +196,8 @@
 	(void)buffer;
 	if (info->n_added == 0 || conn->shed)
 		return;
-	if (conn->peer == NULL)
-		conn->peer = peer_join(server, conn->bev);
-	conn->held += info->n_added;
-	conn->peer->held += info->n_added;
-	server->held += info->n_added;
+	body_memory_take(&server->bodies, &conn->body,
+	    bufferevent_getfd(conn->bev), info->n_added);
 	if (conn->x == NULL && !conn->receiving)
 		start_receiving(conn);
 	if (conn->refused)
@@ -437,8 +352,7 @@
 	server->refuse = refuse;
 	server->arg = arg;
 	server->conns = g_hash_table_new_full(NULL, NULL, NULL, conn_free);
-	server->peers =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+	body_memory_init(&server->bodies, conf->body_memory_bytes);
 	server->sweeper = event_new(base, -1, EV_PERSIST, sweep, server);
 	event_add(server->sweeper, &sweep_period);
 	server->http = evhttp_new(base);
@@ -464,7 +378,7 @@
 	evhttp_free(server->http);
 	event_free(server->sweeper);
 	g_hash_table_destroy(server->conns);
-	g_hash_table_destroy(server->peers);
+	body_memory_finish(&server->bodies);
 	http_server_set_tls(server, NULL);
 	g_free(server);
 }
