--- a/tests/process/test_drains.sh
+++ b/tests/process/test_drains.sh
@@ -4,7 +4,7 @@
 # the backend servers, and by what callers were told.
 # usage: test_drains.sh BUILD-DIR
 set -eu
-base=22700
+base=23100
 # shellcheck source=tests/process/fixture.sh
 . "$(dirname "$0")/fixture.sh"
 
