--- a/src/host/host.h
+++ b/src/host/host.h
@@ -72,7 +72,7 @@
 	msec_t retire_at, list_at;
 	GHashTable *leaving; /* names that the platform lists as leaving */
 	gboolean listing;
-	gboolean listed; /* the platform's list was asked for, with an outcome */
+	gboolean listed; /* the platform was asked for its list */
 	/* Limits. */
 	GHashTable *shares; /* workspace to limit_share_t */
 	uint16_t slot;	    /* SLOT_NONE: none held */
--- a/src/state/route_spill.h
+++ b/src/state/route_spill.h
@@ -6,8 +6,8 @@
 /*
  * What this host sends to other regions. A region gives at most spill_cap of a
  * service's slots to other regions; that many whole slots are split evenly
- * over all entry hosts, so hosts that choose at once cannot exceed it. A
- * link's budget is split in the same way.
+ * over the entry hosts outside of it, so hosts that choose at once cannot
+ * exceed it. A link's budget is split evenly over all entry hosts.
  */
 
 void route_spill_init(route_choice_t *rc);
