--- a/scripts/bench_scenes.sh
+++ b/scripts/bench_scenes.sh
@@ -222,24 +222,34 @@
 	    --wait 60
 	took=$(since "$began")
 	row "$1: $4" "$(grep -c "$4" "$dir/moved_$3" || true)" -
-	row "$1: late" "$(grep -c ", late" "$dir/moved_$3" || true)" -
+	id=$(grep -o '[0-9a-f]\{16\}' "$dir/moved_$3" | head -n 1)
+	row "$1: late" "$(ggl "$2" status --json | tr '{' '\n' |
+	    grep "\"move\":\"$id\"" | grep -c '"late":true' || true)" -
 	row "$1: time to its end, of $within_sec s" "$took" s
 }
 
-# moves NAME BAD GOOD: a bad version of one service, a good one of another,
-# then the drain of an endpoint of the good one.
+# drain NAME ENDPOINT
+drain() {
+	began=$(date +%s%3N)
+	admitted 6 drained drain "$2" --wait 20
+	row "$1, drain of an endpoint: until done" "$(since "$began")" s
+	before=$(grep -c "^run $2 " "$dir/runs.log" || true)
+	sleep 2
+	row "$1, drain of an endpoint: runs in 2 s after" \
+	    $(($(grep -c "^run $2 " "$dir/runs.log") - before)) requests
+}
+
+# moves NAME BAD GOOD: a bad version of one service; then a good one of
+# another, while an endpoint of the first is drained.
 moves() {
 	rollout "$1, rollout of a bad version" 3 "$2" taken.back
 	row "$1, rollout of a bad version: largest share of 100 runs" \
 	    "$(largest_share "$2")" %
+	drain "$1" "$2-1" >"$dir/drain" &
+	draining=$!
 	rollout "$1, rollout of a good version" 4 "$3" done
-	began=$(date +%s%3N)
-	admitted 6 drained drain "$3-next-1" --wait 20
-	row "$1, drain of an endpoint: until done" "$(since "$began")" s
-	before=$(grep -c "^run $3-next-1 " "$dir/runs.log" || true)
-	sleep 2
-	row "$1, drain of an endpoint: runs in 2 s after" \
-	    $(($(grep -c "^run $3-next-1 " "$dir/runs.log") - before)) requests
+	wait "$draining"
+	cat "$dir/drain"
 }
 
 # hurt NAME TAG: what the callers of a move were told.
@@ -264,7 +274,7 @@
 	done
 	move_callers bad "$2"
 	move_callers good "$3"
-	moves "$@" >"$dir/moves" &
+	moves "$@" >"$dir/moves" 9>&- &
 	pid_moves=$!
 	pids="$pids $pid_moves"
 }
