--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,9 @@
 demo: release
 	@scripts/demo $(BUILD)/release
 
-bench: release
+# What the build says goes to standard error: the table may be JSON.
+bench:
+	@$(MAKE) release >&2
 	@scripts/bench $(BUILD)/release $(BENCH_FLAGS)
 
 fuzz: sanitized
