Drains: no room where the hosts left have no part of the spill

Cause: a drain counted all slots of another region as room, also where the region's own hosts have less than one slot of its spill each. After the drain of a region's only endpoint of a service both hosts there refused 100 of 100 requests as no-room, and the drain was done (a trial with 3 slots, three hosts).

Where a drain empties a region's last endpoint of a service, the room is the parts of the spill that its hosts have; where a part is none the drain waits for room, whatever runs now. Ruled out: to round parts up, since all hosts together would then go over the region's cap.

--- a/src/host/move_measure.c
+++ b/src/host/move_measure.c
@@ -161,10 +161,85 @@
 	least->measured_at = at;
 }
 
+/* Entry hosts inside a region, or outside of it. */
+static uint32_t
+hosts_in(const host_t *h, region_id_t region, gboolean inside)
+{
+	const char *name = catalog_region(&h->catalog, region)->name;
+	const roster_host_t *row;
+	uint32_t n = 0;
+	guint i;
+
+	for (i = 0; i < h->roster.hosts->len; i++) {
+		row = roster_host(&h->roster, (host_id_t)i);
+		if (row->state != HOST_GONE &&
+		    (strcmp(row->region, name) == 0) == inside)
+			n++;
+	}
+	return n;
+}
+
+static uint32_t
+slots_in(const measure_t *m, service_id_t service, region_id_t region)
+{
+	const endpoint_t *e;
+	uint32_t slots = 0;
+	guint i;
+
+	for (i = 0; i < m->h->catalog.endpoints->len; i++) {
+		e = catalog_endpoint(&m->h->catalog, (endpoint_id_t)i);
+		if (e->service == service && region_of(m->h, e) == region)
+			slots += e->slots;
+	}
+	return slots;
+}
+
+/* Whether the move takes anything from the service. */
+static gboolean
+is_touched(const measure_t *m, service_id_t service)
+{
+	const endpoint_t *e;
+	guint i;
+
+	for (i = 0; i < m->h->catalog.endpoints->len; i++) {
+		e = catalog_endpoint(&m->h->catalog, (endpoint_id_t)i);
+		if (e->service == service && end_of(m, e) == END_GIVES)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/*
+ * What is emptied leaves its hosts only their parts of the spill into other
+ * regions. Where a part is none, that host would refuse all requests.
+ */
+static move_room_t
+measure_spill(const measure_t *m, service_id_t service, const move_room_t *all)
+{
+	const catalog_t *c = &m->h->catalog;
+	uint32_t homes = hosts_in(m->h, m->home, TRUE), part, away;
+	move_room_t room = *all;
+	guint i;
+
+	room.slots = 0;
+	for (i = 0; i < c->regions->len; i++) {
+		away = hosts_in(m->h, (region_id_t)i, FALSE);
+		part = (uint32_t)(c->caps.spill_cap *
+		    slots_in(m, service, (region_id_t)i));
+		if (i != m->home && away > 0)
+			room.slots += part / away * homes;
+	}
+	room.busy =
+	    (uint32_t)((uint64_t)room.demand * m->row->share / SHARE_ONE);
+	if (room.slots == 0)
+		room.demand = MAX(room.demand, 1);
+	return room;
+}
+
 static void
 measure_service(measure_t *m, service_id_t service, move_room_t *least)
 {
-	move_room_t room;
+	move_room_t room, spill;
 	guint i;
 
 	m->abroad = FALSE;
@@ -172,6 +247,9 @@
 	if (room.slots == 0 && m->home != ID_NONE) {
 		m->abroad = TRUE;
 		room = measure_part(m, service, ID_NONE);
+		spill = measure_spill(m, service, &room);
+		if (hosts_in(m->h, m->home, TRUE) > 0 && is_touched(m, service))
+			take_tighter(least, &spill);
 	}
 	take_tighter(least, &room);
 	if (m->row->scope != MOVE_VERSION)
--- a/tests/process/test_drains.sh
+++ b/tests/process/test_drains.sh
@@ -41,8 +41,20 @@
 	echo $(($(wc -l <"$dir/runs.log") + 1))
 }
 
-# So many slots that each host has a part of the spill to the other region.
-start_fleet 's/^hosts = 3/&\nshift_cap = 0.3/; s/^slots = 3/slots = 12/'
+# So many slots that each host has a part of the spill to the other region;
+# but one service with few.
+narrow='$a [service narrow]\nversion = v1\n[route narrow]\nservice = narrow\n'
+narrow=$narrow'prefix = /\naccess = open\nidempotent = yes\n'
+for n in 6 7; do
+	narrow=$narrow"[endpoint narrow-$n]\nservice = narrow\nslots = 2\n"
+	narrow=$narrow"address = 127.0.0.1:$((base + 100 + n))\n"
+	[ $n = 6 ] && narrow=$narrow'domain = milano-b\n'
+	[ $n = 7 ] && narrow=$narrow'domain = verona-a\n'
+done
+start_fleet "s/^hosts = 3/&\nshift_cap = 0.3/; s/^slots = 3/slots = 12/
+$narrow"
+start_backend 6 narrow-6 v1 2
+start_backend 7 narrow-7 v1 2
 held() {
 	holder=$(grep -l "duty=moves op=take .*won=yes" "$dir"/host_*.log)
 }
@@ -98,6 +110,17 @@
 [ "$(runs lettore-2 "$from")" -gt 0 ] || fail "nothing serves after the drain"
 echo "drain of a failure domain: done, reported once"
 
+told drained
+
+# What would leave hosts without any room is not drained: a service with one
+# endpoint in a region, and less than a slot of the others' for each host there.
+ask kept "$others" 1000 40 --path /call/narrow/clip/1
+move "$other" drain narrow-6
+wait_until 25 ended && fail "drained, and nothing is left for the hosts there"
+told kept
+ggl "$other" cancel "$id" --wait 30 >"$dir/cancel" 2>&1 ||
+    fail "cancel: $(cat "$dir/cancel")"
+
 # An entry host is drained: look-ups stop naming it.
 move "$other" drain milano-2 --wait 60
 for n in 1 2 3; do
@@ -105,5 +128,3 @@
 	    fail "host $n still names the drained host"
 done
 echo "drain of an entry host: not named any more"
-
-told drained
