--- a/src/host/limits.h
+++ b/src/host/limits.h
@@ -69,6 +69,21 @@
  */
 gboolean limits_withholds(const host_t *h, const char *name);
 
+/**
+ * limits_ask() - Send a question to the workspace's lender, if one is known.
+ * @s: the share; the answer comes to limits_take_answer()
+ * @q: the question
+ * @now: present time
+ */
+void limits_ask(limit_share_t *s, const borrow_request_t *q, msec_t now);
+
+/**
+ * limits_take_answer() - Take tokens in, and let waiting requests go.
+ * @s: the share
+ * @answer: of the lender
+ */
+void limits_take_answer(limit_share_t *s, const borrow_answer_t *answer);
+
 /* Answers BORROW of a peer. */
 void limits_serve_borrow(host_t *h, rpc_call_id_t call, const char *caller,
     const borrow_args_t *args);
