One count of the slots that a region gives to others

move_measure worked the spill cap out again, with its rounding, beside route_spill; both call route_spill_slots() now. Nothing else changes.

--- a/src/host/move_measure.c
+++ b/src/host/move_measure.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "host/move_measure.h"
+#include "state/route_spill.h"
 
 /* The two ends of a move, among the endpoints of a service. */
 typedef enum {
@@ -179,21 +180,6 @@
 	return n;
 }
 
-static uint32_t
-slots_in(const measure_t *m, service_id_t service, region_id_t region)
-{
-	const endpoint_t *e;
-	uint32_t slots = 0;
-	guint i;
-
-	for (i = 0; i < m->h->catalog.endpoints->len; i++) {
-		e = catalog_endpoint(&m->h->catalog, (endpoint_id_t)i);
-		if (e->service == service && region_of(m->h, e) == region)
-			slots += e->slots;
-	}
-	return slots;
-}
-
 /* Whether the move takes anything from the service. */
 static gboolean
 is_touched(const measure_t *m, service_id_t service)
@@ -217,17 +203,17 @@
 measure_spill(const measure_t *m, service_id_t service, const move_room_t *all)
 {
 	const catalog_t *c = &m->h->catalog;
-	uint32_t homes = hosts_in(m->h, m->home, TRUE), part, away;
+	uint32_t homes = hosts_in(m->h, m->home, TRUE), away;
 	move_room_t room = *all;
 	guint i;
 
 	room.slots = 0;
 	for (i = 0; i < c->regions->len; i++) {
 		away = hosts_in(m->h, (region_id_t)i, FALSE);
-		part = (uint32_t)(c->caps.spill_cap *
-		    slots_in(m, service, (region_id_t)i));
 		if (i != m->home && away > 0)
-			room.slots += part / away * homes;
+			room.slots +=
+			    route_spill_slots(c, service, (region_id_t)i) /
+			    away * homes;
 	}
 	room.busy =
 	    (uint32_t)((uint64_t)room.demand * m->row->share / SHARE_ONE);
--- a/src/state/route_spill.c
+++ b/src/state/route_spill.c
@@ -124,29 +124,37 @@
 	return l->bits > 0;
 }
 
+uint32_t
+route_spill_slots(const catalog_t *c, service_id_t service, region_id_t region)
+{
+	const endpoint_t *e;
+	uint32_t slots = 0;
+	guint i;
+
+	for (i = 0; i < c->endpoints->len; i++) {
+		e = catalog_endpoint(c, (endpoint_id_t)i);
+		if (e->service == service &&
+		    catalog_domain(c, e->domain)->region == region)
+			slots += e->slots;
+	}
+	return (uint32_t)(c->caps.spill_cap * slots);
+}
+
 /* Whether this host's part of the region's spill slots is not used up. */
 static gboolean
 under_cap(route_choice_t *rc, const catalog_t *c, service_id_t service,
     region_id_t region)
 {
 	const char *name = catalog_service(c, service)->name;
-	const endpoint_t *e;
 	route_place_t place = {rc->index, rc->hosts};
-	uint32_t slots = 0, part;
 	route_spill_t *s;
+	uint32_t part;
 	uint16_t row;
-	guint i;
 
-	for (i = 0; i < c->endpoints->len; i++) {
-		e = catalog_endpoint(c, i);
-		if (e->service == service &&
-		    catalog_domain(c, e->domain)->region == region)
-			slots += e->slots;
-	}
 	/* Nobody spills into the own region: its hosts have no part. */
 	if (region < ROUTE_REGIONS_MAX)
 		place = rc->away[region];
-	part = route_part((uint32_t)(c->caps.spill_cap * slots),
+	part = route_part(route_spill_slots(c, service, region),
 	    place.index + region, place.hosts);
 	row = spill_row(rc, name, catalog_region(c, region)->name);
 	s = &g_array_index(rc->spills, route_spill_t, row);
--- a/src/state/route_spill.h
+++ b/src/state/route_spill.h
@@ -13,6 +13,15 @@
 void route_spill_init(route_choice_t *rc);
 void route_spill_finish(route_choice_t *rc);
 
+/**
+ * route_spill_slots() - Whole slots that a region gives to other regions.
+ * @c: the catalog
+ * @service: whose endpoints count
+ * @region: that gives them
+ */
+uint32_t route_spill_slots(
+    const catalog_t *c, service_id_t service, region_id_t region);
+
 /**
  * route_spill_order() - List the other regions that may take a request.
  * @rc: the state, candidates in its scratch table
