--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 	@scripts/lint $(BUILD)/sanitized
 
 format: deps
-	@find src tests -name '*.[ch]' -not -path '*/gen/*' | \
+	@find src platform tests -name '*.[ch]' -not -path '*/gen/*' | \
 	    xargs clang-format -i
 
 clean:
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,15 +1,24 @@
+#include <poll.h>
 #include <stdarg.h>
 #include <string.h>
 #include <time.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 
 #define NUM_SLOTS 8
 #define NUM_SIZE 24
+/* A pipe that can be written to takes so much without waiting. */
+#define LINE_MAX_BYTES 4096
 
 static FILE *log_out;
 static log_level_t log_min = LOG_INFO;
 
+/* Bound on lines; see log_bound(). */
+static unsigned int bound, used;
+static msec_t second;
+static unsigned long long left_out;
+
 static const char *const level_names[] = {"debug", "info", "warn", "error"};
 
 void
@@ -19,6 +28,32 @@
 	log_min = min;
 }
 
+void
+log_bound(unsigned int lines_per_sec)
+{
+	bound = lines_per_sec;
+	if (log_out != NULL)
+		setvbuf(log_out, NULL, _IOFBF, LINE_MAX_BYTES);
+}
+
+static int
+may_write(log_level_t level)
+{
+	struct pollfd out = {.events = POLLOUT};
+	msec_t now = clock_now() / MSEC_PER_SEC;
+
+	if (bound == 0)
+		return 1;
+	if (now != second)
+		used = 0;
+	second = now;
+	if (level < LOG_ERROR && used >= bound)
+		return 0;
+	used++;
+	out.fd = fileno(log_out);
+	return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+}
+
 int
 log_level_parse(const char *name, log_level_t *level)
 {
@@ -89,6 +124,16 @@
 
 	if (log_out == NULL || level < log_min)
 		return;
+	if (!may_write(level)) {
+		left_out++;
+		return;
+	}
+	if (left_out > 0) {
+		put_time();
+		fprintf(log_out, " level=warn event=log.left_out lines=%llu\n",
+		    left_out);
+		left_out = 0;
+	}
 	put_time();
 	fprintf(log_out, " level=%s event=%s", level_names[level], event);
 	va_start(ap, event);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -22,6 +22,16 @@
  */
 void log_open(FILE *out, log_level_t min);
 
+/**
+ * log_bound() - Bound the volume, and never wait for the reader.
+ * @lines_per_sec: most lines in a second; 0: no bound, lines may wait
+ *
+ * Lines over the bound, and lines that a full pipe can't take, are left out
+ * and counted; the next line that is written is preceded by their number.
+ * Errors are left out only where the pipe is full.
+ */
+void log_bound(unsigned int lines_per_sec);
+
 /**
  * log_level_parse() - Read a level's name.
  * @name: "debug", "info", "warn" or "error"
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -13,15 +13,20 @@
 typedef uint16_t metric_id_t;
 
 typedef enum {
-	METRIC_COUNTER, /* only grows */
-	METRIC_GAUGE,	/* set to the present value */
+	METRIC_COUNTER,	  /* only grows */
+	METRIC_GAUGE,	  /* set to the present value */
+	METRIC_HISTOGRAM, /* of times in milliseconds */
 } metric_kind_t;
 
+/* Buckets of a histogram, the last one without a bound. */
+#define METRIC_BUCKETS 12
+
 typedef struct {
 	char *name;
 	char *help;
 	metric_kind_t kind;
-	int64_t value;
+	int64_t value;	  /* of a histogram: the sum of all samples */
+	int64_t *buckets; /* of a histogram: samples in each */
 } metric_t;
 
 typedef struct {
@@ -43,6 +48,9 @@
 
 void metrics_count(metrics_t *m, metric_id_t id, int64_t n);
 void metrics_set(metrics_t *m, metric_id_t id, int64_t value);
+
+/** metrics_observe() - Add a sample to a histogram, in milliseconds. */
+void metrics_observe(metrics_t *m, metric_id_t id, int64_t ms);
 int64_t metrics_value(const metrics_t *m, metric_id_t id);
 
 /**
--- a/src/cmd/greengageloomd.c
+++ b/src/cmd/greengageloomd.c
@@ -4,6 +4,7 @@
 #include <sodium.h>
 
 #include "base/log.h"
+#include "gateway/gateway.h"
 #include "host/host.h"
 #include "protocol/text.h"
 
@@ -33,16 +34,23 @@
 	return EXIT_USAGE;
 }
 
-static gboolean
-load_settings(settings_t *s)
+static void
+print_errors(GPtrArray *errors)
 {
-	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
-	gboolean ok = settings_init(s, config_path, errors);
 	guint i;
 
 	for (i = 0; i < errors->len; i++)
 		fprintf(stderr, "%s\n", (char *)g_ptr_array_index(errors, i));
 	g_ptr_array_free(errors, TRUE);
+}
+
+static gboolean
+load_settings(settings_t *s)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	gboolean ok = settings_init(s, config_path, errors);
+
+	print_errors(errors);
 	return ok;
 }
 
@@ -66,6 +74,49 @@
 	return status;
 }
 
+static int
+run_gateway(const gateway_settings_t *s)
+{
+	GError *err = NULL;
+	gateway_t g;
+	int status = 1;
+
+	log_open(stdout, s->log_level);
+	log_bound((unsigned int)s->log_lines);
+	if (gateway_init(&g, s, &err)) {
+		status = gateway_run(&g);
+	} else {
+		log_event(LOG_ERROR, "host.start.failed", "error", err->message,
+		    NULL);
+		g_error_free(err);
+	}
+	gateway_finish(&g);
+	return status;
+}
+
+/* A fleet that lives in a table store. */
+static int
+start_gateway(poptContext ctx)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	gateway_settings_t s;
+	int status = EXIT_USAGE;
+	gboolean ok = gateway_settings_init(&s, config_path, errors);
+
+	print_errors(errors);
+	if (ok && level_name != NULL &&
+	    log_level_parse(level_name, &s.log_level) != 0) {
+		status = fail_usage(ctx, "unknown --log-level");
+	} else if (ok && check_only) {
+		printf("%s: ok\n", config_path);
+		status = 0;
+	} else if (ok) {
+		status = run_gateway(&s);
+	}
+	gateway_settings_finish(&s);
+	return status;
+}
+
 static int
 start(poptContext ctx)
 {
@@ -74,6 +125,8 @@
 
 	if (config_path == NULL)
 		return fail_usage(ctx, "--config is needed");
+	if (gateway_settings_apply(config_path))
+		return start_gateway(ctx);
 	if (!load_settings(&s)) {
 		settings_finish(&s);
 		return EXIT_USAGE;
--- a/src/coordination/attempt.c
+++ b/src/coordination/attempt.c
@@ -79,18 +79,25 @@
 	a->idempotent = idempotent;
 	a->deadline = MIN(deadline, now + timeout_ms);
 	a->budget = budget;
+	a->max_tries = ATTEMPT_TRIES_MAX;
 	if (now >= a->deadline)
 		return refuse(a, REFUSED_DEADLINE);
 	retry_budget_first(budget);
 	return act(ATTEMPT_PLACE);
 }
 
+void
+attempt_limit(attempt_t *a, uint32_t tries)
+{
+	a->max_tries = (uint8_t)CLAMP(tries, 1, ATTEMPT_TRIES_MAX);
+}
+
 static gboolean
 may_try_again(attempt_t *a, msec_t now)
 {
 	if (a->may_have_run && !a->idempotent)
 		return FALSE;
-	if (a->number >= ATTEMPT_TRIES_MAX || now >= a->deadline)
+	if (a->number >= a->max_tries || now >= a->deadline)
 		return FALSE;
 	return retry_budget_take(a->budget);
 }
--- a/src/coordination/attempt.h
+++ b/src/coordination/attempt.h
@@ -86,6 +86,7 @@
 	msec_t deadline;
 	attempt_phase_t phase;
 	uint8_t number;	       /* of the try in flight or the last */
+	uint8_t max_tries;     /* ATTEMPT_TRIES_MAX unless limited */
 	gboolean may_have_run; /* one of the tries that ended */
 	retry_budget_t *budget;
 } attempt_t;
@@ -106,6 +107,13 @@
     gboolean idempotent, msec_t deadline, msec_t timeout_ms,
     retry_budget_t *budget, msec_t now);
 
+/**
+ * attempt_limit() - Bound the tries of a request by its route.
+ * @a: the request, not sent yet
+ * @tries: most backend servers it may be sent to, at least 1
+ */
+void attempt_limit(attempt_t *a, uint32_t tries);
+
 /**
  * attempt_step() - Take one event.
  * @a: the request
--- /dev/null
+++ b/src/coordination/dispatch.c
@@ -0,0 +1,233 @@
+#include <string.h>
+
+#include "coordination/dispatch.h"
+
+/* A server of which a domain's state tells that it may be cold: by then its
+ * next entry says whether it is. */
+#define COOL_MS 3000
+/* An answer is slow for the judgement beyond so many times the objective. */
+#define SLOW_FACTOR 4
+
+void
+dispatch_init(dispatch_t *d, const registry_t *registry, const fleet_t *fleet,
+    shifts_t *shifts, const char *region, const dispatch_bounds_t *bounds)
+{
+	d->registry = registry;
+	d->fleet = fleet;
+	d->shifts = shifts;
+	d->region = region;
+	d->bounds = *bounds;
+	d->drains =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	d->budgets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+dispatch_finish(dispatch_t *d)
+{
+	g_hash_table_destroy(d->drains);
+	g_hash_table_destroy(d->budgets);
+}
+
+gboolean
+dispatch_drain(dispatch_t *d, const char *domain, gboolean drained)
+{
+	if (drained)
+		return g_hash_table_add(d->drains, g_strdup(domain));
+	return g_hash_table_remove(d->drains, domain);
+}
+
+void
+dispatch_cool(dispatch_t *d, const char *domain, msec_t now)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, d->registry->servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		backend_t *b = value;
+
+		if (strcmp(b->domain, domain) == 0)
+			b->cold_guess_until =
+			    MAX(b->cold_guess_until, now + COOL_MS);
+	}
+}
+
+retry_budget_t *
+dispatch_budget(dispatch_t *d, const char *service)
+{
+	retry_budget_t *b = g_hash_table_lookup(d->budgets, service);
+
+	if (b == NULL) {
+		b = g_new0(retry_budget_t, 1);
+		retry_budget_init_part(b, d->bounds.retry_ratio,
+		    d->bounds.retry_extra, fleet_size(d->fleet));
+		g_hash_table_insert(d->budgets, g_strdup(service), b);
+	}
+	return b;
+}
+
+static gboolean
+was_tried(const dispatch_job_t *job, const backend_t *b)
+{
+	guint i;
+
+	for (i = 0; i < job->ntried; i++) {
+		if (job->tried[i] == b)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static gboolean
+may_run(const dispatch_t *d, const dispatch_job_t *job, const backend_t *b,
+    shift_lot_t lot, msec_t now)
+{
+	const admission_t *a = job->admission;
+
+	return backend_usable(b, now) && !was_tried(job, b) &&
+	    !g_hash_table_contains(d->drains, b->domain) &&
+	    manifest_allows(a->route, a->workspace, b->region) &&
+	    shifts_allows(d->shifts, b, lot, now);
+}
+
+/* Whether this host may send a cold server nothing now. */
+static gboolean
+is_spent(const dispatch_t *d, const manifest_service_t *service,
+    const backend_t *b, msec_t now)
+{
+	guint n = fleet_size(d->fleet), i, rank;
+	uint64_t *seeds;
+	msec_t gap;
+
+	if (service->warmup_rate <= 0 || !backend_is_cold(b, now))
+		return FALSE;
+	seeds = g_newa(uint64_t, n);
+	for (i = 0; i + 1 < n; i++)
+		seeds[i] = ((const fleet_host_t *)g_ptr_array_index(
+				d->fleet->hosts, i))
+			       ->seed;
+	seeds[n - 1] = d->fleet->self;
+	rank = cold_ramp_rank(b->seed, d->fleet->self, seeds, n);
+	gap = cold_ramp_gap(&d->bounds.cold, service->warmup_rate, rank, n);
+	return gap == 0 || now - b->sent_at < gap;
+}
+
+static guint
+collect(const dispatch_t *d, const dispatch_job_t *job, shift_lot_t lot,
+    msec_t now, placing_candidate_t *out)
+{
+	const manifest_service_t *s = job->admission->service;
+	const registry_service_t *known =
+	    registry_service(d->registry, s->name);
+	guint i, n = 0;
+
+	for (i = 0; known != NULL && i < known->servers->len; i++) {
+		backend_t *b = g_ptr_array_index(known->servers, i);
+
+		if (!may_run(d, job, b, lot, now))
+			continue;
+		out[n].server = b;
+		out[n].load = backend_load(b, now);
+		out[n].near = strcmp(b->region, d->region) == 0;
+		out[n].spent = is_spent(d, s, b, now);
+		n++;
+	}
+	return n;
+}
+
+static guint
+count_of(const dispatch_t *d, const char *service)
+{
+	const registry_service_t *known =
+	    registry_service(d->registry, service);
+
+	return known != NULL ? known->servers->len : 0;
+}
+
+placing_t
+dispatch_place(
+    dispatch_t *d, const dispatch_job_t *job, msec_t now, msec_t store_now)
+{
+	const char *service = job->admission->service->name;
+	const placing_request_t request = {
+	    .object = job->object,
+	    .by_object = job->by_object,
+	    .stay_near = job->body_bytes >= PLACING_LARGE_BYTES,
+	};
+	shift_lot_t lot =
+	    shifts_lot(d->shifts, service, job->object, store_now);
+	placing_candidate_t *c =
+	    g_new(placing_candidate_t, MAX(count_of(d, service), 1));
+	guint n = collect(d, job, lot, now, c);
+	placing_t p = placing_choose(&request, c, n, now);
+
+	/* A new version that can't take it yet leaves it to the old one. */
+	if (p.verdict != PLACING_SEND && lot == SHIFT_LOT_FRESH) {
+		n = collect(d, job, SHIFT_LOT_OLD, now, c);
+		p = placing_choose(&request, c, n, now);
+	}
+	g_free(c);
+	return p;
+}
+
+void
+dispatch_sent(dispatch_t *d, dispatch_job_t *job, backend_t *server, msec_t now)
+{
+	if (job->ntried < DISPATCH_TRIES_MAX)
+		job->tried[job->ntried++] = backend_ref(server);
+	server->own++;
+	server->sent_at = now;
+	shifts_sent(d->shifts, server);
+}
+
+void
+dispatch_ended(dispatch_t *d, const dispatch_job_t *job, backend_t *server,
+    const dispatch_result_t *result, msec_t now)
+{
+	const manifest_route_t *route = job->admission->route;
+	shift_sample_t sample = {.route = registry_hash(route->name)};
+	gboolean judged = TRUE;
+
+	server->own--;
+	switch (result->end) {
+	case DISPATCH_ANSWERED:
+		backend_answered(server, result->took_ms);
+		sample.failed = result->failed;
+		sample.slow = route->objective_ms > 0 &&
+		    result->took_ms > SLOW_FACTOR * route->objective_ms;
+		break;
+	case DISPATCH_FULL:
+		server->full_until = now + PLACING_FULL_MS;
+		judged = FALSE;
+		break;
+	case DISPATCH_OTHER:
+	case DISPATCH_UNREACHABLE:
+		backend_failed(server, TRUE, now);
+		judged = FALSE;
+		break;
+	case DISPATCH_BROKEN:
+		backend_failed(server, FALSE, now);
+		sample.failed = TRUE;
+		break;
+	case DISPATCH_TIMED_OUT:
+		backend_failed(server, FALSE, now);
+		sample.slow = TRUE;
+		break;
+	case DISPATCH_LEFT:
+		judged = FALSE;
+		break;
+	}
+	shifts_ended(d->shifts, server, judged ? &sample : NULL);
+}
+
+void
+dispatch_job_clear(dispatch_job_t *job)
+{
+	guint i;
+
+	for (i = 0; i < job->ntried; i++)
+		backend_unref(job->tried[i]);
+	job->ntried = 0;
+}
--- /dev/null
+++ b/src/coordination/fleet.c
@@ -0,0 +1,209 @@
+#include <string.h>
+
+#include "coordination/fleet.h"
+#include "state/registry.h"
+
+/* Most addresses in one answer to a look-up. */
+#define LOOKUP_MAX 64
+
+void
+fleet_news_init(fleet_news_t *n)
+{
+	memset(n, 0, sizeof(*n));
+	n->demands = g_array_new(FALSE, TRUE, sizeof(fleet_amount_t));
+	n->loads = g_array_new(FALSE, TRUE, sizeof(fleet_amount_t));
+}
+
+void
+fleet_news_finish(fleet_news_t *n)
+{
+	g_array_free(n->demands, TRUE);
+	g_array_free(n->loads, TRUE);
+}
+
+uint32_t
+fleet_name(uint64_t hash)
+{
+	return (uint32_t)(hash & ((UINT32_C(1) << FLEET_NAME_BITS) - 1));
+}
+
+static void
+host_free(void *p)
+{
+	fleet_host_t *h = p;
+
+	g_free(h->name);
+	g_free(h->callers);
+	g_free(h->peer);
+	g_free(h->region);
+	g_free(h->domain);
+	fleet_news_finish(&h->news);
+	g_free(h);
+}
+
+void
+fleet_init(fleet_t *f, const char *self)
+{
+	f->self = registry_hash(self);
+	f->hosts = g_ptr_array_new_with_free_func(host_free);
+	f->changes = 0;
+}
+
+void
+fleet_finish(fleet_t *f)
+{
+	g_ptr_array_free(f->hosts, TRUE);
+}
+
+static fleet_host_t *
+find(const fleet_t *f, uint64_t seed)
+{
+	guint i;
+
+	for (i = 0; i < f->hosts->len; i++) {
+		fleet_host_t *h = g_ptr_array_index(f->hosts, i);
+
+		if (h->seed == seed)
+			return h;
+	}
+	return NULL;
+}
+
+static void
+set_text(char **to, const char *from)
+{
+	if (g_strcmp0(*to, from) == 0)
+		return;
+	g_free(*to);
+	*to = g_strdup(from);
+}
+
+void
+fleet_put(fleet_t *f, const fleet_row_t *row, msec_t now)
+{
+	uint64_t seed = registry_hash(row->name);
+	fleet_host_t *h = find(f, seed);
+
+	if (seed == f->self || (h != NULL && h->row_ver >= row->row_ver))
+		return;
+	if (h == NULL) {
+		h = g_new0(fleet_host_t, 1);
+		h->name = g_strdup(row->name);
+		h->seed = seed;
+		fleet_news_init(&h->news);
+		g_ptr_array_add(f->hosts, h);
+		f->changes++;
+	}
+	set_text(&h->callers, row->callers);
+	set_text(&h->peer, row->peer);
+	set_text(&h->region, row->region);
+	set_text(&h->domain, row->domain);
+	h->incarnation = row->incarnation;
+	h->row_ver = row->row_ver;
+	h->listed_at = now;
+}
+
+void
+fleet_remove(fleet_t *f, const char *name)
+{
+	fleet_host_t *h = find(f, registry_hash(name));
+
+	if (h == NULL)
+		return;
+	g_ptr_array_remove(f->hosts, h);
+	f->changes++;
+}
+
+static gboolean
+is_newer(const fleet_news_t *a, const fleet_news_t *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation > b->incarnation;
+	return a->seq > b->seq;
+}
+
+fleet_host_t *
+fleet_hear(fleet_t *f, fleet_news_t *news, msec_t now)
+{
+	fleet_host_t *h = find(f, news->host);
+	fleet_news_t known;
+
+	if (h == NULL || !is_newer(news, &h->news))
+		return NULL;
+	known = h->news;
+	h->news = *news;
+	*news = known;
+	h->heard_at = now;
+	return h;
+}
+
+gboolean
+fleet_is_heard(const fleet_host_t *h, msec_t now)
+{
+	return h->heard_at != 0 && now - h->heard_at < FLEET_SILENT_MS;
+}
+
+guint
+fleet_size(const fleet_t *f)
+{
+	return f->hosts->len + 1;
+}
+
+guint
+fleet_rank(const fleet_t *f, msec_t now)
+{
+	guint i, rank = 0;
+
+	for (i = 0; i < f->hosts->len; i++) {
+		const fleet_host_t *h = g_ptr_array_index(f->hosts, i);
+
+		rank += fleet_is_heard(h, now) && h->news.ready &&
+		    h->seed < f->self;
+	}
+	return rank;
+}
+
+uint32_t
+fleet_amount(const GArray *amounts, uint64_t hash)
+{
+	uint32_t name = fleet_name(hash);
+	guint i;
+
+	for (i = 0; i < amounts->len; i++) {
+		const fleet_amount_t *a =
+		    &g_array_index(amounts, fleet_amount_t, i);
+
+		if (a->name == name)
+			return a->amount;
+	}
+	return 0;
+}
+
+static void
+collect(const fleet_t *f, const fleet_self_t *self, const char *region,
+    GPtrArray *out, msec_t now)
+{
+	guint i;
+
+	if (self->ready &&
+	    (region == NULL || strcmp(region, self->region) == 0))
+		g_ptr_array_add(out, (char *)self->callers);
+	for (i = 0; i < f->hosts->len && out->len < LOOKUP_MAX; i++) {
+		const fleet_host_t *h = g_ptr_array_index(f->hosts, i);
+
+		if (fleet_is_heard(h, now) && h->news.ready &&
+		    !h->news.leaving &&
+		    (region == NULL || strcmp(region, h->region) == 0))
+			g_ptr_array_add(out, h->callers);
+	}
+}
+
+void
+fleet_lookup(const fleet_t *f, const fleet_self_t *self, const char *region,
+    GPtrArray *out, msec_t now)
+{
+	if (region != NULL)
+		collect(f, self, region, out, now);
+	if (out->len == 0)
+		collect(f, self, NULL, out, now);
+}
--- a/src/coordination/retry_budget.h
+++ b/src/coordination/retry_budget.h
@@ -15,10 +15,23 @@
 
 typedef struct {
 	int32_t percent; /* retries left, in hundredths */
+	int32_t each;	 /* hundredths that a first try adds */
+	int32_t most;	 /* hundredths saved up at most */
 } retry_budget_t;
 
+/** retry_budget_init() - RETRY_PERCENT and RETRY_RESERVE. */
 void retry_budget_init(retry_budget_t *b);
 
+/**
+ * retry_budget_init_part() - One host's part of a budget that hosts share.
+ * @b: the service's budget
+ * @ratio: retries for each first try
+ * @extra: retries beyond those, of all hosts together
+ * @hosts: hosts there are
+ */
+void retry_budget_init_part(
+    retry_budget_t *b, double ratio, double extra, guint hosts);
+
 /**
  * retry_budget_first() - Count the first try of a request.
  * @b: the service's budget
--- /dev/null
+++ b/src/coordination/version_shift.c
@@ -0,0 +1,54 @@
+#include "coordination/version_shift.h"
+
+/* Share of the new version while it is judged, under the bound of a tenth. */
+#define TRIAL_SHARE (SHARE_ONE * 7 / 100)
+/* Parts of the duration, in hundredths, from which on each share holds. */
+#define TRIAL_UNTIL 50
+#define THIRD_UNTIL 60
+#define TWO_THIRDS_UNTIL 70
+#define COMPLETE_FROM 88
+/* After this the shift ends, also with requests at the old version. */
+#define COMPLETE_LATEST 96
+/* For the next host to act in place of one that has not. */
+#define TAKEOVER_MS 700
+
+static gboolean
+before(const msec_t elapsed, const msec_t duration, int hundredths)
+{
+	return elapsed * 100 < duration * hundredths;
+}
+
+share_t
+version_shift_share(msec_t elapsed_ms, msec_t duration_ms)
+{
+	if (before(elapsed_ms, duration_ms, TRIAL_UNTIL))
+		return TRIAL_SHARE;
+	if (before(elapsed_ms, duration_ms, THIRD_UNTIL))
+		return SHARE_ONE / 3;
+	if (before(elapsed_ms, duration_ms, TWO_THIRDS_UNTIL))
+		return SHARE_ONE * 2 / 3;
+	return SHARE_ONE;
+}
+
+shift_decision_t
+version_shift_decide(const shift_input_t *in)
+{
+	if (in->verdict == JUDGE_BAD)
+		return SHIFT_TAKE_BACK;
+	if (before(in->elapsed_ms, in->duration_ms, COMPLETE_FROM))
+		return SHIFT_GO_ON;
+	if (in->fresh_slots * 2 >= in->peer_slots && in->fresh_slots > 0) {
+		if (in->old_running == 0 ||
+		    !before(in->elapsed_ms, in->duration_ms, COMPLETE_LATEST))
+			return SHIFT_COMPLETE;
+		return SHIFT_GO_ON;
+	}
+	return before(in->elapsed_ms, in->duration_ms, 100) ? SHIFT_GO_ON
+							    : SHIFT_TAKE_BACK;
+}
+
+msec_t
+version_shift_acts_at(msec_t since, guint rank)
+{
+	return since + (msec_t)rank * TAKEOVER_MS;
+}
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,329 @@
+#include <sys/queue.h>
+
+#include <signal.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "gateway/gateway.h"
+#include "platform/wire_http.h"
+
+#define IDLE_CONNECTIONS 16
+#define HEAD_MAX_BYTES 65536
+/* For a caller to send a whole request. */
+#define RECEIVE_MS 30000
+#define ADMIN_CONNECTIONS 200
+#define ADMIN_BODY_BYTES 4096
+/* After the stop began, callers that looked up before still come. */
+#define LINGER_MS 3000
+/* Before the bound on a stop, so that the process ends by itself. */
+#define STOP_SPARE_MS 300
+#define DRAIN_TICK_MS 50
+
+static void
+reply_text(http_exchange_t *x, int status, const char *type, const char *text)
+{
+	struct evkeyvalq headers = TAILQ_HEAD_INITIALIZER(headers);
+	struct evbuffer *body = evbuffer_new();
+
+	evhttp_add_header(&headers, "Content-Type", type);
+	evbuffer_add(body, text, strlen(text));
+	http_reply(x, status, &headers, body);
+	evhttp_clear_headers(&headers);
+	evbuffer_free(body);
+}
+
+static void
+serve_callers(void *arg, http_exchange_t *x)
+{
+	gateway_t *g = arg;
+
+	relay_begin(&g->relays, x);
+}
+
+static void
+serve_lookup(gateway_t *g, http_exchange_t *x, const wire_lookup_t *lookup)
+{
+	const gateway_settings_t *s = g->settings;
+	const fleet_self_t self = {
+	    s->callers, s->region, s->domain, view_is_ready(&g->view)};
+	GPtrArray *addresses = g_ptr_array_new();
+	char *text;
+
+	fleet_lookup(
+	    &g->view.fleet, &self, lookup->region, addresses, clock_now());
+	metrics_count(&g->metrics, g->lookups, 1);
+	if (addresses->len == 0) {
+		reply_text(x, 503, "text/plain", "not-ready\n");
+	} else {
+		text = wire_lookup_answer(addresses, s->lookup_ttl_ms);
+		reply_text(x, 200, "application/json", text);
+		g_free(text);
+	}
+	g_ptr_array_free(addresses, TRUE);
+}
+
+static void
+serve_directory(void *arg, http_exchange_t *x)
+{
+	const char *uri = evhttp_request_get_uri(http_exchange_request(x));
+	wire_lookup_t lookup;
+
+	if (!wire_lookup_read(uri, &lookup)) {
+		reply_text(x, 404, "text/plain", "no such call\n");
+		return;
+	}
+	serve_lookup(arg, x, &lookup);
+	wire_lookup_finish(&lookup);
+}
+
+static guint
+count_heard(const gateway_t *g)
+{
+	const fleet_t *f = &g->view.fleet;
+	msec_t now = clock_now();
+	guint i, n = 0;
+
+	for (i = 0; i < f->hosts->len; i++)
+		n += fleet_is_heard(g_ptr_array_index(f->hosts, i), now);
+	return n;
+}
+
+static void
+serve_metrics(gateway_t *g, http_exchange_t *x)
+{
+	metrics_t *m = &g->metrics;
+	const table_store_t *store = &g->sources.store;
+	char *text;
+
+	metrics_set(m, g->ready, view_is_ready(&g->view));
+	metrics_set(m, g->hosts_heard, count_heard(g));
+	metrics_set(
+	    m, g->servers_known, g_hash_table_size(g->view.registry.servers));
+	metrics_set(m, g->store_reads, (int64_t)store->reads);
+	metrics_set(m, g->store_writes, (int64_t)store->writes);
+	metrics_set(m, g->store_failures, (int64_t)store->failures);
+	text = metrics_render(m);
+	reply_text(x, 200, "text/plain", text);
+	g_free(text);
+}
+
+/* One line for each server and host: what this host goes by. */
+static char *
+dump_state(const gateway_t *g)
+{
+	GString *out = g_string_new(NULL);
+	const view_t *v = &g->view;
+	msec_t now = clock_now();
+	GHashTableIter it;
+	gpointer value;
+	guint i;
+
+	g_string_append_printf(out,
+	    "host id=%s ready=%d config=%" G_GUINT64_FORMAT
+	    " servers_age_ms=%" G_GINT64_FORMAT " under_way=%u\n",
+	    v->settings->id, view_is_ready(v),
+	    v->admission.manifest != NULL ? v->admission.manifest->version : 0,
+	    now - v->servers_at, g->relays.under_way->len);
+	g_hash_table_iter_init(&it, v->registry.servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const backend_t *b = value;
+
+		g_string_append_printf(out,
+		    "server id=%s service=%s domain=%s version=%s usable=%d "
+		    "cold=%d draining=%d own=%u load=%.1f slots=%u "
+		    "service_ms=%.0f\n",
+		    b->id, b->service->name, b->domain, b->version,
+		    backend_usable(b, now), backend_is_cold(b, now),
+		    b->draining, b->own, backend_load(b, now), b->slots,
+		    b->service_ms);
+	}
+	for (i = 0; i < v->fleet.hosts->len; i++) {
+		const fleet_host_t *h = g_ptr_array_index(v->fleet.hosts, i);
+
+		g_string_append_printf(out,
+		    "peer name=%s heard=%d ready=%d config=%" G_GUINT64_FORMAT
+		    " age_ms=%" G_GINT64_FORMAT "\n",
+		    h->name, fleet_is_heard(h, now), h->news.ready,
+		    h->news.config, now - h->heard_at);
+	}
+	return g_string_free(out, FALSE);
+}
+
+static void
+serve_operators(void *arg, http_exchange_t *x)
+{
+	gateway_t *g = arg;
+	const char *uri = evhttp_request_get_uri(http_exchange_request(x));
+	gboolean ready = view_is_ready(&g->view);
+	char *text;
+
+	if (wire_is_readiness(uri)) {
+		reply_text(x, ready ? 200 : 503, "text/plain",
+		    ready ? "ready\n" : "not-ready\n");
+	} else if (strcmp(uri, "/metrics") == 0) {
+		serve_metrics(g, x);
+	} else if (strcmp(uri, "/state") == 0) {
+		text = dump_state(g);
+		reply_text(x, 200, "text/plain", text);
+		g_free(text);
+	} else {
+		reply_text(x, 404, "text/plain", "no such call\n");
+	}
+}
+
+static http_server_t *
+open_server(gateway_t *g, const char *address, http_serve_t serve, GError **err)
+{
+	const gateway_settings_t *s = g->settings;
+	gboolean callers = address == s->callers;
+	const http_server_conf_t conf = {
+	    .address = address,
+	    .max_head_bytes = HEAD_MAX_BYTES,
+	    .max_body_bytes =
+		callers ? (size_t)s->body_memory_bytes : ADMIN_BODY_BYTES,
+	    .body_memory_bytes = (size_t)s->body_memory_bytes,
+	    .max_connections =
+		callers ? (unsigned int)s->max_connections : ADMIN_CONNECTIONS,
+	    .receive_ms = RECEIVE_MS,
+	};
+
+	return http_server_new(
+	    g->base, &conf, serve, relay_refusal_body, g, err);
+}
+
+static void
+on_drain_tick(evutil_socket_t fd, short what, void *arg)
+{
+	gateway_t *g = arg;
+	msec_t past = clock_now() - g->stop_at;
+
+	(void)fd;
+	(void)what;
+	if (past >= LINGER_MS)
+		http_server_drain(g->callers);
+	if (past >= g->settings->drain_ms - STOP_SPARE_MS ||
+	    (past >= LINGER_MS && g->relays.under_way->len == 0 &&
+		http_server_connections(g->callers) == 0))
+		event_base_loopbreak(g->base);
+}
+
+static void
+on_stop(evutil_socket_t sig, short what, void *arg)
+{
+	const struct timeval tick = {0, DRAIN_TICK_MS * 1000};
+	gateway_t *g = arg;
+
+	(void)what;
+	if (g->stop_at != 0)
+		return;
+	g->stop_at = clock_now();
+	g->view.leaving = TRUE;
+	log_event(LOG_INFO, "host.stopping", "signal", log_num(sig),
+	    "under_way", log_num(g->relays.under_way->len), NULL);
+	http_server_close_after_reply(g->callers);
+	beacons_tell_all(&g->beacons);
+	sources_leave(&g->sources);
+	event_add(g->drain_timer, &tick);
+}
+
+static void
+on_dump(evutil_socket_t sig, short what, void *arg)
+{
+	char *text = dump_state(arg);
+
+	(void)sig;
+	(void)what;
+	fputs(text, stderr);
+	g_free(text);
+}
+
+static void
+register_metrics(gateway_t *g)
+{
+	metrics_t *m = &g->metrics;
+
+	metrics_init(m);
+	g->lookups = metrics_add(
+	    m, METRIC_COUNTER, "lookups_total", "look-ups answered");
+	g->ready = metrics_add(
+	    m, METRIC_GAUGE, "ready", "1 while callers may be told to come");
+	g->hosts_heard = metrics_add(
+	    m, METRIC_GAUGE, "hosts_heard", "other hosts that are heard");
+	g->servers_known = metrics_add(
+	    m, METRIC_GAUGE, "servers_known", "registered backend servers");
+	g->store_reads = metrics_add(
+	    m, METRIC_GAUGE, "store_reads", "reading calls to the store");
+	g->store_writes = metrics_add(
+	    m, METRIC_GAUGE, "store_writes", "writing calls to the store");
+	g->store_failures = metrics_add(m, METRIC_GAUGE, "store_failures",
+	    "calls to the store without a usable answer");
+}
+
+gboolean
+gateway_init(gateway_t *g, const gateway_settings_t *settings, GError **err)
+{
+	memset(g, 0, sizeof(*g));
+	g->settings = settings;
+	signal(SIGPIPE, SIG_IGN);
+	g->base = event_base_new();
+	register_metrics(g);
+	g->servers = http_client_new(g->base, IDLE_CONNECTIONS);
+	g->stores = http_client_new(g->base, IDLE_CONNECTIONS);
+	view_init(&g->view, settings);
+	sources_init(&g->sources, &g->view, g->base, g->stores);
+	relays_init(&g->relays, &g->view, g->servers, g->base, &g->metrics);
+	g->signals[0] = evsignal_new(g->base, SIGTERM, on_stop, g);
+	g->signals[1] = evsignal_new(g->base, SIGINT, on_stop, g);
+	g->signals[2] = evsignal_new(g->base, SIGUSR1, on_dump, g);
+	for (size_t i = 0; i < G_N_ELEMENTS(g->signals); i++)
+		event_add(g->signals[i], NULL);
+	g->drain_timer = event_new(g->base, -1, EV_PERSIST, on_drain_tick, g);
+	if (!beacons_init(&g->beacons, &g->view, &g->sources, g->base, err))
+		return FALSE;
+	g->callers = open_server(g, settings->callers, serve_callers, err);
+	if (g->callers == NULL)
+		return FALSE;
+	g->directory = open_server(g, settings->lookups, serve_directory, err);
+	if (g->directory == NULL)
+		return FALSE;
+	g->operators =
+	    open_server(g, settings->operators, serve_operators, err);
+	return g->operators != NULL;
+}
+
+void
+gateway_finish(gateway_t *g)
+{
+	http_server_t *const servers[] = {
+	    g->callers, g->directory, g->operators};
+
+	relays_finish(&g->relays);
+	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+		if (servers[i] != NULL)
+			http_server_free(servers[i]);
+	}
+	beacons_finish(&g->beacons);
+	sources_finish(&g->sources);
+	for (size_t i = 0; i < G_N_ELEMENTS(g->signals); i++)
+		event_free(g->signals[i]);
+	event_free(g->drain_timer);
+	http_client_free(g->servers);
+	http_client_free(g->stores);
+	view_finish(&g->view);
+	metrics_finish(&g->metrics);
+	event_base_free(g->base);
+}
+
+int
+gateway_run(gateway_t *g)
+{
+	unsigned int cut;
+
+	log_event(LOG_INFO, "host.started", "host", g->settings->id, "callers",
+	    g->settings->callers, "region", g->settings->region, "version",
+	    GREENGAGELOOM_VERSION, NULL);
+	event_base_dispatch(g->base);
+	cut = g->relays.under_way->len;
+	log_event(LOG_INFO, "host.stopped", "cut", log_num(cut), NULL);
+	return cut == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/src/gateway/gateway_settings.c
@@ -0,0 +1,219 @@
+#include <string.h>
+
+#include "gateway/gateway_settings.h"
+#include "protocol/ini.h"
+#include "protocol/text.h"
+
+#define FILE_MAX_BYTES 65536
+#define NAME_CHARS 200
+#define KIND_TABLE "table"
+
+/* Where the settings say nothing: no bound is exceeded by these. */
+#define DEFAULT_DRAIN_SEC 6
+#define DEFAULT_TTL_SEC 1
+#define DEFAULT_RETRY_RATIO 0.1
+#define DEFAULT_COLD_OVERAGE 1.0
+#define DEFAULT_MAX_CONNECTIONS 3000
+#define DEFAULT_BODY_MEMORY (64 * 1024 * 1024)
+#define DEFAULT_LOG_LINES 200
+
+gboolean
+gateway_settings_apply(const char *path)
+{
+	GKeyFile *file = g_key_file_new();
+	char *kind = NULL;
+	gboolean ok;
+
+	if (g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, NULL))
+		kind = g_key_file_get_string(file, "store", "kind", NULL);
+	ok = g_strcmp0(kind, KIND_TABLE) == 0;
+	g_free(kind);
+	g_key_file_free(file);
+	return ok;
+}
+
+static void
+read_host(gateway_settings_t *s, const ini_t *ini)
+{
+	gint64 drain_sec = DEFAULT_DRAIN_SEC;
+	const struct {
+		const char *key, *const *value;
+	} addresses[] = {
+	    {"callers", (const char *const *)&s->callers},
+	    {"lookups", (const char *const *)&s->lookups},
+	    {"operators", (const char *const *)&s->operators},
+	    {"peers", (const char *const *)&s->peers},
+	};
+	const ini_field_t fields[] = {
+	    {"id", INI_STRING, TRUE, 1, NAME_CHARS, &s->id},
+	    {"region", INI_STRING, TRUE, 1, NAME_CHARS, &s->region},
+	    {"failure_domain", INI_STRING, TRUE, 1, NAME_CHARS, &s->domain},
+	    {"callers", INI_STRING, TRUE, 1, NAME_CHARS, &s->callers},
+	    {"lookups", INI_STRING, TRUE, 1, NAME_CHARS, &s->lookups},
+	    {"operators", INI_STRING, TRUE, 1, NAME_CHARS, &s->operators},
+	    {"peers", INI_STRING, TRUE, 1, NAME_CHARS, &s->peers},
+	    {"drain_sec", INI_NUMBER, FALSE, 1, 3600, &drain_sec},
+	};
+	size_t i;
+
+	ini_group(ini, "host", fields, G_N_ELEMENTS(fields));
+	for (i = 0; i < G_N_ELEMENTS(addresses); i++) {
+		if (*addresses[i].value != NULL &&
+		    !text_is_address(*addresses[i].value))
+			ini_error(ini, "host", addresses[i].key,
+			    "%s: expected IP:PORT, found \"%s\"",
+			    addresses[i].key, *addresses[i].value);
+	}
+	s->drain_ms = drain_sec * MSEC_PER_SEC;
+}
+
+static void
+read_store(gateway_settings_t *s, const ini_t *ini)
+{
+	char *kind = NULL;
+	const ini_field_t fields[] = {
+	    {"kind", INI_STRING, TRUE, 1, NAME_CHARS, &kind},
+	    {"address", INI_STRING, TRUE, 1, NAME_CHARS, &s->store},
+	};
+
+	ini_group(ini, "store", fields, G_N_ELEMENTS(fields));
+	if (s->store != NULL && !text_is_address(s->store))
+		ini_error(ini, "store", "address",
+		    "address: expected IP:PORT, found \"%s\"", s->store);
+	g_free(kind);
+}
+
+static void
+read_domains(gateway_settings_t *s, const ini_t *ini)
+{
+	char **keys = g_key_file_get_keys(ini->file, "domains", NULL, NULL);
+	char *region;
+	size_t i;
+
+	if (keys == NULL) {
+		ini_error(ini, "domains", NULL,
+		    "[domains] is missing: failure_domain = region");
+		return;
+	}
+	for (i = 0; keys[i] != NULL; i++) {
+		region =
+		    g_key_file_get_string(ini->file, "domains", keys[i], NULL);
+		if (region == NULL || *region == '\0') {
+			ini_error(
+			    ini, "domains", keys[i], "%s: no region", keys[i]);
+			g_free(region);
+			continue;
+		}
+		g_hash_table_insert(s->regions, g_strdup(keys[i]), region);
+	}
+	g_strfreev(keys);
+}
+
+static void
+read_bounds(gateway_settings_t *s, const ini_t *ini)
+{
+	double ttl_sec = DEFAULT_TTL_SEC;
+	const ini_field_t fields[] = {
+	    {"rate_overage", INI_DECIMAL, FALSE, 0, 10,
+		&s->admission.rate_overage},
+	    {"rate_slack", INI_DECIMAL, FALSE, 0, 1e6,
+		&s->admission.rate_slack},
+	    {"retry_ratio", INI_DECIMAL, FALSE, 0, 10,
+		&s->dispatch.retry_ratio},
+	    {"retry_extra", INI_DECIMAL, FALSE, 0, 1e6,
+		&s->dispatch.retry_extra},
+	    {"cold_overage", INI_DECIMAL, FALSE, 0, 100,
+		&s->dispatch.cold.overage},
+	    {"cold_slack", INI_DECIMAL, FALSE, 0, 1e6, &s->dispatch.cold.slack},
+	    {"lookup_ttl_sec", INI_DECIMAL, FALSE, 0.1, 3600, &ttl_sec},
+	};
+
+	s->dispatch.retry_ratio = DEFAULT_RETRY_RATIO;
+	s->dispatch.cold.overage = DEFAULT_COLD_OVERAGE;
+	if (g_key_file_has_group(ini->file, "bounds"))
+		ini_group(ini, "bounds", fields, G_N_ELEMENTS(fields));
+	s->lookup_ttl_ms = (msec_t)(ttl_sec * MSEC_PER_SEC);
+}
+
+static void
+read_limits(gateway_settings_t *s, const ini_t *ini)
+{
+	const ini_field_t fields[] = {
+	    {"max_connections", INI_NUMBER, FALSE, 1, 1e6, &s->max_connections},
+	    {"body_memory_bytes", INI_NUMBER, FALSE, 1e5, 1e11,
+		&s->body_memory_bytes},
+	};
+
+	if (g_key_file_has_group(ini->file, "limits"))
+		ini_group(ini, "limits", fields, G_N_ELEMENTS(fields));
+}
+
+static void
+read_log(gateway_settings_t *s, const ini_t *ini)
+{
+	char *level = NULL;
+	const ini_field_t fields[] = {
+	    {"level", INI_STRING, FALSE, 1, NAME_CHARS, &level},
+	    {"lines_per_sec", INI_NUMBER, FALSE, 1, 1e6, &s->log_lines},
+	};
+
+	if (!g_key_file_has_group(ini->file, "log"))
+		return;
+	ini_group(ini, "log", fields, G_N_ELEMENTS(fields));
+	if (level != NULL && log_level_parse(level, &s->log_level) != 0)
+		ini_error(ini, "log", "level",
+		    "level: expected debug, info, warn or error, found \"%s\"",
+		    level);
+	g_free(level);
+}
+
+gboolean
+gateway_settings_init(
+    gateway_settings_t *s, const char *path, GPtrArray *errors)
+{
+	GError *err = NULL;
+	guint before = errors->len;
+	char *text;
+	ini_t ini;
+
+	memset(s, 0, sizeof(*s));
+	s->regions =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->log_level = LOG_INFO;
+	s->log_lines = DEFAULT_LOG_LINES;
+	s->max_connections = DEFAULT_MAX_CONNECTIONS;
+	s->body_memory_bytes = DEFAULT_BODY_MEMORY;
+	text = ini_read_file(path, FILE_MAX_BYTES, &err);
+	if (text == NULL) {
+		g_ptr_array_add(errors, g_strdup(err->message));
+		g_error_free(err);
+		return FALSE;
+	}
+	ini_init(&ini, path, text, errors);
+	if (ini.readable) {
+		read_host(s, &ini);
+		read_store(s, &ini);
+		read_domains(s, &ini);
+		read_bounds(s, &ini);
+		read_limits(s, &ini);
+		read_log(s, &ini);
+	}
+	ini_finish(&ini);
+	g_free(text);
+	return errors->len == before;
+}
+
+void
+gateway_settings_finish(gateway_settings_t *s)
+{
+	g_free(s->id);
+	g_free(s->region);
+	g_free(s->domain);
+	g_free(s->callers);
+	g_free(s->lookups);
+	g_free(s->operators);
+	g_free(s->peers);
+	g_free(s->store);
+	g_hash_table_destroy(s->regions);
+	memset(s, 0, sizeof(*s));
+}
--- /dev/null
+++ b/src/gateway/sources.c
@@ -0,0 +1,623 @@
+#include <string.h>
+
+#include <sodium.h>
+
+#include "base/log.h"
+#include "gateway/sources.h"
+#include "platform/wire_entries.h"
+#include "protocol/fleet_rows.h"
+
+/* Least time between the starts of two calls for a table. Every server
+ * writes every second or so: waiting for each change would be a call for each.
+ * The bound on a leaving server is some seconds. */
+#define SERVERS_EVERY_MS 800
+#define ORDERS_EVERY_MS 200
+#define FLEET_EVERY_MS 300
+/* For how long the store is asked to wait for a change. */
+#define SERVERS_WAIT_MS 1000
+#define LONG_WAIT_MS 20000
+/* After a call that failed; doubled by each further one. */
+#define RETRY_MS 150
+#define RETRY_MAX_MS 1000
+/* Calls for a table that found no answer for this long: the store is away. */
+#define AWAY_MS 1000
+/* After its return, entries that lapsed come back within this time. */
+#define RETURN_MS 2500
+/* A feed that a peer is ahead of is asked again after this time. */
+#define NUDGE_MS 400
+#define TICK_MS 250
+
+static const struct {
+	const char *table;
+	msec_t every_ms, wait_ms;
+} tables[SOURCES] = {
+    [SOURCE_ORDERS] = {WIRE_TABLE_ORDERS, ORDERS_EVERY_MS, LONG_WAIT_MS},
+    [SOURCE_SERVERS] = {WIRE_TABLE_SERVERS, SERVERS_EVERY_MS, SERVERS_WAIT_MS},
+    [SOURCE_FLEET] = {FLEET_TABLE, FLEET_EVERY_MS, LONG_WAIT_MS},
+};
+
+static void ask(source_t *src);
+
+static void
+schedule(struct event *timer, msec_t ms)
+{
+	struct timeval tv = {ms / MSEC_PER_SEC, (ms % MSEC_PER_SEC) * 1000};
+
+	event_add(timer, &tv);
+}
+
+static const char *
+age_text(msec_t since, msec_t now)
+{
+	return since == 0 ? "-" : log_num(now - since);
+}
+
+static void
+log_bad_row(const table_row_t *row, GError *err)
+{
+	log_event(LOG_WARN, "row.refused", "key", row->key, "row_version",
+	    log_num((long long)row->ver), "error", err->message, NULL);
+	g_error_free(err);
+}
+
+/* ---- orders ---- */
+
+static void
+take_manifest(view_t *v, const order_t *order, const table_row_t *row)
+{
+	manifest_t *m = order->u.manifest;
+	gboolean ok;
+
+	if (order->removed) {
+		log_event(LOG_WARN, "config.removed", "kept", "1", NULL);
+		return;
+	}
+	ok = admission_take_manifest(&v->admission, m);
+	log_event(ok ? LOG_INFO : LOG_WARN,
+	    ok ? "config.in_force" : "config.refused", "version",
+	    log_num((long long)m->version), "in_force",
+	    log_num((long long)v->admission.manifest->version), "routes",
+	    log_num(m->routes->len), "row_version",
+	    log_num((long long)row->ver), NULL);
+}
+
+static void
+take_drain(view_t *v, const order_t *order)
+{
+	/* Servers may be cold before the order, and when it is lifted. */
+	if (dispatch_drain(&v->dispatch, order->name, !order->removed))
+		log_event(LOG_INFO,
+		    order->removed ? "domain.taken_back" : "domain.drained",
+		    "domain", order->name, NULL);
+	dispatch_cool(&v->dispatch, order->name, clock_now());
+}
+
+static void
+take_shift(view_t *v, const order_t *order)
+{
+	if (order->removed)
+		shifts_unorder(&v->shifts, order->name);
+	else
+		shifts_order(&v->shifts, order->name, order->u.shift.to,
+		    order->u.shift.duration_ms);
+	log_event(LOG_INFO, "shift.ordered", "service", order->name, "to",
+	    order->removed ? NULL : order->u.shift.to, NULL);
+}
+
+static void
+on_order(void *arg, const table_row_t *row)
+{
+	view_t *v = arg;
+	GError *err = NULL;
+	order_t order;
+
+	v->orders_ver = MAX(v->orders_ver, row->ver);
+	if (!wire_order_decode(row, &order, &err)) {
+		log_bad_row(row, err);
+		return;
+	}
+	switch (order.kind) {
+	case ORDER_MANIFEST:
+		take_manifest(v, &order, row);
+		break;
+	case ORDER_SHIFT:
+		take_shift(v, &order);
+		break;
+	case ORDER_DRAIN:
+		take_drain(v, &order);
+		break;
+	case ORDER_FOREIGN:
+		log_event(LOG_INFO, "order.foreign", "key", row->key, NULL);
+		break;
+	}
+	order_finish(&order);
+}
+
+/* ---- servers ---- */
+
+static const char *
+change_name(registry_change_t change)
+{
+	switch (change) {
+	case REGISTRY_NEW:
+		return "server.joined";
+	case REGISTRY_RESTART:
+		return "server.restarted";
+	case REGISTRY_CHANGED:
+		return "server.changed";
+	case REGISTRY_SAME:
+	case REGISTRY_STALE:
+		break;
+	}
+	return NULL;
+}
+
+static void
+take_entry(sources_t *s, const registry_row_t *entry)
+{
+	view_t *v = s->view;
+	msec_t now = clock_now();
+	registry_change_t change = registry_put(&v->registry, entry, now);
+	backend_t *b = g_hash_table_lookup(v->registry.servers, entry->id);
+
+	if (b != NULL && change != REGISTRY_STALE)
+		shifts_saw(
+		    &v->shifts, b, !s->source[SOURCE_SERVERS].whole, now);
+	if (change_name(change) != NULL)
+		log_event(LOG_INFO, change_name(change), "server", entry->id,
+		    "service", entry->service, "domain", entry->domain,
+		    "version", entry->version, "draining",
+		    entry->draining ? "1" : "0", "cold_ms",
+		    log_num(entry->cold_ms), "row_version",
+		    log_num((long long)entry->row_ver), NULL);
+}
+
+static void
+on_server(void *arg, const table_row_t *row)
+{
+	sources_t *s = arg;
+	msec_t asked_at = s->source[SOURCE_SERVERS].called_at;
+	wire_server_t *memory;
+	registry_row_t entry;
+	GError *err = NULL;
+
+	if (row->value == NULL) {
+		if (registry_remove(&s->view->registry, row->key, row->ver,
+			asked_at < s->away_until, clock_now()))
+			log_event(LOG_INFO, "server.gone", "server", row->key,
+			    "row_version", log_num((long long)row->ver),
+			    "store_was_away",
+			    asked_at < s->away_until ? "1" : "0", NULL);
+		return;
+	}
+	if (!wire_server_decode(row, &entry, &memory, &err)) {
+		log_bad_row(row, err);
+		return;
+	}
+	if (g_hash_table_contains(s->view->registry.regions, entry.domain))
+		take_entry(s, &entry);
+	else
+		log_event(LOG_WARN, "row.refused", "key", row->key, "error",
+		    "unknown failure domain", NULL);
+	wire_server_free(memory);
+}
+
+/* ---- the fleet's own rows ---- */
+
+static void
+on_fleet(void *arg, const table_row_t *row)
+{
+	sources_t *s = arg;
+	GError *err = NULL;
+	fleet_rows_t r;
+
+	if (!fleet_rows_decode(row, &r, &err)) {
+		log_bad_row(row, err);
+		return;
+	}
+	switch (r.kind) {
+	case FLEET_ROW_HOST:
+		log_event(LOG_INFO, r.removed ? "host.removed" : "host.listed",
+		    "host", r.name, "row_version", log_num((long long)row->ver),
+		    NULL);
+		if (r.removed)
+			fleet_remove(&s->view->fleet, r.name);
+		else
+			fleet_put(&s->view->fleet, &r.u.host, clock_now());
+		break;
+	case FLEET_ROW_SHIFT:
+		shifts_take_row(&s->view->shifts, r.name,
+		    r.removed ? NULL : &r.u.shift, row->ver);
+		log_event(LOG_INFO, "shift.row", "service", r.name, "to",
+		    r.removed ? NULL : r.u.shift.to, "state",
+		    r.removed ? NULL : log_num(r.u.shift.state), NULL);
+		break;
+	case FLEET_ROW_SECRET:
+		s->has_secret = !r.removed;
+		if (s->has_secret)
+			s->secret = r.u.secret;
+		s->secret_ver = row->ver;
+		break;
+	case FLEET_ROW_FOREIGN:
+		break;
+	}
+	fleet_rows_clear(&r);
+}
+
+/* ---- calls ---- */
+
+static void
+note_answer(source_t *src, const table_page_t *page)
+{
+	sources_t *s = src->all;
+	msec_t now = clock_now();
+
+	if (src->failures > 0)
+		log_event(LOG_INFO, "store.regained", "table",
+		    tables[src->kind].table, "silent_ms",
+		    age_text(src->answered_at, now), NULL);
+	if (src->failures > 0 && now - src->answered_at > AWAY_MS)
+		s->away_until = MAX(s->away_until, now + RETURN_MS);
+	src->failures = 0;
+	src->answered_at = now;
+	if (page == NULL || page->store_ms == 0)
+		return;
+	/* Of a call that waited, the answer's time is the nearer one. */
+	s->view->store_offset = page->store_ms - now;
+	if (s->view->incarnation == 0)
+		s->view->incarnation = (uint64_t)MAX(page->store_ms, 1);
+}
+
+static void
+note_failure(source_t *src, const GError *err)
+{
+	if (src->failures++ == 0)
+		log_event(LOG_WARN, "store.lost", "table",
+		    tables[src->kind].table, "error",
+		    err != NULL ? err->message : NULL, NULL);
+}
+
+static void
+apply_page(source_t *src, const table_page_t *page)
+{
+	static const table_news_t news[SOURCES] = {
+	    [SOURCE_ORDERS] = on_order,
+	    [SOURCE_SERVERS] = on_server,
+	    [SOURCE_FLEET] = on_fleet,
+	};
+	void *arg = src->kind == SOURCE_ORDERS ? (void *)src->all->view
+					       : (void *)src->all;
+	const table_row_t *last;
+
+	if (!src->reading) {
+		table_view_changes(&src->view, page, news[src->kind], arg);
+		src->ver = MAX(src->ver, page->ver);
+		return;
+	}
+	table_view_page(&src->view, page, news[src->kind], arg);
+	g_free(src->from);
+	src->from = NULL;
+	if (page->more && page->rows->len > 0) {
+		last = g_ptr_array_index(page->rows, page->rows->len - 1);
+		src->from = g_strdup(last->key);
+		return;
+	}
+	src->whole = TRUE;
+	src->ver = src->view.listed_ver;
+}
+
+static void
+note_whole(source_t *src)
+{
+	view_t *v = src->all->view;
+
+	if (!src->whole)
+		return;
+	if (src->kind == SOURCE_ORDERS)
+		v->orders_at = src->called_at;
+	else if (src->kind == SOURCE_SERVERS)
+		v->servers_at = src->called_at;
+}
+
+static msec_t
+next_in(const source_t *src)
+{
+	msec_t now = clock_now();
+	msec_t retry;
+
+	if (src->failures > 0) {
+		retry = RETRY_MS << MIN(src->failures - 1, 4);
+		return MIN(retry, RETRY_MAX_MS);
+	}
+	if (!src->whole)
+		return 0;
+	return MAX(src->called_at + tables[src->kind].every_ms - now, 0);
+}
+
+static void
+on_page(void *arg, table_outcome_t outcome, const table_page_t *page,
+    const GError *err)
+{
+	source_t *src = arg;
+
+	src->call = NULL;
+	switch (outcome) {
+	case TABLE_DONE:
+		note_answer(src, page);
+		apply_page(src, page);
+		note_whole(src);
+		break;
+	case TABLE_FORGOT:
+		note_answer(src, NULL);
+		log_event(LOG_INFO, "store.history_lost", "table",
+		    tables[src->kind].table, "after",
+		    log_num((long long)src->ver), NULL);
+		src->whole = FALSE;
+		break;
+	case TABLE_CONFLICT:
+	case TABLE_FAILED:
+	case TABLE_UNKNOWN:
+		note_failure(src, err);
+		break;
+	}
+	schedule(src->timer, next_in(src));
+}
+
+static void
+ask(source_t *src)
+{
+	sources_t *s = src->all;
+	const char *table = tables[src->kind].table;
+
+	src->called_at = clock_now();
+	src->reading = !src->whole;
+	if (src->reading) {
+		if (src->from == NULL)
+			table_view_begin(&src->view);
+		src->call =
+		    table_store_read(&s->store, table, src->from, on_page, src);
+	} else {
+		src->call = table_store_feed(&s->store, table, src->ver,
+		    tables[src->kind].wait_ms, on_page, src);
+	}
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	source_t *src = arg;
+
+	(void)fd;
+	(void)what;
+	if (src->call == NULL)
+		ask(src);
+}
+
+void
+sources_nudge(sources_t *s, uint64_t orders_ver)
+{
+	source_t *src = &s->source[SOURCE_ORDERS];
+
+	if (orders_ver <= s->view->orders_ver || src->call == NULL ||
+	    clock_now() - src->called_at < NUDGE_MS)
+		return;
+	log_event(LOG_INFO, "store.feed_behind", "known",
+	    log_num((long long)s->view->orders_ver), "peer",
+	    log_num((long long)orders_ver), NULL);
+	table_call_cancel(src->call);
+	src->call = NULL;
+	ask(src);
+}
+
+/* ---- this host's row ---- */
+
+static void
+on_joined(void *arg, table_outcome_t outcome, const table_page_t *page,
+    const GError *err)
+{
+	sources_t *s = arg;
+
+	(void)page;
+	s->join = NULL;
+	if (outcome == TABLE_DONE) {
+		if (!s->view->leaving)
+			s->view->joined = TRUE;
+		log_event(LOG_INFO,
+		    s->view->leaving ? "host.row_removed" : "host.joined",
+		    "incarnation", log_num((long long)s->view->incarnation),
+		    NULL);
+		return;
+	}
+	log_event(LOG_WARN, "host.row_not_written", "error",
+	    err != NULL ? err->message : "another host was first", NULL);
+	if (!s->view->leaving)
+		schedule(s->join_timer, RETRY_MS * 2);
+}
+
+static void
+write_row(sources_t *s, gboolean leave)
+{
+	const gateway_settings_t *set = s->view->settings;
+	const fleet_row_t row = {set->id, set->callers, set->peers, set->region,
+	    set->domain, s->view->incarnation, 0};
+	char *key = g_strconcat(FLEET_KEY_HOST, set->id, NULL);
+	char *value = leave ? NULL : fleet_rows_host(&row), *secret = NULL;
+	table_write_t w = {.n = 0};
+	beacon_secret_t fresh;
+
+	table_write_put(&w, FLEET_TABLE, key, value);
+	if (!leave && !s->has_secret) {
+		randombytes_buf(fresh.bytes, sizeof(fresh.bytes));
+		secret = fleet_rows_secret(&fresh);
+		table_write_put_if(
+		    &w, FLEET_TABLE, FLEET_KEY_SECRET, secret, s->secret_ver);
+	}
+	s->join = table_store_write(&s->store, &w, on_joined, s);
+	g_free(key);
+	g_free(value);
+	g_free(secret);
+}
+
+static void
+on_join_timer(evutil_socket_t fd, short what, void *arg)
+{
+	sources_t *s = arg;
+
+	(void)fd;
+	(void)what;
+	if (s->join != NULL || s->view->joined || s->view->leaving)
+		return;
+	if (s->source[SOURCE_FLEET].whole)
+		write_row(s, FALSE);
+	else
+		schedule(s->join_timer, RETRY_MS / 3);
+}
+
+void
+sources_leave(sources_t *s)
+{
+	if (s->join != NULL)
+		table_call_cancel(s->join);
+	s->join = NULL;
+	write_row(s, TRUE);
+}
+
+/* ---- moves ---- */
+
+typedef struct {
+	sources_t *all;
+	table_call_t *call;
+	char *service;
+	shift_state_t state;
+} move_write_t;
+
+static void
+on_move_written(void *arg, table_outcome_t outcome, const table_page_t *page,
+    const GError *err)
+{
+	move_write_t *w = arg;
+	static const char *const outcomes[] = {
+	    [TABLE_DONE] = "done",
+	    [TABLE_CONFLICT] = "another host was first",
+	    [TABLE_FORGOT] = "forgot",
+	    [TABLE_FAILED] = "failed",
+	    [TABLE_UNKNOWN] = "unknown",
+	};
+
+	(void)page;
+	log_event(LOG_INFO, "shift.written", "service", w->service, "state",
+	    log_num(w->state), "outcome", outcomes[outcome], "error",
+	    err != NULL ? err->message : NULL, NULL);
+	g_ptr_array_remove_fast(w->all->writes, w);
+	g_free(w->service);
+	g_free(w);
+}
+
+static void
+write_move(sources_t *s, const shift_write_t *write)
+{
+	static const wire_shift_state_t states[] = {
+	    [SHIFT_RUNNING] = WIRE_SHIFT_RUNNING,
+	    [SHIFT_COMPLETED] = WIRE_SHIFT_COMPLETED,
+	    [SHIFT_ROLLED_BACK] = WIRE_SHIFT_ROLLED_BACK,
+	};
+	char *key = g_strconcat(FLEET_KEY_SHIFT, write->service, NULL);
+	char *value = fleet_rows_shift(&write->row);
+	char *status_key = wire_status_key(write->service);
+	char *status =
+	    wire_status_encode(states[write->row.state], write->row.to);
+	move_write_t *w = g_new0(move_write_t, 1);
+	table_write_t tx = {.n = 0};
+
+	w->all = s;
+	w->service = g_strdup(write->service);
+	w->state = write->row.state;
+	table_write_put_if(&tx, FLEET_TABLE, key, value, write->expected);
+	table_write_put(&tx, WIRE_TABLE_STATUS, status_key, status);
+	log_event(LOG_INFO, "shift.decided", "service", write->service, "to",
+	    write->row.to, "state", log_num(write->row.state), "verdict",
+	    log_num(write->verdict), NULL);
+	g_ptr_array_add(s->writes, w);
+	w->call = table_store_write(&s->store, &tx, on_move_written, w);
+	g_free(key);
+	g_free(value);
+	g_free(status_key);
+	g_free(status);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	sources_t *s = arg;
+	view_t *v = s->view;
+	GArray *writes = g_array_new(FALSE, TRUE, sizeof(shift_write_t));
+	msec_t now = clock_now();
+	guint i;
+
+	(void)fd;
+	(void)what;
+	registry_expire(&v->registry, now);
+	admission_tick(&v->admission, &v->fleet, now);
+	if (view_is_ready(v))
+		shifts_tick(&v->shifts, &v->registry, &v->fleet, now,
+		    view_store_now(v, now), writes);
+	for (i = 0; i < writes->len; i++)
+		write_move(s, &g_array_index(writes, shift_write_t, i));
+	g_array_free(writes, TRUE);
+}
+
+void
+sources_init(
+    sources_t *s, view_t *view, struct event_base *base, http_client_t *http)
+{
+	const struct timeval tick = {0, TICK_MS * 1000};
+	int i;
+
+	memset(s, 0, sizeof(*s));
+	s->view = view;
+	s->base = base;
+	s->writes = g_ptr_array_new();
+	table_store_init(&s->store, http, view->settings->store);
+	for (i = 0; i < SOURCES; i++) {
+		source_t *src = &s->source[i];
+
+		src->all = s;
+		src->kind = (source_kind_t)i;
+		table_view_init(&src->view);
+		src->timer = evtimer_new(base, on_timer, src);
+		schedule(src->timer, 0);
+	}
+	s->join_timer = evtimer_new(base, on_join_timer, s);
+	schedule(s->join_timer, RETRY_MS / 3);
+	s->ticker = event_new(base, -1, EV_PERSIST, on_tick, s);
+	event_add(s->ticker, &tick);
+}
+
+void
+sources_finish(sources_t *s)
+{
+	guint i;
+
+	for (i = 0; i < SOURCES; i++) {
+		source_t *src = &s->source[i];
+
+		if (src->call != NULL)
+			table_call_cancel(src->call);
+		event_free(src->timer);
+		g_free(src->from);
+		table_view_finish(&src->view);
+	}
+	for (i = 0; i < s->writes->len; i++) {
+		move_write_t *w = g_ptr_array_index(s->writes, i);
+
+		table_call_cancel(w->call);
+		g_free(w->service);
+		g_free(w);
+	}
+	if (s->join != NULL)
+		table_call_cancel(s->join);
+	g_ptr_array_free(s->writes, TRUE);
+	event_free(s->join_timer);
+	event_free(s->ticker);
+	table_store_finish(&s->store);
+}
--- /dev/null
+++ b/src/gateway/sources.h
@@ -0,0 +1,67 @@
+#ifndef GATEWAY_SOURCES_H
+#define GATEWAY_SOURCES_H
+
+#include "base/metrics.h"
+#include "gateway/view.h"
+#include "platform/table_store.h"
+#include "protocol/beacon.h"
+#include "protocol/table_view.h"
+
+/*
+ * Reads the tables of the platform's store and keeps the view up to date:
+ * orders, backend servers, and the fleet's own rows. Each table is read whole
+ * once, then its changes are waited for; where the store has forgotten them
+ * it is read whole again. Writes this host's row, and rows of moves while it
+ * holds the duty.
+ */
+
+typedef enum {
+	SOURCE_ORDERS,
+	SOURCE_SERVERS,
+	SOURCE_FLEET,
+	SOURCES,
+} source_kind_t;
+
+typedef struct sources sources_t;
+
+typedef struct {
+	sources_t *all;
+	source_kind_t kind;
+	table_view_t view;
+	uint64_t ver;	    /* changes up to it are known; 0: none */
+	gboolean whole;	    /* it was read whole since the last loss */
+	gboolean reading;   /* the call under way reads, else it waits */
+	char *from;	    /* next key of a reading */
+	table_call_t *call; /* under way, or NULL */
+	struct event *timer;
+	msec_t called_at;
+	msec_t answered_at;
+	guint failures; /* one after the other */
+} source_t;
+
+struct sources {
+	view_t *view;
+	table_store_t store;
+	struct event_base *base;
+	source_t source[SOURCES];
+	msec_t away_until; /* until then rows may have lapsed for its absence */
+	gboolean has_secret;
+	beacon_secret_t secret;
+	uint64_t secret_ver;
+	table_call_t *join; /* the write of this host's row, under way */
+	struct event *join_timer;
+	struct event *ticker;
+	GPtrArray *writes; /* of rows of moves, under way */
+};
+
+void sources_init(
+    sources_t *s, view_t *view, struct event_base *base, http_client_t *http);
+void sources_finish(sources_t *s);
+
+/** sources_leave() - Remove this host's row. */
+void sources_leave(sources_t *s);
+
+/** sources_nudge() - A peer has orders that we lack: ask again at once. */
+void sources_nudge(sources_t *s, uint64_t orders_ver);
+
+#endif
--- /dev/null
+++ b/src/gateway/view.c
@@ -0,0 +1,39 @@
+#include <string.h>
+
+#include "gateway/view.h"
+
+void
+view_init(view_t *v, const gateway_settings_t *settings)
+{
+	memset(v, 0, sizeof(*v));
+	v->settings = settings;
+	registry_init(&v->registry, settings->regions);
+	fleet_init(&v->fleet, settings->id);
+	admission_init(&v->admission, &settings->admission);
+	shifts_init(&v->shifts);
+	dispatch_init(&v->dispatch, &v->registry, &v->fleet, &v->shifts,
+	    settings->region, &settings->dispatch);
+}
+
+void
+view_finish(view_t *v)
+{
+	dispatch_finish(&v->dispatch);
+	shifts_finish(&v->shifts);
+	admission_finish(&v->admission);
+	fleet_finish(&v->fleet);
+	registry_finish(&v->registry);
+}
+
+gboolean
+view_is_ready(const view_t *v)
+{
+	return !v->leaving && v->joined && v->servers_at != 0 &&
+	    v->admission.manifest != NULL;
+}
+
+msec_t
+view_store_now(const view_t *v, msec_t now)
+{
+	return now + v->store_offset;
+}
--- /dev/null
+++ b/src/protocol/beacon.c
@@ -0,0 +1,139 @@
+#include <string.h>
+
+#include <rpc/rpc.h>
+#include <sodium.h>
+
+#include "protocol/beacon.h"
+
+#define BEACON_FORMAT 1
+#define MAC_BYTES 16
+
+static bool_t
+xdr_amounts(XDR *x, GArray *amounts, u_int max)
+{
+	u_int n = amounts->len, i;
+	fleet_amount_t *a;
+	uint32_t word;
+
+	if (!xdr_u_int(x, &n) || n > max)
+		return FALSE;
+	if (x->x_op == XDR_DECODE)
+		g_array_set_size(amounts, n);
+	for (i = 0; i < n; i++) {
+		a = &g_array_index(amounts, fleet_amount_t, i);
+		word = a->name << (32 - FLEET_NAME_BITS) |
+		    MIN(a->amount, FLEET_AMOUNT_MAX);
+		if (!xdr_uint32_t(x, &word))
+			return FALSE;
+		a->name = word >> (32 - FLEET_NAME_BITS);
+		a->amount = word & FLEET_AMOUNT_MAX;
+	}
+	return TRUE;
+}
+
+static bool_t
+xdr_count(XDR *x, judge_count_t *c)
+{
+	u_int m;
+
+	if (!xdr_uint32_t(x, &c->requests))
+		return FALSE;
+	for (m = 0; m < JUDGE_METRICS; m++) {
+		if (!xdr_uint32_t(x, &c->bad[m]))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+/* Routes without a request are left out, by a mask. */
+static bool_t
+xdr_shift(XDR *x, fleet_shift_t *s)
+{
+	uint32_t mask = 0;
+	u_int i;
+
+	for (i = 0; i < FLEET_SHIFT_ROUTES; i++) {
+		if (s->routes[i].fresh.requests + s->routes[i].peer.requests >
+		    0)
+			mask |= UINT32_C(1) << i;
+	}
+	if (!xdr_uint32_t(x, &s->service) || !xdr_uint32_t(x, &s->to) ||
+	    !xdr_uint32_t(x, &s->old_running) || !xdr_uint32_t(x, &mask))
+		return FALSE;
+	for (i = 0; i < FLEET_SHIFT_ROUTES; i++) {
+		if ((mask >> i & 1) != 0 &&
+		    (!xdr_count(x, &s->routes[i].fresh) ||
+			!xdr_count(x, &s->routes[i].peer)))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static bool_t
+xdr_news(XDR *x, fleet_news_t *n)
+{
+	uint32_t format = BEACON_FORMAT;
+	uint32_t flags = (n->ready ? 1 : 0) | (n->leaving ? 2 : 0);
+	u_int i;
+
+	if (!xdr_uint32_t(x, &format) || format != BEACON_FORMAT ||
+	    !xdr_uint64_t(x, &n->host) || !xdr_uint64_t(x, &n->incarnation) ||
+	    !xdr_uint32_t(x, &n->seq) || !xdr_uint32_t(x, &flags) ||
+	    !xdr_uint64_t(x, &n->config) || !xdr_uint64_t(x, &n->orders) ||
+	    !xdr_amounts(x, n->demands, BEACON_DEMANDS_MAX) ||
+	    !xdr_amounts(x, n->loads, BEACON_LOADS_MAX) ||
+	    !xdr_u_int(x, &n->nshifts) || n->nshifts > FLEET_SHIFTS_MAX)
+		return FALSE;
+	n->ready = (flags & 1) != 0;
+	n->leaving = (flags & 2) != 0;
+	for (i = 0; i < n->nshifts; i++) {
+		if (!xdr_shift(x, &n->shifts[i]))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static void
+mac_of(const uint8_t *data, size_t len, const beacon_secret_t *secret,
+    uint8_t *mac)
+{
+	crypto_generichash(
+	    mac, MAC_BYTES, data, len, secret->bytes, sizeof(secret->bytes));
+}
+
+size_t
+beacon_encode(fleet_news_t *news, const beacon_secret_t *secret, uint8_t *out)
+{
+	XDR x;
+	size_t len = 0;
+
+	xdrmem_create(
+	    &x, (char *)out, BEACON_MAX_BYTES - MAC_BYTES, XDR_ENCODE);
+	if (xdr_news(&x, news))
+		len = xdr_getpos(&x);
+	xdr_destroy(&x);
+	if (len == 0)
+		return 0;
+	mac_of(out, len, secret, out + len);
+	return len + MAC_BYTES;
+}
+
+gboolean
+beacon_decode(const uint8_t *data, size_t len, const beacon_secret_t *secret,
+    fleet_news_t *news)
+{
+	uint8_t mac[MAC_BYTES];
+	gboolean ok;
+	XDR x;
+
+	if (len <= MAC_BYTES || len > BEACON_MAX_BYTES)
+		return FALSE;
+	len -= MAC_BYTES;
+	mac_of(data, len, secret, mac);
+	if (sodium_memcmp(mac, data + len, MAC_BYTES) != 0)
+		return FALSE;
+	xdrmem_create(&x, (char *)data, (u_int)len, XDR_DECODE);
+	ok = xdr_news(&x, news) && xdr_getpos(&x) == len;
+	xdr_destroy(&x);
+	return ok;
+}
--- /dev/null
+++ b/src/protocol/fleet_rows.h
@@ -0,0 +1,49 @@
+#ifndef PROTOCOL_FLEET_ROWS_H
+#define PROTOCOL_FLEET_ROWS_H
+
+#include "coordination/fleet.h"
+#include "coordination/shifts.h"
+#include "protocol/beacon.h"
+#include "protocol/table_msg.h"
+
+/* Rows that hosts keep for each other, all in one table. */
+#define FLEET_TABLE "fleet"
+#define FLEET_KEY_SECRET "secret"
+#define FLEET_KEY_HOST "host/"
+#define FLEET_KEY_SHIFT "shift/"
+
+char *fleet_rows_host(const fleet_row_t *row);
+char *fleet_rows_shift(const shift_row_t *row);
+char *fleet_rows_secret(const beacon_secret_t *secret);
+
+typedef enum {
+	FLEET_ROW_HOST,
+	FLEET_ROW_SHIFT,
+	FLEET_ROW_SECRET,
+	FLEET_ROW_FOREIGN,
+} fleet_row_kind_t;
+
+/* A row as read. A removed row has only its kind and name. */
+typedef struct {
+	fleet_row_kind_t kind;
+	gboolean removed;
+	const char *name; /* host or service; part of the key */
+	union {
+		fleet_row_t host; /* texts belong to @memory */
+		shift_row_t shift;
+		beacon_secret_t secret;
+	} u;
+	void *memory;
+} fleet_rows_t;
+
+/**
+ * fleet_rows_decode() - Read a row.
+ * @row: the row; must outlive @out
+ * @out: memory of the caller; on success fleet_rows_clear() is due
+ * @err: set on failure
+ */
+gboolean fleet_rows_decode(
+    const table_row_t *row, fleet_rows_t *out, GError **err);
+void fleet_rows_clear(fleet_rows_t *out);
+
+#endif
--- /dev/null
+++ b/src/protocol/table_msg.c
@@ -0,0 +1,52 @@
+#include "protocol/table_msg.h"
+
+static void
+row_free(void *p)
+{
+	table_row_t *row = p;
+
+	g_free(row->key);
+	g_free(row->value);
+	g_free(row);
+}
+
+void
+table_page_init(table_page_t *page)
+{
+	*page = (table_page_t){0};
+	page->rows = g_ptr_array_new_with_free_func(row_free);
+}
+
+void
+table_page_finish(table_page_t *page)
+{
+	g_ptr_array_free(page->rows, TRUE);
+	*page = (table_page_t){0};
+}
+
+table_row_t *
+table_page_add(table_page_t *page)
+{
+	table_row_t *row = g_new0(table_row_t, 1);
+
+	g_ptr_array_add(page->rows, row);
+	return row;
+}
+
+void
+table_write_put(
+    table_write_t *w, const char *table, const char *key, const char *value)
+{
+	g_assert(w->n < TABLE_CHANGES_MAX);
+	w->changes[w->n++] =
+	    (table_change_t){.table = table, .key = key, .value = value};
+}
+
+void
+table_write_put_if(table_write_t *w, const char *table, const char *key,
+    const char *value, uint64_t expected)
+{
+	table_write_put(w, table, key, value);
+	w->changes[w->n - 1].checked = TRUE;
+	w->changes[w->n - 1].expected = expected;
+}
--- /dev/null
+++ b/src/protocol/table_msg.h
@@ -0,0 +1,54 @@
+#ifndef PROTOCOL_TABLE_MSG_H
+#define PROTOCOL_TABLE_MSG_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/* Rows of a transactional table store, as its client hands them on. */
+
+typedef struct {
+	char *key;
+	char *value;  /* NUL-terminated, may hold other NULs; NULL: removed */
+	size_t len;   /* of the value */
+	uint64_t ver; /* of the transaction that wrote it */
+} table_row_t;
+
+typedef struct {
+	GPtrArray *rows; /* table_row_t, in the order of the answer */
+	uint64_t ver;	 /* newest version of the store */
+	msec_t store_ms; /* the store's steady clock */
+	gboolean more;	 /* further pages follow */
+} table_page_t;
+
+void table_page_init(table_page_t *page);
+void table_page_finish(table_page_t *page);
+table_row_t *table_page_add(table_page_t *page);
+
+/* A row to be written under the condition that it is as it was read. */
+typedef struct {
+	const char *table;
+	const char *key;
+	const char *value; /* NULL: remove it */
+	gboolean checked;
+	uint64_t expected; /* version that it must have; 0: absent */
+} table_change_t;
+
+#define TABLE_CHANGES_MAX 4
+
+typedef struct {
+	table_change_t changes[TABLE_CHANGES_MAX];
+	guint n;
+} table_write_t;
+
+/** table_write_put() - Add a row to a transaction. */
+void table_write_put(
+    table_write_t *w, const char *table, const char *key, const char *value);
+
+/** table_write_put_if() - The same, if the row has a version. */
+void table_write_put_if(table_write_t *w, const char *table, const char *key,
+    const char *value, uint64_t expected);
+
+#endif
--- /dev/null
+++ b/src/state/placing.h
@@ -0,0 +1,69 @@
+#ifndef STATE_PLACING_H
+#define STATE_PLACING_H
+
+#include "state/registry.h"
+
+/*
+ * Chooses the backend server of a request.
+ *
+ * A server that handled an object lately runs it in about a third of the
+ * time, and keeps a bounded number of objects. So requests for an object go
+ * to the server that a hash of both ranks first: all hosts agree on it without
+ * talking, and a server that goes moves only its own objects. Under heavy
+ * load a request that is spilled to another server runs cold there, takes the
+ * time of three warm ones and evicts an object; it is refused instead. Spills
+ * are for times with room: the next server in rank must be nearly idle.
+ */
+
+/* Requests that are let wait at the first server, for each slot. */
+#define PLACING_DEPTH 2.0
+/* The same at a server that is not the object's own. */
+#define PLACING_SPILL_DEPTH 0.4
+/* Bodies of this size stay in their region while it has room. */
+#define PLACING_LARGE_BYTES 16384
+/* A server turned a request away: as long as a slot needs to become free. */
+#define PLACING_FULL_MS 250
+
+typedef struct {
+	backend_t *server;
+	double load;	/* requests there, of all hosts */
+	gboolean near;	/* in the region of this host */
+	gboolean spent; /* cold, and may take none of ours just now */
+} placing_candidate_t;
+
+typedef struct {
+	uint64_t object;    /* hash of the object; of the request if none */
+	gboolean by_object; /* a server that knows the object is faster */
+	gboolean stay_near; /* its body is dear to move */
+} placing_request_t;
+
+typedef enum {
+	PLACING_SEND,
+	PLACING_FULL,	/* there are servers, none has room */
+	PLACING_NOBODY, /* no server may take it */
+} placing_verdict_t;
+
+typedef struct {
+	placing_verdict_t verdict;
+	backend_t *server;
+	msec_t wait_ms; /* of PLACING_FULL: when there may be room */
+} placing_t;
+
+/**
+ * placing_choose() - Choose a server.
+ * @request: what is placed
+ * @candidates: servers that may run it; put in order of rank
+ * @n: how many
+ * @now: time
+ */
+placing_t placing_choose(const placing_request_t *request,
+    placing_candidate_t *candidates, guint n, msec_t now);
+
+/**
+ * placing_score() - Rank of a server for an object; the highest is first.
+ * @server: the server
+ * @object: hash of the object
+ */
+double placing_score(const backend_t *server, uint64_t object);
+
+#endif
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -1,5 +1,8 @@
 #include <sys/queue.h>
+#include <sys/socket.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,6 +15,11 @@
 /* Idle connections older than this are not used again. */
 #define IDLE_MAX_MS 10000
 #define HEADERS_MAX_BYTES 65536
+/* Keep-alive of connections that wait long for an answer: a silent one is
+ * found out within about three seconds. */
+#define PROBE_IDLE_SEC 1
+#define PROBE_EVERY_SEC 1
+#define PROBE_COUNT 2
 
 /* One address: its idle connections, newest last, and how many are open. */
 typedef struct {
@@ -37,6 +45,7 @@
 	struct evhttp_request *req;
 	http_handler_t handler;
 	struct event *timer;
+	struct event *connect_timer; /* NULL: no bound of its own */
 	size_t max_body;
 	gboolean starting;  /* within http_call() */
 	gboolean in_head;   /* within on_head: evhttp still uses the request */
@@ -122,6 +131,8 @@
 {
 	if (call->timer != NULL)
 		event_free(call->timer);
+	if (call->connect_timer != NULL)
+		event_free(call->connect_timer);
 	g_free(call);
 }
 
@@ -376,15 +387,47 @@
 }
 
 static void
-arm_timer(http_client_t *client, http_call_t *call, msec_t timeout_ms)
+on_connect_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	http_call_t *call = arg;
+
+	if (!call->conn->wrote)
+		on_timeout(fd, what, arg);
+}
+
+static struct event *
+arm_timer(
+    http_client_t *client, http_call_t *call, event_callback_fn fn, msec_t ms)
 {
 	struct timeval tv = {
-	    .tv_sec = (time_t)(timeout_ms / MSEC_PER_SEC),
-	    .tv_usec = (suseconds_t)(timeout_ms % MSEC_PER_SEC) * 1000,
+	    .tv_sec = (time_t)(ms / MSEC_PER_SEC),
+	    .tv_usec = (suseconds_t)(ms % MSEC_PER_SEC) * 1000,
+	};
+	struct event *timer = evtimer_new(client->base, fn, call);
+
+	event_add(timer, &tv);
+	return timer;
+}
+
+static void
+probe_when_idle(conn_t *conn)
+{
+	evutil_socket_t fd =
+	    bufferevent_getfd(evhttp_connection_get_bufferevent(conn->evcon));
+	const struct {
+		int level, option, value;
+	} options[] = {
+	    {SOL_SOCKET, SO_KEEPALIVE, 1},
+	    {IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_SEC},
+	    {IPPROTO_TCP, TCP_KEEPINTVL, PROBE_EVERY_SEC},
+	    {IPPROTO_TCP, TCP_KEEPCNT, PROBE_COUNT},
 	};
+	size_t i;
 
-	call->timer = evtimer_new(client->base, on_timeout, call);
-	event_add(call->timer, &tv);
+	/* Without them the call's own time limit finds it out, later. */
+	for (i = 0; fd >= 0 && i < sizeof(options) / sizeof(options[0]); i++)
+		(void)setsockopt(fd, options[i].level, options[i].option,
+		    &options[i].value, sizeof(options[i].value));
 }
 
 http_call_t *
@@ -416,7 +459,13 @@
 		conn->evcon, call->req, request->method, request->path) != 0)
 		call->req = NULL;
 	call->starting = FALSE;
-	arm_timer(client, call, call->req != NULL ? request->timeout_ms : 0);
+	call->timer = arm_timer(client, call, on_timeout,
+	    call->req != NULL ? request->timeout_ms : 0);
+	if (call->req != NULL && request->connect_ms > 0)
+		call->connect_timer = arm_timer(
+		    client, call, on_connect_timeout, request->connect_ms);
+	if (call->req != NULL && request->probe_idle)
+		probe_when_idle(conn);
 	return call;
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -49,8 +49,10 @@
 	const struct evkeyvalq *headers; /* copied; may be NULL */
 	struct evbuffer *body;		 /* drained; may be NULL */
 	msec_t timeout_ms;
-	gboolean fresh;	 /* on a new connection, not an idle one */
-	size_t max_body; /* of a held answer, bytes; 0: no bound */
+	msec_t connect_ms; /* to make the connection; 0: no bound of its own */
+	gboolean probe_idle; /* let the kernel find out a silent connection */
+	gboolean fresh;	     /* on a new connection, not an idle one */
+	size_t max_body;     /* of a held answer, bytes; 0: no bound */
 } http_request_t;
 
 /**
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -63,6 +63,7 @@
 	body_memory_t bodies;
 	unsigned int exchanges;
 	gboolean draining;
+	gboolean closing; /* connections end with their next reply */
 };
 
 static void
@@ -402,6 +403,12 @@
 	sweep(-1, 0, server);
 }
 
+void
+http_server_close_after_reply(http_server_t *server)
+{
+	server->closing = TRUE;
+}
+
 unsigned int
 http_server_connections(const http_server_t *server)
 {
@@ -456,7 +463,7 @@
 		TAILQ_FOREACH(h, headers, next)
 		evhttp_add_header(x->req->output_headers, h->key, h->value);
 	}
-	if (x->conn->server->draining)
+	if (x->conn->server->draining || x->conn->server->closing)
 		evhttp_add_header(
 		    x->req->output_headers, "Connection", "close");
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -65,6 +65,12 @@
  */
 void http_server_drain(http_server_t *server);
 
+/**
+ * http_server_close_after_reply() - Close each connection with its next reply.
+ * @server: the server; goes on listening
+ */
+void http_server_close_after_reply(http_server_t *server);
+
 /* Connections that are open, and requests taken but not yet answered. */
 unsigned int http_server_connections(const http_server_t *server);
 unsigned int http_server_exchanges(const http_server_t *server);
