Shares of rates count what the other hosts have heard

Ruled out: buckets that begin full (they begin empty), retries (few). Change: a host counts for itself only the least demand of its last three beacons.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -209,7 +209,8 @@
 		    (double)fleet_amount(h->news.demands, l->hash) /
 		    DEMAND_UNIT;
 	}
-	return rate_share_of(l->demand.demand, w->rate, peers, f->hosts->len);
+	return rate_share_of(
+	    rate_demand_known(&l->demand), w->rate, peers, f->hosts->len);
 }
 
 void
@@ -234,9 +235,9 @@
 }
 
 void
-admission_demands(const admission_state_t *s, GArray *amounts)
+admission_demands(admission_state_t *s, GArray *amounts)
 {
-	const workspace_limit_t *l;
+	workspace_limit_t *l;
 	fleet_amount_t a;
 	GHashTableIter it;
 	gpointer value;
@@ -246,7 +247,8 @@
 		l = value;
 		a.name = fleet_name(l->hash);
 		a.amount = (uint32_t)CLAMP(
-		    l->demand.demand * DEMAND_UNIT, 0, FLEET_AMOUNT_MAX);
+		    rate_demand_tell(&l->demand) * DEMAND_UNIT, 0,
+		    FLEET_AMOUNT_MAX);
 		if (a.amount > 0)
 			g_array_append_val(amounts, a);
 	}
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -85,7 +85,7 @@
  */
 void admission_tick(admission_state_t *s, const fleet_t *f, msec_t now);
 
-/** admission_demands() - This host's demands, for its news. */
-void admission_demands(const admission_state_t *s, GArray *amounts);
+/** admission_demands() - This host's demands, for a beacon to all. */
+void admission_demands(admission_state_t *s, GArray *amounts);
 
 #endif
--- a/src/coordination/rate_share.c
+++ b/src/coordination/rate_share.c
@@ -41,3 +41,25 @@
 	d->asked = 0;
 	d->at = now;
 }
+
+double
+rate_demand_tell(rate_demand_t *d)
+{
+	guint i;
+
+	for (i = RATE_TOLD_MAX - 1; i > 0; i--)
+		d->told[i] = d->told[i - 1];
+	d->told[0] = d->demand;
+	return d->demand;
+}
+
+double
+rate_demand_known(const rate_demand_t *d)
+{
+	double known = d->demand;
+	guint i;
+
+	for (i = 0; i < RATE_TOLD_MAX; i++)
+		known = MIN(known, d->told[i]);
+	return known;
+}
--- a/src/gateway/beacons.c
+++ b/src/gateway/beacons.c
@@ -29,7 +29,7 @@
 static size_t
 write_news(beacons_t *b, uint8_t *out)
 {
-	const view_t *v = b->view;
+	view_t *v = b->view;
 	fleet_news_t news;
 	size_t len;
 
