One host of each region lends a workspace's tokens

Ruled out: a part by told demand with a larger floor (the same). Change: in each region a host, by hash, lends the region's part; a request asks it by a datagram, its deputy after 80 ms, at last this host. Regions divide by what all have heard. test_rate_lender plays hosts, late beacons and a workspace at eight times its usual: it failed first with four of six rows.

--- a/src/coordination/dispatch.h
+++ b/src/coordination/dispatch.h
@@ -3,6 +3,7 @@
 
 #include "coordination/admission.h"
 #include "coordination/cold_ramp.h"
+#include "coordination/fleet.h"
 #include "coordination/retry_budget.h"
 #include "coordination/shifts.h"
 #include "state/placing.h"
--- /dev/null
+++ b/src/coordination/rate_lender.c
@@ -0,0 +1,216 @@
+#include <string.h>
+
+#include "coordination/rate_lender.h"
+#include "state/registry.h"
+
+/* Of the overage and slack that rules leave, what is lent: the rest covers
+ * parts that two regions see differently for a moment. */
+#define SLACK_PART 0.5
+/* Of its region's part, what a host lends that is not the lender. */
+#define DEPUTY_PART 0.25
+/* Demands are told in tenths of a request a second. */
+#define DEMAND_UNIT 10
+/* Least wait of a caller over its rate, and the longest. */
+#define WAIT_MIN_MS 100
+#define WAIT_MAX_MS 2000
+#define REGIONS_MAX 16
+
+/* A workspace at this host. */
+typedef struct {
+	uint64_t hash; /* of its name */
+	bucket_t bucket;
+	rate_demand_t demand;
+} limit_entry_t;
+
+void
+rate_lender_init(rate_lender_t *l, const rate_bounds_t *bounds,
+    const fleet_t *fleet, const char *region)
+{
+	l->bounds = *bounds;
+	l->fleet = fleet;
+	l->region = region;
+	l->ready = FALSE;
+	l->limits =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+}
+
+void
+rate_lender_finish(rate_lender_t *l)
+{
+	g_hash_table_destroy(l->limits);
+}
+
+static limit_entry_t *
+entry_of(rate_lender_t *l, uint64_t workspace, msec_t now)
+{
+	limit_entry_t *e = g_hash_table_lookup(l->limits, &workspace);
+
+	if (e != NULL)
+		return e;
+	e = g_new0(limit_entry_t, 1);
+	e->hash = workspace;
+	bucket_init(&e->bucket, limit_make(0, 0), now);
+	g_hash_table_insert(l->limits, &e->hash, e);
+	return e;
+}
+
+gboolean
+rate_lender_take(
+    rate_lender_t *l, uint64_t workspace, msec_t *wait_ms, msec_t now)
+{
+	limit_entry_t *e = entry_of(l, workspace, now);
+	msec_t at;
+
+	e->demand.asked++;
+	bucket_refill(&e->bucket, 0, now);
+	if (bucket_take(&e->bucket, UTOKEN))
+		return TRUE;
+	at = bucket_ready_at(&e->bucket, UTOKEN);
+	*wait_ms = at == INT64_MAX ? WAIT_MAX_MS : at - now;
+	*wait_ms = CLAMP(*wait_ms, WAIT_MIN_MS, WAIT_MAX_MS);
+	return FALSE;
+}
+
+static uint64_t
+score(uint64_t workspace, uint64_t host)
+{
+	uint64_t h = workspace ^ (host * UINT64_C(0xff51afd7ed558ccd));
+
+	h ^= h >> 29;
+	h *= UINT64_C(0xc4ceb9fe1a85ec53);
+	return h ^ (h >> 32);
+}
+
+static gboolean
+may_lend(const rate_lender_t *l, const fleet_host_t *h, msec_t now)
+{
+	return fleet_is_heard(h, now) && h->news.ready && !h->news.leaving &&
+	    strcmp(h->region, l->region) == 0;
+}
+
+const fleet_host_t *
+rate_lender_of(
+    const rate_lender_t *l, uint64_t workspace, guint rank, msec_t now)
+{
+	const fleet_host_t *first = NULL, *second = NULL;
+	uint64_t own = l->ready ? score(workspace, l->fleet->self) : 0;
+	uint64_t best = own, next = 0, s;
+	guint i;
+
+	for (i = 0; i < l->fleet->hosts->len; i++) {
+		const fleet_host_t *h = g_ptr_array_index(l->fleet->hosts, i);
+
+		if (!may_lend(l, h, now))
+			continue;
+		s = score(workspace, h->seed);
+		if (s > best) {
+			next = best;
+			second = first;
+			best = s;
+			first = h;
+		} else if (s > next) {
+			next = s;
+			second = h;
+		}
+	}
+	return rank == 0 ? first : second;
+}
+
+static rate_region_t *
+region_of(
+    rate_region_t *regions, const char **names, guint *n, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < *n; i++) {
+		if (strcmp(names[i], name) == 0)
+			return &regions[i];
+	}
+	if (*n == REGIONS_MAX)
+		return &regions[*n - 1];
+	names[*n] = name;
+	regions[*n] = (rate_region_t){0};
+	return &regions[(*n)++];
+}
+
+/* Region 0 is this host's. */
+static guint
+sum_regions(const rate_lender_t *l, const limit_entry_t *e,
+    rate_region_t *regions, msec_t now)
+{
+	const char *names[REGIONS_MAX];
+	rate_region_t *r;
+	guint i, n = 0;
+
+	r = region_of(regions, names, &n, l->region);
+	r->hosts = 1;
+	r->heard = 1;
+	for (i = 0; i < l->fleet->hosts->len; i++) {
+		const fleet_host_t *h = g_ptr_array_index(l->fleet->hosts, i);
+
+		r = region_of(regions, names, &n, h->region);
+		r->hosts++;
+		if (!fleet_is_heard(h, now))
+			continue;
+		r->heard++;
+		r->demand += (double)fleet_amount(h->news.demands, e->hash) /
+		    DEMAND_UNIT;
+	}
+	return n;
+}
+
+static double
+part_of(const rate_lender_t *l, const limit_entry_t *e, double rate, msec_t now)
+{
+	rate_region_t regions[REGIONS_MAX];
+	guint n = sum_regions(l, e, regions, now);
+	double part;
+
+	regions[0].demand += rate_demand_known(&e->demand);
+	part = rate_share_of(&regions[0], rate, regions + 1, n - 1);
+	return rate_lender_of(l, e->hash, 0, now) == NULL ? part
+							  : part * DEPUTY_PART;
+}
+
+void
+rate_lender_tick(rate_lender_t *l, const manifest_t *m, msec_t now)
+{
+	double rate, burst, part;
+	guint i;
+
+	for (i = 0; m != NULL && i < m->workspaces->len; i++) {
+		const manifest_workspace_t *w =
+		    g_ptr_array_index(m->workspaces, i);
+		limit_entry_t *e;
+
+		if (w->rate <= 0)
+			continue;
+		e = entry_of(l, registry_hash(w->name), now);
+		rate_demand_tick(&e->demand, now);
+		part = part_of(l, e, w->rate, now);
+		rate = w->rate * (1 + SLACK_PART * l->bounds.overage);
+		burst = w->burst + SLACK_PART * l->bounds.slack;
+		bucket_set_limit(
+		    &e->bucket, limit_make(rate * part, burst * part), now);
+	}
+}
+
+void
+rate_lender_demands(rate_lender_t *l, GArray *amounts)
+{
+	GHashTableIter it;
+	fleet_amount_t a;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, l->limits);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		limit_entry_t *e = value;
+
+		a.name = fleet_name(e->hash);
+		a.amount =
+		    (uint32_t)CLAMP(rate_demand_tell(&e->demand) * DEMAND_UNIT,
+			0, FLEET_AMOUNT_MAX);
+		if (a.amount > 0)
+			g_array_append_val(amounts, a);
+	}
+}
--- a/src/coordination/rate_share.c
+++ b/src/coordination/rate_share.c
@@ -1,29 +1,36 @@
 #include "coordination/rate_share.h"
 
-/* Of the rate, what each host is taken to want at least, all together: a
- * host whose demand begins finds some tokens. */
-#define FLOOR_PART 0.25
+/* Of the rate, what regions are taken to want at least, all together, by
+ * their hosts: one whose demand begins finds tokens, and one that has all of
+ * a usual demand still gets seven tenths of the rate. */
+#define FLOOR_PART 0.5
 /* Part of the last tick in the smoothed demand when it falls. */
 #define FALL 0.3
 /* And when it rises: a host in need tells so at once. */
 #define RISE 0.7
 
 double
-rate_share_of(double own, double rate, const rate_share_peer_t *peers, guint n)
+rate_share_of(
+    const rate_region_t *own, double rate, const rate_region_t *others, guint n)
 {
-	double floor = FLOOR_PART * rate / (n + 1);
-	double mine = own + floor, all = mine;
-	guint i, heard = 1;
+	guint hosts = own->hosts, heard = own->heard, i;
+	double floor, mine, all;
 
+	for (i = 0; i < n; i++)
+		hosts += others[i].hosts;
+	if (hosts == 0)
+		return 1;
+	floor = FLOOR_PART * rate / hosts;
+	mine = own->demand + floor * own->hosts;
+	all = mine;
 	for (i = 0; i < n; i++) {
-		if (!peers[i].heard)
+		if (others[i].heard == 0)
 			continue;
-		heard++;
-		all += peers[i].demand + floor;
+		heard += others[i].heard;
+		all += others[i].demand + floor * others[i].hosts;
 	}
-	if (all <= 0)
-		return 1.0 / (n + 1);
-	return mine / all * heard / (n + 1);
+	return all <= 0 ? (double)own->heard / hosts
+			: mine / all * heard / hosts;
 }
 
 void
--- a/src/coordination/rate_share.h
+++ b/src/coordination/rate_share.h
@@ -4,39 +4,40 @@
 #include "state/bucket.h"
 
 /*
- * A host's part of a workspace's rate and burst. Hosts that hear one another
- * divide what belongs to them by demand; a host that is silent keeps an even
- * part, since it may be cut off and go on serving. So two groups that are
- * cut off from each other never take more than the whole together.
+ * A region's part of a workspace's rate and burst. Regions that hear one
+ * another divide by demand; hosts that are silent keep an even part, since
+ * they may be cut off and go on serving. So groups that are cut off from each
+ * other never take more than the whole together.
  */
 
-/* One host's demand of a workspace, as this host last heard. */
+/* A region, as this host sees it. */
 typedef struct {
-	gboolean heard; /* lately; its demand is known */
-	double demand;	/* requests a second */
-} rate_share_peer_t;
+	guint hosts;   /* that are listed there */
+	guint heard;   /* of those, heard lately */
+	double demand; /* requests a second, as its hosts told */
+} rate_region_t;
 
 /**
- * rate_share_of() - This host's part of the whole.
- * @own: its demand, requests a second
+ * rate_share_of() - A region's part of the whole.
+ * @own: the region
  * @rate: of the workspace, requests a second
- * @peers: all other hosts
+ * @others: all other regions
  * @n: how many
  *
  * Return: a part of 0 to 1.
  */
-double rate_share_of(
-    double own, double rate, const rate_share_peer_t *peers, guint n);
+double rate_share_of(const rate_region_t *own, double rate,
+    const rate_region_t *others, guint n);
 
 /* So many beacons later every host has heard what was told, also one that is
  * told each second time only. */
 #define RATE_TOLD_MAX 3
 
 /*
- * Demand of a workspace at this host, smoothed. When demand rises at all hosts
- * at once, each knows its own rise before it hears of the others'. So a host
- * counts for itself no more than the others have heard by now; else all parts
- * together would be several times the whole until the beacons are through.
+ * Demand of a workspace, smoothed. When demand rises everywhere at once, each
+ * region knows its own rise before it hears of the others'. So it counts for
+ * itself no more than the others have heard by now; else all parts together
+ * would be several times the whole until the beacons are through.
  */
 typedef struct {
 	uint32_t asked; /* since the last tick */
--- a/src/gateway/beacons.c
+++ b/src/gateway/beacons.c
@@ -42,7 +42,7 @@
 	news.config =
 	    v->admission.manifest != NULL ? v->admission.manifest->version : 0;
 	news.orders = v->orders_ver;
-	admission_demands(&v->admission, news.demands);
+	rate_lender_demands(&v->rates, news.demands);
 	add_loads(v, news.loads);
 	shifts_tell(&v->shifts, &news);
 	len = beacon_encode(&news, &b->sources->secret, out);
@@ -112,16 +112,24 @@
 }
 
 static void
-on_datagram(void *arg, const uint8_t *data, size_t len)
+hear_tokens(beacons_t *b, const uint8_t *data, size_t len)
+{
+	token_msg_t msg;
+
+	if (token_msg_decode(data, len, &b->sources->secret, &msg))
+		tokens_hear(&b->tokens, &msg);
+	else
+		b->refused++;
+}
+
+static void
+hear_beacon(beacons_t *b, const uint8_t *data, size_t len)
 {
-	beacons_t *b = arg;
 	msec_t now = clock_now();
 	fleet_news_t news;
 	fleet_host_t *h;
 	gboolean was_heard;
 
-	if (!b->sources->has_secret)
-		return;
 	fleet_news_init(&news);
 	if (!beacon_decode(data, len, &b->sources->secret, &news)) {
 		b->refused++;
@@ -141,6 +149,19 @@
 	sources_nudge(b->sources, h->news.orders);
 }
 
+static void
+on_datagram(void *arg, const uint8_t *data, size_t len)
+{
+	beacons_t *b = arg;
+
+	if (!b->sources->has_secret)
+		return;
+	if (beacon_kind(data, len) == PEER_BEACON)
+		hear_beacon(b, data, len);
+	else
+		hear_tokens(b, data, len);
+}
+
 gboolean
 beacons_init(beacons_t *b, view_t *view, sources_t *sources,
     struct event_base *base, GError **err)
@@ -152,6 +173,7 @@
 	b->sources = sources;
 	b->timer = event_new(base, -1, EV_PERSIST, on_timer, b);
 	event_add(b->timer, &period);
+	tokens_init(&b->tokens, view, base, &b->socket, &sources->secret);
 	return datagram_init(
 	    &b->socket, base, view->settings->peers, on_datagram, b, err);
 }
@@ -161,5 +183,6 @@
 {
 	if (b->timer != NULL)
 		event_free(b->timer);
+	tokens_finish(&b->tokens);
 	datagram_finish(&b->socket);
 }
--- a/src/gateway/beacons.h
+++ b/src/gateway/beacons.h
@@ -2,18 +2,21 @@
 #define GATEWAY_BEACONS_H
 
 #include "gateway/sources.h"
+#include "gateway/tokens.h"
 #include "gateway/view.h"
 #include "protocol/beacon.h"
 #include "transport/datagram.h"
 
 /*
  * Tells the other hosts of this one and hears them: demand of workspaces,
- * requests at servers, moves. Hosts of other regions are told less often.
+ * requests at servers, moves. Hosts of other regions are told less often. Owns
+ * the socket, by which tokens are asked for as well.
  */
 typedef struct {
 	view_t *view;
 	sources_t *sources;
 	datagram_t socket;
+	tokens_t tokens;
 	struct event *timer;
 	uint32_t seq;
 	uint64_t refused; /* datagrams that were no beacons */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -271,7 +271,8 @@
 	g->stores = http_client_new(g->base, IDLE_CONNECTIONS);
 	view_init(&g->view, settings);
 	sources_init(&g->sources, &g->view, g->base, g->stores);
-	relays_init(&g->relays, &g->view, g->servers, g->base, &g->metrics);
+	relays_init(&g->relays, &g->view, g->servers, &g->beacons.tokens,
+	    g->base, &g->metrics);
 	g->signals[0] = evsignal_new(g->base, SIGTERM, on_stop, g);
 	g->signals[1] = evsignal_new(g->base, SIGINT, on_stop, g);
 	g->signals[2] = evsignal_new(g->base, SIGUSR1, on_dump, g);
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -114,10 +114,8 @@
 {
 	double ttl_sec = DEFAULT_TTL_SEC;
 	const ini_field_t fields[] = {
-	    {"rate_overage", INI_DECIMAL, FALSE, 0, 10,
-		&s->admission.rate_overage},
-	    {"rate_slack", INI_DECIMAL, FALSE, 0, 1e6,
-		&s->admission.rate_slack},
+	    {"rate_overage", INI_DECIMAL, FALSE, 0, 10, &s->rates.overage},
+	    {"rate_slack", INI_DECIMAL, FALSE, 0, 1e6, &s->rates.slack},
 	    {"retry_ratio", INI_DECIMAL, FALSE, 0, 10,
 		&s->dispatch.retry_ratio},
 	    {"retry_extra", INI_DECIMAL, FALSE, 0, 1e6,
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -5,8 +5,8 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "coordination/admission.h"
 #include "coordination/dispatch.h"
+#include "coordination/rate_lender.h"
 
 /* Settings of an entry host whose fleet lives in a table store. */
 typedef struct {
@@ -24,7 +24,7 @@
 	/* [domains]: failure domain to region */
 	GHashTable *regions;
 	/* [bounds] */
-	admission_bounds_t admission;
+	rate_bounds_t rates;
 	dispatch_bounds_t dispatch;
 	msec_t lookup_ttl_ms;
 	/* [limits] */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -18,6 +18,7 @@
 /* And a service that has no server to be used. */
 #define NO_SERVER_RETRY_MS 1000
 
+#define STATUS_OVER_RATE 429
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
@@ -33,8 +34,10 @@
 	attempt_t attempt;
 	gboolean idempotent;
 	msec_t began_at;
-	msec_t wait_ms; /* when a refused caller may find room */
+	msec_t wait_ms;		/* when a refused caller may find room */
+	attempt_action_t first; /* to be done once there is a token */
 	struct event *timer;
+	token_ask_t *token; /* being asked for, or NULL */
 
 	/* The try under way. */
 	http_call_t *call;
@@ -58,6 +61,8 @@
 	g_ptr_array_remove_fast(c->all->under_way, c);
 	if (c->timer != NULL)
 		event_free(c->timer);
+	if (c->token != NULL)
+		tokens_cancel(c->token);
 	dispatch_job_clear(&c->job);
 	admission_clear(&c->admission);
 	g_free(c->id);
@@ -148,7 +153,6 @@
 		    0, reason);
 		return;
 	}
-	admission_return(&c->all->view->admission, &c->admission);
 	metrics_count(c->all->metrics, c->all->no_room, 1);
 	end_own(c, STATUS_UNAVAILABLE,
 	    c->wait_ms > 0 ? c->wait_ms : NO_SERVER_RETRY_MS, reason);
@@ -415,17 +419,12 @@
 	    [ADMISSION_NO_ROUTE] = {404, "no-route"},
 	    [ADMISSION_NO_KEY] = {401, "no-key"},
 	    [ADMISSION_TOO_LARGE] = {413, "too-large"},
-	    [ADMISSION_OVER_RATE] = {429, "over-rate"},
 	};
-	const admission_t *a = &c->admission;
-	msec_t retry_ms = a->verdict == ADMISSION_NO_MANIFEST
-	    ? NOT_READY_RETRY_MS
-	    : a->wait_ms;
-
-	if (a->verdict == ADMISSION_OVER_RATE)
-		metrics_count(c->all->metrics, c->all->over_rate, 1);
-	end_own(c, refusals[a->verdict].status, retry_ms,
-	    refusals[a->verdict].reason);
+	admission_verdict_t verdict = c->admission.verdict;
+
+	end_own(c, refusals[verdict].status,
+	    verdict == ADMISSION_NO_MANIFEST ? NOT_READY_RETRY_MS : 0,
+	    refusals[verdict].reason);
 }
 
 static void
@@ -451,26 +450,68 @@
 }
 
 static void
-start_attempt(relay_t *c)
+on_token(void *arg, gboolean granted, msec_t wait_ms)
+{
+	relay_t *c = arg;
+
+	c->token = NULL;
+	if (granted) {
+		act(c, c->first);
+		return;
+	}
+	metrics_count(c->all->metrics, c->all->over_rate, 1);
+	end_own(c, STATUS_OVER_RATE, wait_ms, "over-rate");
+}
+
+/* Nothing is asked for a request that no server could take anyway. */
+static gboolean
+has_room(relay_t *c)
 {
 	view_t *v = c->all->view;
+	msec_t now = clock_now();
+	placing_t p =
+	    dispatch_place(&v->dispatch, &c->job, now, view_store_now(v, now));
+
+	return p.verdict == PLACING_SEND;
+}
+
+static void
+take_token(relay_t *c)
+{
+	const manifest_workspace_t *w = c->admission.workspace;
+	token_ask_t *token;
+
+	if (w == NULL || w->rate <= 0 || !has_room(c)) {
+		act(c, c->first);
+		return;
+	}
+	/* The answer may come at once, and the request be over by then. */
+	token =
+	    tokens_take(c->all->tokens, registry_hash(w->name), on_token, c);
+	if (token != NULL)
+		c->token = token;
+}
+
+static void
+start_attempt(relay_t *c)
+{
 	const admission_t *a = &c->admission;
 	msec_t budget =
 	    c->asked.budget_ms > 0 ? c->asked.budget_ms : BUDGET_DEFAULT_MS;
 	msec_t timeout =
 	    a->route->timeout_ms > 0 ? a->route->timeout_ms : budget;
-	attempt_action_t action;
 
 	c->idempotent = a->route->kind == MANIFEST_IDEMPOTENT;
 	start_job(c);
-	action = attempt_init(&c->attempt, c->all->number, c->idempotent,
+	c->first = attempt_init(&c->attempt, c->all->number, c->idempotent,
 	    c->began_at + budget, timeout,
-	    dispatch_budget(&v->dispatch, a->service->name), c->began_at);
+	    dispatch_budget(&c->all->view->dispatch, a->service->name),
+	    c->began_at);
 	attempt_limit(
 	    &c->attempt, MIN(a->route->max_tries, DISPATCH_TRIES_MAX));
 	http_exchange_watch(c->x, on_gone, c);
 	start_timer(c);
-	act(c, action);
+	take_token(c);
 }
 
 static char *
@@ -506,8 +547,8 @@
 	if (c->asked.repeated) {
 		end_own(c, 400, 0, "a header is repeated");
 	} else {
-		c->admission = admission_decide(
-		    &all->view->admission, &request, c->began_at);
+		c->admission =
+		    admission_decide(&all->view->admission, &request);
 		if (c->admission.verdict == ADMISSION_OK)
 			start_attempt(c);
 		else
@@ -523,12 +564,13 @@
 }
 
 void
-relays_init(relays_t *c, view_t *view, http_client_t *http,
+relays_init(relays_t *c, view_t *view, http_client_t *http, tokens_t *tokens,
     struct event_base *base, metrics_t *m)
 {
 	memset(c, 0, sizeof(*c));
 	c->view = view;
 	c->http = http;
+	c->tokens = tokens;
 	c->base = base;
 	c->metrics = m;
 	c->under_way = g_ptr_array_new();
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -2,6 +2,7 @@
 #define GATEWAY_RELAY_H
 
 #include "base/metrics.h"
+#include "gateway/tokens.h"
 #include "gateway/view.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -15,6 +16,7 @@
 typedef struct {
 	view_t *view;
 	http_client_t *http;
+	tokens_t *tokens;
 	struct event_base *base;
 	GPtrArray *under_way; /* relay_t */
 	uint64_t number;      /* of the last request */
@@ -26,7 +28,7 @@
 } relays_t;
 
 void relays_init(relays_t *c, view_t *view, http_client_t *http,
-    struct event_base *base, metrics_t *metrics);
+    tokens_t *tokens, struct event_base *base, metrics_t *metrics);
 
 /** relays_finish() - Give up whatever is under way. */
 void relays_finish(relays_t *c);
--- a/src/gateway/sources.c
+++ b/src/gateway/sources.c
@@ -557,7 +557,8 @@
 	(void)fd;
 	(void)what;
 	registry_expire(&v->registry, now);
-	admission_tick(&v->admission, &v->fleet, now);
+	v->rates.ready = view_is_ready(v);
+	rate_lender_tick(&v->rates, v->admission.manifest, now);
 	if (view_is_ready(v))
 		shifts_tick(&v->shifts, &v->registry, &v->fleet, now,
 		    view_store_now(v, now), writes);
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -9,7 +9,9 @@
 	v->settings = settings;
 	registry_init(&v->registry, settings->regions);
 	fleet_init(&v->fleet, settings->id);
-	admission_init(&v->admission, &settings->admission);
+	admission_init(&v->admission);
+	rate_lender_init(
+	    &v->rates, &settings->rates, &v->fleet, settings->region);
 	shifts_init(&v->shifts);
 	dispatch_init(&v->dispatch, &v->registry, &v->fleet, &v->shifts,
 	    settings->region, &settings->dispatch);
@@ -20,6 +22,7 @@
 {
 	dispatch_finish(&v->dispatch);
 	shifts_finish(&v->shifts);
+	rate_lender_finish(&v->rates);
 	admission_finish(&v->admission);
 	fleet_finish(&v->fleet);
 	registry_finish(&v->registry);
--- a/src/gateway/view.h
+++ b/src/gateway/view.h
@@ -4,6 +4,7 @@
 #include "coordination/admission.h"
 #include "coordination/dispatch.h"
 #include "coordination/fleet.h"
+#include "coordination/rate_lender.h"
 #include "coordination/shifts.h"
 #include "gateway/gateway_settings.h"
 #include "state/registry.h"
@@ -18,6 +19,7 @@
 	registry_t registry;
 	fleet_t fleet;
 	admission_state_t admission;
+	rate_lender_t rates;
 	shifts_t shifts;
 	dispatch_t dispatch;
 
--- a/src/protocol/beacon.c
+++ b/src/protocol/beacon.c
@@ -5,7 +5,6 @@
 
 #include "protocol/beacon.h"
 
-#define BEACON_FORMAT 1
 #define MAC_BYTES 16
 
 static bool_t
@@ -72,11 +71,11 @@
 static bool_t
 xdr_news(XDR *x, fleet_news_t *n)
 {
-	uint32_t format = BEACON_FORMAT;
+	uint32_t format = PEER_BEACON;
 	uint32_t flags = (n->ready ? 1 : 0) | (n->leaving ? 2 : 0);
 	u_int i;
 
-	if (!xdr_uint32_t(x, &format) || format != BEACON_FORMAT ||
+	if (!xdr_uint32_t(x, &format) || format != PEER_BEACON ||
 	    !xdr_uint64_t(x, &n->host) || !xdr_uint64_t(x, &n->incarnation) ||
 	    !xdr_uint32_t(x, &n->seq) || !xdr_uint32_t(x, &flags) ||
 	    !xdr_uint64_t(x, &n->config) || !xdr_uint64_t(x, &n->orders) ||
@@ -101,6 +100,36 @@
 	    mac, MAC_BYTES, data, len, secret->bytes, sizeof(secret->bytes));
 }
 
+size_t
+beacon_seal(uint8_t *data, size_t len, const beacon_secret_t *secret)
+{
+	mac_of(data, len, secret, data + len);
+	return len + MAC_BYTES;
+}
+
+size_t
+beacon_open(const uint8_t *data, size_t len, const beacon_secret_t *secret)
+{
+	uint8_t mac[MAC_BYTES];
+
+	if (len <= MAC_BYTES || len > BEACON_MAX_BYTES)
+		return 0;
+	len -= MAC_BYTES;
+	mac_of(data, len, secret, mac);
+	return sodium_memcmp(mac, data + len, MAC_BYTES) == 0 ? len : 0;
+}
+
+uint32_t
+beacon_kind(const uint8_t *data, size_t len)
+{
+	uint32_t word;
+
+	if (len < sizeof(word))
+		return 0;
+	memcpy(&word, data, sizeof(word));
+	return GUINT32_FROM_BE(word);
+}
+
 size_t
 beacon_encode(fleet_news_t *news, const beacon_secret_t *secret, uint8_t *out)
 {
@@ -114,23 +143,18 @@
 	xdr_destroy(&x);
 	if (len == 0)
 		return 0;
-	mac_of(out, len, secret, out + len);
-	return len + MAC_BYTES;
+	return beacon_seal(out, len, secret);
 }
 
 gboolean
 beacon_decode(const uint8_t *data, size_t len, const beacon_secret_t *secret,
     fleet_news_t *news)
 {
-	uint8_t mac[MAC_BYTES];
 	gboolean ok;
 	XDR x;
 
-	if (len <= MAC_BYTES || len > BEACON_MAX_BYTES)
-		return FALSE;
-	len -= MAC_BYTES;
-	mac_of(data, len, secret, mac);
-	if (sodium_memcmp(mac, data + len, MAC_BYTES) != 0)
+	len = beacon_open(data, len, secret);
+	if (len == 0)
 		return FALSE;
 	xdrmem_create(&x, (char *)data, (u_int)len, XDR_DECODE);
 	ok = xdr_news(&x, news) && xdr_getpos(&x) == len;
--- a/src/protocol/beacon.h
+++ b/src/protocol/beacon.h
@@ -20,6 +20,23 @@
 	uint8_t bytes[BEACON_SECRET_BYTES];
 } beacon_secret_t;
 
+/** beacon_seal() - Append the keyed hash of @len bytes; return the sum. */
+size_t beacon_seal(uint8_t *data, size_t len, const beacon_secret_t *secret);
+
+/** beacon_open() - Bytes before the keyed hash; 0 if it does not fit. */
+size_t beacon_open(
+    const uint8_t *data, size_t len, const beacon_secret_t *secret);
+
+/* The first word of a datagram tells what it is. */
+typedef enum {
+	PEER_BEACON = 1,
+	PEER_TOKEN_ASK,
+	PEER_TOKEN_ANSWER,
+} peer_kind_t;
+
+/** beacon_kind() - First word of a datagram; 0 if there is none. */
+uint32_t beacon_kind(const uint8_t *data, size_t len);
+
 /**
  * beacon_encode() - Write news.
  * @news: the news
--- /dev/null
+++ b/tests/test_rate_lender.c
@@ -0,0 +1,242 @@
+#include <string.h>
+
+#include "coordination/rate_lender.h"
+#include "state/registry.h"
+#include "suite.h"
+
+/*
+ * Plays hosts in regions that hear one another late, callers of one workspace,
+ * and counts what runs: the promise is that no window sees more than the rate,
+ * the burst and the tolerance, whatever the demand does, and that what is
+ * inside the rate is not refused.
+ */
+
+#define HOSTS_MAX 30
+#define STEP_MS 10
+#define TICK_MS 250
+#define TELL_MS 500
+#define FAR_TELL_MS 1000
+#define WORKSPACE "school"
+#define WINDOW_MS 5000
+#define END_MS 30000
+
+typedef struct {
+	const char *name;
+	guint hosts, regions;
+	double rate, burst;
+	double usual; /* requests a second, all hosts together */
+	double hot;   /* the same from 10 s to 18 s */
+	int cut;      /* a host that is heard by nobody from 9 s on; -1: none */
+	double most_refused; /* part of the usual demand outside the hot time */
+} play_t;
+
+typedef struct {
+	fleet_t fleet;
+	rate_lender_t lender;
+	uint32_t seq;
+} player_t;
+
+typedef struct {
+	const play_t *play;
+	player_t players[HOSTS_MAX];
+	char names[HOSTS_MAX][16];
+	char regions[HOSTS_MAX][16];
+	manifest_t *manifest;
+	GRand *rand;
+	uint32_t ran[END_MS / STEP_MS];
+	uint32_t asked, refused; /* outside the hot time */
+} world_t;
+
+static gboolean
+is_cut(const world_t *w, guint i, msec_t now)
+{
+	return (int)i == w->play->cut && now >= 9000;
+}
+
+static void
+world_init(world_t *w, const play_t *play)
+{
+	guint i, k;
+	manifest_workspace_t *ws;
+
+	memset(w, 0, sizeof(*w));
+	w->play = play;
+	w->rand = g_rand_new_with_seed(7);
+	w->manifest = manifest_new(1);
+	ws = manifest_add_workspace(w->manifest);
+	ws->name = g_strdup(WORKSPACE);
+	ws->rate = play->rate;
+	ws->burst = play->burst;
+	for (i = 0; i < play->hosts; i++) {
+		g_snprintf(w->names[i], sizeof(w->names[i]), "host-%u", i);
+		g_snprintf(w->regions[i], sizeof(w->regions[i]), "region-%u",
+		    i % play->regions);
+	}
+	for (i = 0; i < play->hosts; i++) {
+		const rate_bounds_t bounds = {0.1, 20};
+		player_t *p = &w->players[i];
+
+		fleet_init(&p->fleet, w->names[i]);
+		for (k = 0; k < play->hosts; k++) {
+			const fleet_row_t row = {w->names[k], "1.1.1.1:1",
+			    "1.1.1.1:2", w->regions[k], "d", 1, k + 1};
+
+			fleet_put(&p->fleet, &row, 0);
+		}
+		rate_lender_init(&p->lender, &bounds, &p->fleet, w->regions[i]);
+		p->lender.ready = TRUE;
+	}
+}
+
+static void
+world_finish(world_t *w)
+{
+	guint i;
+
+	for (i = 0; i < w->play->hosts; i++) {
+		rate_lender_finish(&w->players[i].lender);
+		fleet_finish(&w->players[i].fleet);
+	}
+	manifest_unref(w->manifest);
+	g_rand_free(w->rand);
+}
+
+static void
+tell(world_t *w, guint from, msec_t now)
+{
+	gboolean far = now % FAR_TELL_MS == 0;
+	player_t *p = &w->players[from];
+	GArray *demands = g_array_new(FALSE, TRUE, sizeof(fleet_amount_t));
+	guint to;
+
+	rate_lender_demands(&p->lender, demands);
+	p->seq++;
+	for (to = 0; to < w->play->hosts; to++) {
+		fleet_news_t news;
+
+		if (to == from || is_cut(w, to, now) || is_cut(w, from, now) ||
+		    (!far && strcmp(w->regions[to], w->regions[from]) != 0))
+			continue;
+		fleet_news_init(&news);
+		g_array_append_vals(news.demands, demands->data, demands->len);
+		news.host = p->fleet.self;
+		news.incarnation = 1;
+		news.seq = p->seq;
+		news.ready = TRUE;
+		fleet_hear(&w->players[to].fleet, &news, now);
+		fleet_news_finish(&news);
+	}
+	g_array_free(demands, TRUE);
+}
+
+/* The host that lends to a host, as that host sees it. */
+static player_t *
+lender_of(world_t *w, guint asker, msec_t now)
+{
+	const fleet_host_t *h = rate_lender_of(
+	    &w->players[asker].lender, registry_hash(WORKSPACE), 0, now);
+	guint i;
+
+	for (i = 0; h != NULL && i < w->play->hosts; i++) {
+		if (strcmp(h->name, w->names[i]) == 0)
+			return &w->players[i];
+	}
+	return &w->players[asker];
+}
+
+static void
+call(world_t *w, msec_t now)
+{
+	gboolean hot = now >= 10000 && now < 18000;
+	double rate = hot ? w->play->hot : w->play->usual;
+	double due = rate * STEP_MS / MSEC_PER_SEC;
+	guint asker;
+	msec_t wait;
+
+	for (; g_rand_double(w->rand) < due; due -= 1) {
+		asker =
+		    (guint)g_rand_int_range(w->rand, 0, (gint32)w->play->hosts);
+		gboolean ok =
+		    rate_lender_take(&lender_of(w, asker, now)->lender,
+			registry_hash(WORKSPACE), &wait, now);
+
+		w->ran[now / STEP_MS] += ok;
+		if (!hot && (now < 10000 || now > 20000)) {
+			w->asked++;
+			w->refused += !ok;
+		}
+	}
+}
+
+static uint32_t
+worst_window(const world_t *w)
+{
+	uint32_t sum = 0, worst = 0;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(w->ran); i++) {
+		sum += w->ran[i];
+		if (i >= WINDOW_MS / STEP_MS)
+			sum -= w->ran[i - WINDOW_MS / STEP_MS];
+		worst = MAX(worst, sum);
+	}
+	return worst;
+}
+
+static void
+play(const play_t *p)
+{
+	double allowed =
+	    (p->rate * WINDOW_MS / MSEC_PER_SEC + p->burst) * 1.1 + 20;
+	world_t w;
+	msec_t now;
+	guint i;
+
+	world_init(&w, p);
+	/* Callers come 4 s after the hosts. */
+	for (now = 10; now < END_MS; now += STEP_MS) {
+		for (i = 0; i < p->hosts; i++) {
+			if ((now + 37 * i) / 10 % (TICK_MS / 10) == 0)
+				rate_lender_tick(
+				    &w.players[i].lender, w.manifest, now);
+			if (now % TELL_MS == 0)
+				tell(&w, i, now);
+		}
+		if (now >= 4000)
+			call(&w, now);
+	}
+	ck_assert_msg(worst_window(&w) <= allowed, "%s: %u ran, allowed %.0f",
+	    p->name, worst_window(&w), allowed);
+	ck_assert_msg(w.refused <= p->most_refused * w.asked,
+	    "%s: %u of %u refused inside the rate", p->name, w.refused,
+	    w.asked);
+	world_finish(&w);
+}
+
+static const play_t plays[] = {
+    {"eight hosts, usual", 8, 3, 43, 43, 27, 27, -1, 0.01},
+    {"eight hosts, eight times the usual", 8, 3, 98, 98, 50, 400, -1, 0.01},
+    {"thirty hosts, eight times the usual", 30, 3, 23, 23, 14, 112, -1, 0.01},
+    {"one region", 4, 1, 43, 43, 27, 216, -1, 0.01},
+    {"one host", 1, 1, 43, 43, 27, 216, -1, 0.01},
+    {"a host is cut off", 8, 3, 98, 98, 50, 400, 2, 0.02},
+};
+
+static void
+test_windows(void)
+{
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(plays); i++)
+		play(&plays[i]);
+}
+
+static const suite_case_t cases[] = {
+    {"no window sees more than rate and burst", test_windows},
+};
+
+int
+main(void)
+{
+	return suite_run("rate_lender", cases, G_N_ELEMENTS(cases));
+}
