One host of a region reads the servers and passes on what matters

Ruled out: longer waits (a leaving server is due in 2.5 s). Change: the first host of a region in rank reads; rows that tell more than that a server lives go on by datagram, from version to version; who missed one asks for itself; the next in rank reads if nothing came.

--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -150,7 +150,7 @@
 }
 
 guint
-fleet_rank(const fleet_t *f, msec_t now)
+fleet_region_rank(const fleet_t *f, const char *region, msec_t now)
 {
 	guint i, rank = 0;
 
@@ -158,11 +158,18 @@
 		const fleet_host_t *h = g_ptr_array_index(f->hosts, i);
 
 		rank += fleet_is_heard(h, now) && h->news.ready &&
-		    h->seed < f->self;
+		    h->seed < f->self &&
+		    (region == NULL || strcmp(h->region, region) == 0);
 	}
 	return rank;
 }
 
+guint
+fleet_rank(const fleet_t *f, msec_t now)
+{
+	return fleet_region_rank(f, NULL, now);
+}
+
 uint32_t
 fleet_amount(const GArray *amounts, uint64_t hash)
 {
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -117,6 +117,9 @@
  */
 guint fleet_rank(const fleet_t *f, msec_t now);
 
+/** fleet_region_rank() - The same among those of a region. */
+guint fleet_region_rank(const fleet_t *f, const char *region, msec_t now);
+
 /** fleet_amount() - A host's number of a name; 0 if it said none. */
 uint32_t fleet_amount(const GArray *amounts, uint64_t hash);
 
--- a/src/gateway/beacons.c
+++ b/src/gateway/beacons.c
@@ -149,6 +149,45 @@
 	sources_nudge(b->sources, h->news.orders);
 }
 
+static void
+hear_servers(beacons_t *b, const uint8_t *data, size_t len)
+{
+	server_news_t news;
+	table_page_t page;
+
+	if (!server_news_decode(data, len, &b->sources->secret, &news, &page)) {
+		b->refused++;
+		return;
+	}
+	sources_hear(b->sources, &news, &page);
+	table_page_finish(&page);
+}
+
+/* Passes news of servers on within the region. */
+static void
+spread(void *arg, server_news_t *news)
+{
+	beacons_t *b = arg;
+	const view_t *v = b->view;
+	uint8_t data[BEACON_MAX_BYTES];
+	guint next = 0, i;
+	size_t len;
+
+	if (!b->sources->has_secret)
+		return;
+	do {
+		next = server_news_encode(
+		    news, next, &b->sources->secret, data, &len);
+		for (i = 0; i < v->fleet.hosts->len && len > 0; i++) {
+			const fleet_host_t *h =
+			    g_ptr_array_index(v->fleet.hosts, i);
+
+			if (strcmp(h->region, v->settings->region) == 0)
+				datagram_send(&b->socket, h->peer, data, len);
+		}
+	} while (next < news->rows->len);
+}
+
 static void
 on_datagram(void *arg, const uint8_t *data, size_t len)
 {
@@ -156,10 +195,17 @@
 
 	if (!b->sources->has_secret)
 		return;
-	if (beacon_kind(data, len) == PEER_BEACON)
+	switch (beacon_kind(data, len)) {
+	case PEER_BEACON:
 		hear_beacon(b, data, len);
-	else
+		break;
+	case PEER_SERVERS:
+		hear_servers(b, data, len);
+		break;
+	default:
 		hear_tokens(b, data, len);
+		break;
+	}
 }
 
 gboolean
@@ -173,6 +219,8 @@
 	b->sources = sources;
 	b->timer = event_new(base, -1, EV_PERSIST, on_timer, b);
 	event_add(b->timer, &period);
+	sources->spread = spread;
+	sources->spread_arg = b;
 	tokens_init(&b->tokens, view, base, &b->socket, &sources->secret);
 	return datagram_init(
 	    &b->socket, base, view->settings->peers, on_datagram, b, err);
--- a/src/gateway/sources.c
+++ b/src/gateway/sources.c
@@ -13,6 +13,10 @@
 #define SERVERS_EVERY_MS 800
 #define ORDERS_EVERY_MS 200
 #define FLEET_EVERY_MS 300
+/* The next host in rank reads the servers if nothing came for so much longer,
+ * and each further one. */
+#define SERVERS_RANK_MS 350
+#define SERVERS_RANK_MAX 8
 /* For how long the store is asked to wait for a change. */
 #define SERVERS_WAIT_MS 1000
 #define LONG_WAIT_MS 20000
@@ -153,6 +157,31 @@
 }
 
 static void
+copy_row(GPtrArray *to, const table_row_t *row)
+{
+	table_row_t *copy = g_new0(table_row_t, 1);
+
+	*copy = *row;
+	copy->key = g_strdup(row->key);
+	if (row->value != NULL) {
+		copy->value = g_malloc(row->len + 1);
+		memcpy(copy->value, row->value, row->len + 1);
+	}
+	g_ptr_array_add(to, copy);
+}
+
+static void
+free_row(void *p)
+{
+	table_row_t *row = p;
+
+	g_free(row->key);
+	g_free(row->value);
+	g_free(row);
+}
+
+/* Return: whether it tells more than that the server lives. */
+static gboolean
 take_entry(sources_t *s, const registry_row_t *entry)
 {
 	view_t *v = s->view;
@@ -170,6 +199,7 @@
 		    entry->draining ? "1" : "0", "cold_ms",
 		    log_num(entry->cold_ms), "row_version",
 		    log_num((long long)entry->row_ver), NULL);
+	return change_name(change) != NULL || entry->cold_ms > 0;
 }
 
 static void
@@ -182,6 +212,7 @@
 	GError *err = NULL;
 
 	if (row->value == NULL) {
+		copy_row(s->changed, row);
 		if (registry_remove(&s->view->registry, row->key, row->ver,
 			asked_at < s->away_until, clock_now()))
 			log_event(LOG_INFO, "server.gone", "server", row->key,
@@ -194,11 +225,13 @@
 		log_bad_row(row, err);
 		return;
 	}
-	if (g_hash_table_contains(s->view->registry.regions, entry.domain))
-		take_entry(s, &entry);
-	else
+	if (g_hash_table_contains(s->view->registry.regions, entry.domain)) {
+		if (take_entry(s, &entry))
+			copy_row(s->changed, row);
+	} else {
 		log_event(LOG_WARN, "row.refused", "key", row->key, "error",
 		    "unknown failure domain", NULL);
+	}
 	wire_server_free(memory);
 }
 
@@ -306,6 +339,25 @@
 	src->ver = src->view.listed_ver;
 }
 
+/* Passes on what a page of servers brought since @from. */
+static void
+spread_servers(sources_t *s, uint64_t from)
+{
+	source_t *src = &s->source[SOURCE_SERVERS];
+	server_news_t news = {
+	    .host = s->view->fleet.self,
+	    .from = from,
+	    .to = src->ver,
+	    .away = src->called_at < s->away_until,
+	    .rows = s->changed,
+	};
+
+	if (src->whole && from != 0 && s->spread != NULL)
+		s->spread(s->spread_arg, &news);
+	if (src->whole)
+		g_ptr_array_set_size(s->changed, 0);
+}
+
 static void
 note_whole(source_t *src)
 {
@@ -319,6 +371,21 @@
 		v->servers_at = src->called_at;
 }
 
+/* The first of the region reads; the others only if it does not. */
+static msec_t
+servers_next_in(const source_t *src, msec_t now)
+{
+	const view_t *v = src->all->view;
+	guint rank = view_is_ready(v)
+	    ? fleet_region_rank(&v->fleet, v->settings->region, now)
+	    : 0;
+	msec_t since = rank == 0 ? src->called_at : src->fresh_at;
+
+	return MAX(since + SERVERS_EVERY_MS +
+		(msec_t)MIN(rank, SERVERS_RANK_MAX) * SERVERS_RANK_MS - now,
+	    0);
+}
+
 static msec_t
 next_in(const source_t *src)
 {
@@ -331,6 +398,8 @@
 	}
 	if (!src->whole)
 		return 0;
+	if (src->kind == SOURCE_SERVERS)
+		return servers_next_in(src, now);
 	return MAX(src->called_at + tables[src->kind].every_ms - now, 0);
 }
 
@@ -339,13 +408,18 @@
     const GError *err)
 {
 	source_t *src = arg;
+	uint64_t from;
 
 	src->call = NULL;
 	switch (outcome) {
 	case TABLE_DONE:
 		note_answer(src, page);
+		from = src->ver;
 		apply_page(src, page);
 		note_whole(src);
+		src->fresh_at = src->answered_at;
+		if (src->kind == SOURCE_SERVERS)
+			spread_servers(src->all, from);
 		break;
 	case TABLE_FORGOT:
 		note_answer(src, NULL);
@@ -393,6 +467,34 @@
 		ask(src);
 }
 
+void
+sources_hear(sources_t *s, const server_news_t *news, const table_page_t *page)
+{
+	source_t *src = &s->source[SOURCE_SERVERS];
+	msec_t now = clock_now();
+
+	if (!src->whole || src->reading)
+		return;
+	if (news->from > src->ver) {
+		log_event(LOG_INFO, "servers.missed", "known",
+		    log_num((long long)src->ver), "from",
+		    log_num((long long)news->from), NULL);
+		if (src->call == NULL)
+			ask(src);
+		return;
+	}
+	if (news->away)
+		s->away_until = MAX(s->away_until, now + TICK_MS);
+	src->called_at = now;
+	table_view_changes(&src->view, page, on_server, s);
+	g_ptr_array_set_size(s->changed, 0);
+	src->ver = MAX(src->ver, news->to);
+	src->fresh_at = now;
+	s->view->servers_at = now;
+	if (src->call == NULL)
+		schedule(src->timer, next_in(src));
+}
+
 void
 sources_nudge(sources_t *s, uint64_t orders_ver)
 {
@@ -578,6 +680,7 @@
 	s->view = view;
 	s->base = base;
 	s->writes = g_ptr_array_new();
+	s->changed = g_ptr_array_new_with_free_func(free_row);
 	table_store_init(&s->store, http, view->settings->store);
 	for (i = 0; i < SOURCES; i++) {
 		source_t *src = &s->source[i];
@@ -618,6 +721,7 @@
 	if (s->join != NULL)
 		table_call_cancel(s->join);
 	g_ptr_array_free(s->writes, TRUE);
+	g_ptr_array_free(s->changed, TRUE);
 	event_free(s->join_timer);
 	event_free(s->ticker);
 	table_store_finish(&s->store);
--- a/src/gateway/sources.h
+++ b/src/gateway/sources.h
@@ -5,6 +5,7 @@
 #include "gateway/view.h"
 #include "platform/table_store.h"
 #include "protocol/beacon.h"
+#include "protocol/server_news.h"
 #include "protocol/table_view.h"
 
 /*
@@ -36,9 +37,13 @@
 	struct event *timer;
 	msec_t called_at;
 	msec_t answered_at;
-	guint failures; /* one after the other */
+	msec_t fresh_at; /* its changes were last read or passed on */
+	guint failures;	 /* one after the other */
 } source_t;
 
+/* Passes news of servers on to the hosts of the region. */
+typedef void (*sources_spread_t)(void *arg, server_news_t *news);
+
 struct sources {
 	view_t *view;
 	table_store_t store;
@@ -51,7 +56,10 @@
 	table_call_t *join; /* the write of this host's row, under way */
 	struct event *join_timer;
 	struct event *ticker;
-	GPtrArray *writes; /* of rows of moves, under way */
+	GPtrArray *writes;  /* of rows of moves, under way */
+	GPtrArray *changed; /* table_row_t of servers, to be passed on */
+	sources_spread_t spread;
+	void *spread_arg;
 };
 
 void sources_init(
@@ -61,6 +69,10 @@
 /** sources_leave() - Remove this host's row. */
 void sources_leave(sources_t *s);
 
+/** sources_hear() - Take in news of servers that another host read. */
+void sources_hear(
+    sources_t *s, const server_news_t *news, const table_page_t *page);
+
 /** sources_nudge() - A peer has orders that we lack: ask again at once. */
 void sources_nudge(sources_t *s, uint64_t orders_ver);
 
