Slack of a window as part of the rate that is lent

Change: half of the slack as rate; demand smoothed without a faster rise (one tick's noise moved the regions' parts).

--- a/src/coordination/rate_lender.c
+++ b/src/coordination/rate_lender.c
@@ -172,10 +172,23 @@
 							  : part * DEPUTY_PART;
 }
 
+/* A rate and what windows tolerate beyond it. */
+static double
+tolerated(const rate_lender_t *l, double rate)
+{
+	const rate_bounds_t *b = &l->bounds;
+
+	rate *= 1 + SLACK_PART * b->overage;
+	if (b->window_ms > 0)
+		rate +=
+		    SLACK_PART * b->slack * MSEC_PER_SEC / (double)b->window_ms;
+	return rate;
+}
+
 void
 rate_lender_tick(rate_lender_t *l, const manifest_t *m, msec_t now)
 {
-	double rate, burst, part;
+	double rate, part;
 	guint i;
 
 	for (i = 0; m != NULL && i < m->workspaces->len; i++) {
@@ -188,10 +201,9 @@
 		e = entry_of(l, registry_hash(w->name), now);
 		rate_demand_tick(&e->demand, now);
 		part = part_of(l, e, w->rate, now);
-		rate = w->rate * (1 + SLACK_PART * l->bounds.overage);
-		burst = w->burst + SLACK_PART * l->bounds.slack;
+		rate = tolerated(l, w->rate);
 		bucket_set_limit(
-		    &e->bucket, limit_make(rate * part, burst * part), now);
+		    &e->bucket, limit_make(rate * part, w->burst * part), now);
 	}
 }
 
--- a/src/coordination/rate_lender.h
+++ b/src/coordination/rate_lender.h
@@ -20,6 +20,7 @@
 typedef struct {
 	double overage; /* part over its rate that a workspace may reach */
 	double slack;	/* requests beyond that, in a window */
+	msec_t window_ms;
 } rate_bounds_t;
 
 typedef struct {
--- a/src/coordination/rate_share.c
+++ b/src/coordination/rate_share.c
@@ -4,10 +4,8 @@
  * their hosts: one whose demand begins finds tokens, and one that has all of
  * a usual demand still gets seven tenths of the rate. */
 #define FLOOR_PART 0.5
-/* Part of the last tick in the smoothed demand when it falls. */
-#define FALL 0.3
-/* And when it rises: a host in need tells so at once. */
-#define RISE 0.7
+/* Part of the last tick in the smoothed demand. */
+#define SMOOTHING 0.3
 
 double
 rate_share_of(
@@ -36,15 +34,14 @@
 void
 rate_demand_tick(rate_demand_t *d, msec_t now)
 {
-	double present, part;
+	double present;
 
 	if (d->at == 0 || now <= d->at) {
 		d->at = d->at == 0 ? now : d->at;
 		return;
 	}
 	present = d->asked * (double)MSEC_PER_SEC / (double)(now - d->at);
-	part = present > d->demand ? RISE : FALL;
-	d->demand += part * (present - d->demand);
+	d->demand += SMOOTHING * (present - d->demand);
 	d->asked = 0;
 	d->at = now;
 }
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -11,6 +11,7 @@
 /* Where the settings say nothing: no bound is exceeded by these. */
 #define DEFAULT_DRAIN_SEC 6
 #define DEFAULT_TTL_SEC 1
+#define DEFAULT_WINDOW_SEC 5
 #define DEFAULT_RETRY_RATIO 0.1
 #define DEFAULT_COLD_OVERAGE 1.0
 #define DEFAULT_MAX_CONNECTIONS 3000
@@ -112,10 +113,11 @@
 static void
 read_bounds(gateway_settings_t *s, const ini_t *ini)
 {
-	double ttl_sec = DEFAULT_TTL_SEC;
+	double ttl_sec = DEFAULT_TTL_SEC, window_sec = DEFAULT_WINDOW_SEC;
 	const ini_field_t fields[] = {
 	    {"rate_overage", INI_DECIMAL, FALSE, 0, 10, &s->rates.overage},
 	    {"rate_slack", INI_DECIMAL, FALSE, 0, 1e6, &s->rates.slack},
+	    {"rate_window_sec", INI_DECIMAL, FALSE, 0.1, 3600, &window_sec},
 	    {"retry_ratio", INI_DECIMAL, FALSE, 0, 10,
 		&s->dispatch.retry_ratio},
 	    {"retry_extra", INI_DECIMAL, FALSE, 0, 1e6,
@@ -130,6 +132,7 @@
 	s->dispatch.cold.overage = DEFAULT_COLD_OVERAGE;
 	if (g_key_file_has_group(ini->file, "bounds"))
 		ini_group(ini, "bounds", fields, G_N_ELEMENTS(fields));
+	s->rates.window_ms = (msec_t)(window_sec * MSEC_PER_SEC);
 	s->lookup_ttl_ms = (msec_t)(ttl_sec * MSEC_PER_SEC);
 }
 
--- a/tests/test_rate_lender.c
+++ b/tests/test_rate_lender.c
@@ -73,7 +73,7 @@
 		    i % play->regions);
 	}
 	for (i = 0; i < play->hosts; i++) {
-		const rate_bounds_t bounds = {0.1, 20};
+		const rate_bounds_t bounds = {0.1, 20, WINDOW_MS};
 		player_t *p = &w->players[i];
 
 		fleet_init(&p->fleet, w->names[i]);
