--- a/src/gateway/sources.c
+++ b/src/gateway/sources.c
@@ -27,8 +27,9 @@
 #define AWAY_MS 1000
 /* After its return, entries that lapsed come back within this time. */
 #define RETURN_MS 2500
-/* A feed that a peer is ahead of is asked again after this time. */
-#define NUDGE_MS 400
+/* A feed that a peer is ahead of is asked again if no answer to it has begun
+ * after this time: half of the least bound on a new configuration. */
+#define NUDGE_MS 1000
 #define TICK_MS 250
 
 static const struct {
@@ -501,7 +502,8 @@
 	source_t *src = &s->source[SOURCE_ORDERS];
 
 	if (orders_ver <= s->view->orders_ver || src->call == NULL ||
-	    clock_now() - src->called_at < NUDGE_MS)
+	    clock_now() - src->called_at < NUDGE_MS ||
+	    table_call_is_answering(src->call))
 		return;
 	log_event(LOG_INFO, "store.feed_behind", "known",
 	    log_num((long long)s->view->orders_ver), "peer",
