After a loss the tables are read whole; of a page the last change of a row

Besides, a store that was lost for a moment counted as away since the last answer, so that entries of servers that left were kept. Change: state instead of changes after a second of failures; the loss counts from its first failure.

--- a/src/gateway/sources.c
+++ b/src/gateway/sources.c
@@ -51,12 +51,6 @@
 	event_add(timer, &tv);
 }
 
-static const char *
-age_text(msec_t since, msec_t now)
-{
-	return since == 0 ? "-" : log_num(now - since);
-}
-
 static void
 log_bad_row(const table_row_t *row, GError *err)
 {
@@ -288,9 +282,9 @@
 
 	if (src->failures > 0)
 		log_event(LOG_INFO, "store.regained", "table",
-		    tables[src->kind].table, "silent_ms",
-		    age_text(src->answered_at, now), NULL);
-	if (src->failures > 0 && now - src->answered_at > AWAY_MS)
+		    tables[src->kind].table, "lost_ms",
+		    log_num(now - src->lost_at), NULL);
+	if (src->failures > 0 && now - src->lost_at > AWAY_MS)
 		s->away_until = MAX(s->away_until, now + RETURN_MS);
 	src->failures = 0;
 	src->answered_at = now;
@@ -305,10 +299,18 @@
 static void
 note_failure(source_t *src, const GError *err)
 {
-	if (src->failures++ == 0)
+	if (src->failures++ == 0) {
+		src->lost_at = clock_now();
 		log_event(LOG_WARN, "store.lost", "table",
 		    tables[src->kind].table, "error",
 		    err != NULL ? err->message : NULL, NULL);
+	}
+	/* After a while the state is less to read than all its changes. */
+	if (clock_now() - src->lost_at > AWAY_MS && src->whole) {
+		src->whole = FALSE;
+		g_free(src->from);
+		src->from = NULL;
+	}
 }
 
 static void
@@ -476,12 +478,13 @@
 
 	if (!src->whole || src->reading)
 		return;
+	if (news->from > src->ver && src->call != NULL)
+		return;
 	if (news->from > src->ver) {
 		log_event(LOG_INFO, "servers.missed", "known",
 		    log_num((long long)src->ver), "from",
 		    log_num((long long)news->from), NULL);
-		if (src->call == NULL)
-			ask(src);
+		ask(src);
 		return;
 	}
 	if (news->away)
--- a/src/gateway/sources.h
+++ b/src/gateway/sources.h
@@ -39,6 +39,7 @@
 	msec_t answered_at;
 	msec_t fresh_at; /* its changes were last read or passed on */
 	guint failures;	 /* one after the other */
+	msec_t lost_at;	 /* when the first of them was noticed */
 } source_t;
 
 /* Passes news of servers on to the hosts of the region. */
--- a/src/protocol/table_view.c
+++ b/src/protocol/table_view.c
@@ -42,10 +42,20 @@
 table_view_changes(
     table_view_t *v, const table_page_t *page, table_news_t news, void *arg)
 {
+	GHashTable *last = g_hash_table_new(g_str_hash, g_str_equal);
+	table_row_t *row;
 	guint i;
 
-	for (i = 0; i < page->rows->len; i++)
-		take(v, g_ptr_array_index(page->rows, i), news, arg);
+	for (i = 0; i < page->rows->len; i++) {
+		row = g_ptr_array_index(page->rows, i);
+		g_hash_table_insert(last, row->key, row);
+	}
+	for (i = 0; i < page->rows->len; i++) {
+		row = g_ptr_array_index(page->rows, i);
+		if (g_hash_table_lookup(last, row->key) == row)
+			take(v, row, news, arg);
+	}
+	g_hash_table_destroy(last);
 }
 
 void
--- a/src/protocol/table_view.h
+++ b/src/protocol/table_view.h
@@ -24,7 +24,7 @@
 void table_view_init(table_view_t *v);
 void table_view_finish(table_view_t *v);
 
-/** table_view_changes() - Take in changes. */
+/** table_view_changes() - Take in changes, of each row the last. */
 void table_view_changes(
     table_view_t *v, const table_page_t *page, table_news_t news, void *arg);
 
