--- a/src/cmd/greengageloomd.c
+++ b/src/cmd/greengageloomd.c
@@ -75,7 +75,7 @@
 }
 
 static int
-run_gateway(const gateway_settings_t *s)
+run_gateway(gateway_settings_t *s)
 {
 	GError *err = NULL;
 	gateway_t g;
@@ -83,7 +83,7 @@
 
 	log_open(stdout, s->log_level);
 	log_bound((unsigned int)s->log_lines);
-	if (gateway_init(&g, s, &err)) {
+	if (gateway_init(&g, s, config_path, &err)) {
 		status = gateway_run(&g);
 	} else {
 		log_event(LOG_ERROR, "host.start.failed", "error", err->message,
--- a/src/coordination/rate_lender.c
+++ b/src/coordination/rate_lender.c
@@ -6,8 +6,9 @@
 /* Of the overage and slack that rules leave, what is lent: the rest covers
  * parts that two regions see differently for a moment. */
 #define SLACK_PART 0.5
-/* Of its region's part, what a host lends that is not the lender. */
-#define DEPUTY_PART 0.25
+/* Of its region's part, what the deputy lends beside the lender, and what all
+ * others do together for requests that neither answered for. */
+#define DEPUTY_PART 0.1
 /* Demands are told in tenths of a request a second. */
 #define DEMAND_UNIT 10
 /* Least wait of a caller over its rate, and the longest. */
@@ -168,8 +169,11 @@
 
 	regions[0].demand += rate_demand_known(&e->demand);
 	part = rate_share_of(&regions[0], rate, regions + 1, n - 1);
-	return rate_lender_of(l, e->hash, 0, now) == NULL ? part
-							  : part * DEPUTY_PART;
+	if (rate_lender_of(l, e->hash, 0, now) == NULL)
+		return part;
+	if (rate_lender_of(l, e->hash, 1, now) == NULL)
+		return part * DEPUTY_PART;
+	return part * DEPUTY_PART / regions[0].hosts;
 }
 
 /* A rate and what windows tolerate beyond it. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -1,4 +1,5 @@
 #include <sys/queue.h>
+#include <sys/stat.h>
 
 #include <signal.h>
 #include <string.h>
@@ -18,6 +19,8 @@
 /* Before the bound on a stop, so that the process ends by itself. */
 #define STOP_SPARE_MS 300
 #define DRAIN_TICK_MS 50
+/* How often the settings file is looked at. */
+#define SETTINGS_LOOK_SEC 2
 
 static void
 reply_text(http_exchange_t *x, int status, const char *type, const char *text)
@@ -237,6 +240,53 @@
 	g_free(text);
 }
 
+static time_t
+changed_at(const char *path)
+{
+	struct stat st;
+
+	return stat(path, &st) == 0 ? st.st_mtime : 0;
+}
+
+static void
+reload(gateway_t *g, const char *why)
+{
+	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+	gboolean ok = gateway_settings_reload(g->settings, g->path, errors);
+
+	g->settings_at = changed_at(g->path);
+	if (ok) {
+		view_reconfigure(&g->view);
+		log_open(stdout, g->settings->log_level);
+		log_bound((unsigned int)g->settings->log_lines);
+	}
+	log_event(ok ? LOG_INFO : LOG_ERROR,
+	    ok ? "settings.reloaded" : "settings.refused", "why", why, "error",
+	    errors->len > 0 ? g_ptr_array_index(errors, 0) : NULL, NULL);
+	g_ptr_array_free(errors, TRUE);
+}
+
+static void
+on_reload(evutil_socket_t sig, short what, void *arg)
+{
+	(void)sig;
+	(void)what;
+	reload(arg, "signal");
+}
+
+/* The file may change without a signal. */
+static void
+on_settings_timer(evutil_socket_t fd, short what, void *arg)
+{
+	gateway_t *g = arg;
+	time_t at = changed_at(g->path);
+
+	(void)fd;
+	(void)what;
+	if (at != 0 && at != g->settings_at)
+		reload(g, "changed");
+}
+
 static void
 register_metrics(gateway_t *g)
 {
@@ -260,10 +310,15 @@
 }
 
 gboolean
-gateway_init(gateway_t *g, const gateway_settings_t *settings, GError **err)
+gateway_init(gateway_t *g, gateway_settings_t *settings, const char *path,
+    GError **err)
 {
+	const struct timeval look = {SETTINGS_LOOK_SEC, 0};
+
 	memset(g, 0, sizeof(*g));
 	g->settings = settings;
+	g->path = path;
+	g->settings_at = changed_at(path);
 	signal(SIGPIPE, SIG_IGN);
 	g->base = event_base_new();
 	register_metrics(g);
@@ -276,8 +331,12 @@
 	g->signals[0] = evsignal_new(g->base, SIGTERM, on_stop, g);
 	g->signals[1] = evsignal_new(g->base, SIGINT, on_stop, g);
 	g->signals[2] = evsignal_new(g->base, SIGUSR1, on_dump, g);
+	g->signals[3] = evsignal_new(g->base, SIGHUP, on_reload, g);
 	for (size_t i = 0; i < G_N_ELEMENTS(g->signals); i++)
 		event_add(g->signals[i], NULL);
+	g->settings_timer =
+	    event_new(g->base, -1, EV_PERSIST, on_settings_timer, g);
+	event_add(g->settings_timer, &look);
 	g->drain_timer = event_new(g->base, -1, EV_PERSIST, on_drain_tick, g);
 	if (!beacons_init(&g->beacons, &g->view, &g->sources, g->base, err))
 		return FALSE;
@@ -308,6 +367,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(g->signals); i++)
 		event_free(g->signals[i]);
 	event_free(g->drain_timer);
+	event_free(g->settings_timer);
 	http_client_free(g->servers);
 	http_client_free(g->stores);
 	view_finish(&g->view);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,7 +13,9 @@
  * other by it. Wires the parts together; owns them all.
  */
 typedef struct {
-	const gateway_settings_t *settings;
+	gateway_settings_t *settings;
+	const char *path; /* of the settings file */
+	time_t settings_at; /* when the file was last changed */
 	struct event_base *base;
 	http_client_t *servers; /* connections to backend servers */
 	http_client_t *stores;	/* connections to the store */
@@ -25,7 +27,8 @@
 	metric_id_t lookups, ready, hosts_heard, servers_known;
 	metric_id_t store_reads, store_writes, store_failures;
 	http_server_t *callers, *directory, *operators;
-	struct event *signals[3];
+	struct event *signals[4];
+	struct event *settings_timer;
 	struct event *drain_timer;
 	msec_t stop_at; /* when a graceful stop began; 0: none */
 } gateway_t;
@@ -33,11 +36,12 @@
 /**
  * gateway_init() - Start an entry host.
  * @g: memory of the caller
- * @settings: must outlive it
+ * @settings: must outlive it; changed when the file is read again
+ * @path: of the settings file; must outlive it
  * @err: set on failure; gateway_finish() is due either way
  */
-gboolean gateway_init(
-    gateway_t *g, const gateway_settings_t *settings, GError **err);
+gboolean gateway_init(gateway_t *g, gateway_settings_t *settings,
+    const char *path, GError **err);
 void gateway_finish(gateway_t *g);
 
 /**
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -218,3 +218,22 @@
 	g_hash_table_destroy(s->regions);
 	memset(s, 0, sizeof(*s));
 }
+
+gboolean
+gateway_settings_reload(
+    gateway_settings_t *s, const char *path, GPtrArray *errors)
+{
+	gateway_settings_t fresh;
+	gboolean ok = gateway_settings_init(&fresh, path, errors);
+
+	if (ok) {
+		s->rates = fresh.rates;
+		s->dispatch = fresh.dispatch;
+		s->lookup_ttl_ms = fresh.lookup_ttl_ms;
+		s->drain_ms = fresh.drain_ms;
+		s->log_level = fresh.log_level;
+		s->log_lines = fresh.log_lines;
+	}
+	gateway_settings_finish(&fresh);
+	return ok;
+}
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -55,4 +55,15 @@
     gateway_settings_t *s, const char *path, GPtrArray *errors);
 void gateway_settings_finish(gateway_settings_t *s);
 
+/**
+ * gateway_settings_reload() - Read a file again while serving.
+ * @s: the settings in force; bounds and log are replaced
+ * @path: the file
+ * @errors: takes a line for each mistake; then nothing is replaced
+ *
+ * Addresses, names and domains hold until the next start.
+ */
+gboolean gateway_settings_reload(
+    gateway_settings_t *s, const char *path, GPtrArray *errors);
+
 #endif
--- a/src/gateway/tokens.c
+++ b/src/gateway/tokens.c
@@ -44,6 +44,8 @@
 	t->asks = g_hash_table_new_full(NULL, NULL, NULL, ask_free);
 	t->silent =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	t->empty =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 }
 
 void
@@ -51,25 +53,27 @@
 {
 	g_hash_table_destroy(t->asks);
 	g_hash_table_destroy(t->silent);
+	g_hash_table_destroy(t->empty);
 }
 
-static gboolean
-is_silent(const tokens_t *t, uint64_t seed, msec_t now)
+/* Time left until what a table notes of a hash is over. */
+static msec_t
+left_of(GHashTable *times, uint64_t hash, msec_t now)
 {
-	const msec_t *until = g_hash_table_lookup(t->silent, &seed);
+	const msec_t *until = g_hash_table_lookup(times, &hash);
 
-	return until != NULL && now < *until;
+	return until != NULL && now < *until ? *until - now : 0;
 }
 
 static void
-note_silent(tokens_t *t, uint64_t seed, msec_t now)
+note_until(GHashTable *times, uint64_t hash, msec_t at)
 {
 	uint64_t *key = g_new(uint64_t, 1);
 	msec_t *until = g_new(msec_t, 1);
 
-	*key = seed;
-	*until = now + SILENT_MS;
-	g_hash_table_replace(t->silent, key, until);
+	*key = hash;
+	*until = at;
+	g_hash_table_replace(times, key, until);
 }
 
 static void
@@ -90,7 +94,7 @@
 
 	for (; *rank < ASKS_MAX; (*rank)++) {
 		h = rate_lender_of(&t->view->rates, workspace, *rank, now);
-		if (h == NULL || !is_silent(t, h->seed, now))
+		if (h == NULL || left_of(t->silent, h->seed, now) == 0)
 			return h;
 	}
 	return NULL;
@@ -126,7 +130,7 @@
 
 	(void)fd;
 	(void)what;
-	note_silent(t, ask->asked, now);
+	note_until(t->silent, ask->asked, now + SILENT_MS);
 	t->unanswered++;
 	ask->rank++;
 	h = next_lender(t, ask->workspace, &ask->rank, now);
@@ -143,12 +147,18 @@
 token_ask_t *
 tokens_take(tokens_t *t, uint64_t workspace, token_done_t done, void *arg)
 {
-	msec_t now = clock_now(), wait_ms = 0;
-	guint rank = 0;
-	const fleet_host_t *h = next_lender(t, workspace, &rank, now);
+	msec_t now = clock_now();
+	msec_t wait_ms = left_of(t->empty, workspace, now);
+	const fleet_host_t *h;
 	token_ask_t *ask;
+	guint rank = 0;
 	gboolean ok;
 
+	if (wait_ms > 0) {
+		done(arg, FALSE, wait_ms);
+		return NULL;
+	}
+	h = next_lender(t, workspace, &rank, now);
 	if (h == NULL) {
 		ok =
 		    rate_lender_take(&t->view->rates, workspace, &wait_ms, now);
@@ -216,7 +226,11 @@
 		return;
 	}
 	ask = g_hash_table_lookup(t->asks, GUINT_TO_POINTER(msg->id));
-	if (ask != NULL && msg->host == t->view->fleet.self &&
-	    msg->workspace == ask->workspace)
-		finish(ask, msg->granted != 0, msg->wait_ms);
+	if (ask == NULL || msg->host != t->view->fleet.self ||
+	    msg->workspace != ask->workspace)
+		return;
+	if (msg->granted == 0)
+		note_until(
+		    t->empty, msg->workspace, clock_now() + msg->wait_ms);
+	finish(ask, msg->granted != 0, msg->wait_ms);
 }
--- a/src/gateway/tokens.h
+++ b/src/gateway/tokens.h
@@ -9,7 +9,9 @@
 
 /*
  * Gets a request its workspace's token: from this host if it lends, else by a
- * datagram to the lender of the region, then to its deputy.
+ * datagram to the lender of the region, then to its deputy. Where there was
+ * none, the lender is not asked again before there may be one: a workspace at
+ * many times its rate must not keep its lender busy.
  */
 
 /* What came of a question; called once unless it was cancelled. */
@@ -24,6 +26,7 @@
 	const beacon_secret_t *secret;
 	GHashTable *asks;   /* id to token_ask_t */
 	GHashTable *silent; /* seed of a host to when it may be asked again */
+	GHashTable *empty;  /* workspace to when there may be a token again */
 	uint32_t id;
 	uint64_t asked, unanswered;
 } tokens_t;
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -28,6 +28,13 @@
 	registry_finish(&v->registry);
 }
 
+void
+view_reconfigure(view_t *v)
+{
+	v->rates.bounds = v->settings->rates;
+	v->dispatch.bounds = v->settings->dispatch;
+}
+
 gboolean
 view_is_ready(const view_t *v)
 {
--- a/src/gateway/view.h
+++ b/src/gateway/view.h
@@ -35,6 +35,9 @@
 void view_init(view_t *v, const gateway_settings_t *settings);
 void view_finish(view_t *v);
 
+/** view_reconfigure() - The settings' bounds have changed. */
+void view_reconfigure(view_t *v);
+
 /** view_is_ready() - May callers be told to come? */
 gboolean view_is_ready(const view_t *v);
 
