Hosts' rows, too, are read by one host of a region

The entries change only when more than their sequence does, so a feed is quiet. Change: readers' calls are shorter than the others' patience; the fleet's table is shared the same way (88 hosts each read every join).

--- a/src/gateway/beacons.c
+++ b/src/gateway/beacons.c
@@ -150,12 +150,12 @@
 }
 
 static void
-hear_servers(beacons_t *b, const uint8_t *data, size_t len)
+hear_table(beacons_t *b, const uint8_t *data, size_t len)
 {
-	server_news_t news;
+	table_news_t news;
 	table_page_t page;
 
-	if (!server_news_decode(data, len, &b->sources->secret, &news, &page)) {
+	if (!table_news_decode(data, len, &b->sources->secret, &news, &page)) {
 		b->refused++;
 		return;
 	}
@@ -163,9 +163,9 @@
 	table_page_finish(&page);
 }
 
-/* Passes news of servers on within the region. */
+/* Passes news of a table on within the region. */
 static void
-spread(void *arg, server_news_t *news)
+spread(void *arg, table_news_t *news)
 {
 	beacons_t *b = arg;
 	const view_t *v = b->view;
@@ -176,7 +176,7 @@
 	if (!b->sources->has_secret)
 		return;
 	do {
-		next = server_news_encode(
+		next = table_news_encode(
 		    news, next, &b->sources->secret, data, &len);
 		for (i = 0; i < v->fleet.hosts->len && len > 0; i++) {
 			const fleet_host_t *h =
@@ -199,8 +199,8 @@
 	case PEER_BEACON:
 		hear_beacon(b, data, len);
 		break;
-	case PEER_SERVERS:
-		hear_servers(b, data, len);
+	case PEER_TABLE:
+		hear_table(b, data, len);
 		break;
 	default:
 		hear_tokens(b, data, len);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -310,8 +310,8 @@
 }
 
 gboolean
-gateway_init(gateway_t *g, gateway_settings_t *settings, const char *path,
-    GError **err)
+gateway_init(
+    gateway_t *g, gateway_settings_t *settings, const char *path, GError **err)
 {
 	const struct timeval look = {SETTINGS_LOOK_SEC, 0};
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,7 +14,7 @@
  */
 typedef struct {
 	gateway_settings_t *settings;
-	const char *path; /* of the settings file */
+	const char *path;   /* of the settings file */
 	time_t settings_at; /* when the file was last changed */
 	struct event_base *base;
 	http_client_t *servers; /* connections to backend servers */
@@ -40,8 +40,8 @@
  * @path: of the settings file; must outlive it
  * @err: set on failure; gateway_finish() is due either way
  */
-gboolean gateway_init(gateway_t *g, gateway_settings_t *settings,
-    const char *path, GError **err);
+gboolean gateway_init(
+    gateway_t *g, gateway_settings_t *settings, const char *path, GError **err);
 void gateway_finish(gateway_t *g);
 
 /**
--- a/src/gateway/sources.c
+++ b/src/gateway/sources.c
@@ -7,19 +7,22 @@
 #include "platform/wire_entries.h"
 #include "protocol/fleet_rows.h"
 
-/* Least time between the starts of two calls for a table. Every server
- * writes every second or so: waiting for each change would be a call for each.
- * The bound on a leaving server is some seconds. */
+/* Time between the starts of two calls for a table; a call waits for changes
+ * for most of it. Readers of servers and hosts answer for their region, so
+ * their calls are short: one that hangs is found out soon. The bound on a
+ * leaving server is some seconds. */
 #define SERVERS_EVERY_MS 800
+#define SERVERS_WAIT_MS 600
+#define FLEET_EVERY_MS 6000
+#define FLEET_WAIT_MS 5600
 #define ORDERS_EVERY_MS 200
-#define FLEET_EVERY_MS 300
-/* The next host in rank reads the servers if nothing came for so much longer,
- * and each further one. */
-#define SERVERS_RANK_MS 350
-#define SERVERS_RANK_MAX 8
-/* For how long the store is asked to wait for a change. */
-#define SERVERS_WAIT_MS 1000
-#define LONG_WAIT_MS 20000
+#define ORDERS_WAIT_MS 20000
+/* After a call that brought changes the next one may begin so soon. */
+#define CHANGED_MS 300
+/* The next host in rank reads if nothing came for so much longer, and each
+ * further one. */
+#define RANK_MS 350
+#define RANK_MAX 8
 /* After a call that failed; doubled by each further one. */
 #define RETRY_MS 150
 #define RETRY_MAX_MS 1000
@@ -35,10 +38,13 @@
 static const struct {
 	const char *table;
 	msec_t every_ms, wait_ms;
+	gboolean shared; /* one host of a region reads it */
 } tables[SOURCES] = {
-    [SOURCE_ORDERS] = {WIRE_TABLE_ORDERS, ORDERS_EVERY_MS, LONG_WAIT_MS},
-    [SOURCE_SERVERS] = {WIRE_TABLE_SERVERS, SERVERS_EVERY_MS, SERVERS_WAIT_MS},
-    [SOURCE_FLEET] = {FLEET_TABLE, FLEET_EVERY_MS, LONG_WAIT_MS},
+    [SOURCE_ORDERS] = {WIRE_TABLE_ORDERS, ORDERS_EVERY_MS, ORDERS_WAIT_MS,
+	FALSE},
+    [SOURCE_SERVERS] = {WIRE_TABLE_SERVERS, SERVERS_EVERY_MS, SERVERS_WAIT_MS,
+	TRUE},
+    [SOURCE_FLEET] = {FLEET_TABLE, FLEET_EVERY_MS, FLEET_WAIT_MS, TRUE},
 };
 
 static void ask(source_t *src);
@@ -106,7 +112,8 @@
 static void
 on_order(void *arg, const table_row_t *row)
 {
-	view_t *v = arg;
+	sources_t *s = arg;
+	view_t *v = s->view;
 	GError *err = NULL;
 	order_t order;
 
@@ -207,7 +214,7 @@
 	GError *err = NULL;
 
 	if (row->value == NULL) {
-		copy_row(s->changed, row);
+		copy_row(s->source[SOURCE_SERVERS].changed, row);
 		if (registry_remove(&s->view->registry, row->key, row->ver,
 			asked_at < s->away_until, clock_now()))
 			log_event(LOG_INFO, "server.gone", "server", row->key,
@@ -222,7 +229,7 @@
 	}
 	if (g_hash_table_contains(s->view->registry.regions, entry.domain)) {
 		if (take_entry(s, &entry))
-			copy_row(s->changed, row);
+			copy_row(s->source[SOURCE_SERVERS].changed, row);
 	} else {
 		log_event(LOG_WARN, "row.refused", "key", row->key, "error",
 		    "unknown failure domain", NULL);
@@ -243,6 +250,7 @@
 		log_bad_row(row, err);
 		return;
 	}
+	copy_row(s->source[SOURCE_FLEET].changed, row);
 	switch (r.kind) {
 	case FLEET_ROW_HOST:
 		log_event(LOG_INFO, r.removed ? "host.removed" : "host.listed",
@@ -313,24 +321,24 @@
 	}
 }
 
+static const table_take_t handlers[SOURCES] = {
+    [SOURCE_ORDERS] = on_order,
+    [SOURCE_SERVERS] = on_server,
+    [SOURCE_FLEET] = on_fleet,
+};
+
 static void
 apply_page(source_t *src, const table_page_t *page)
 {
-	static const table_news_t news[SOURCES] = {
-	    [SOURCE_ORDERS] = on_order,
-	    [SOURCE_SERVERS] = on_server,
-	    [SOURCE_FLEET] = on_fleet,
-	};
-	void *arg = src->kind == SOURCE_ORDERS ? (void *)src->all->view
-					       : (void *)src->all;
+	sources_t *s = src->all;
 	const table_row_t *last;
 
 	if (!src->reading) {
-		table_view_changes(&src->view, page, news[src->kind], arg);
+		table_view_changes(&src->view, page, handlers[src->kind], s);
 		src->ver = MAX(src->ver, page->ver);
 		return;
 	}
-	table_view_page(&src->view, page, news[src->kind], arg);
+	table_view_page(&src->view, page, handlers[src->kind], s);
 	g_free(src->from);
 	src->from = NULL;
 	if (page->more && page->rows->len > 0) {
@@ -342,23 +350,23 @@
 	src->ver = src->view.listed_ver;
 }
 
-/* Passes on what a page of servers brought since @from. */
+/* Passes on what a page brought since @from. */
 static void
-spread_servers(sources_t *s, uint64_t from)
+spread_page(source_t *src, uint64_t from)
 {
-	source_t *src = &s->source[SOURCE_SERVERS];
-	server_news_t news = {
-	    .host = s->view->fleet.self,
+	sources_t *s = src->all;
+	table_news_t news = {
+	    .table = src->kind,
 	    .from = from,
 	    .to = src->ver,
 	    .away = src->called_at < s->away_until,
-	    .rows = s->changed,
+	    .rows = src->changed,
 	};
 
 	if (src->whole && from != 0 && s->spread != NULL)
 		s->spread(s->spread_arg, &news);
 	if (src->whole)
-		g_ptr_array_set_size(s->changed, 0);
+		g_ptr_array_set_size(src->changed, 0);
 }
 
 static void
@@ -376,16 +384,19 @@
 
 /* The first of the region reads; the others only if it does not. */
 static msec_t
-servers_next_in(const source_t *src, msec_t now)
+shared_next_in(const source_t *src, msec_t now)
 {
 	const view_t *v = src->all->view;
 	guint rank = view_is_ready(v)
 	    ? fleet_region_rank(&v->fleet, v->settings->region, now)
 	    : 0;
-	msec_t since = rank == 0 ? src->called_at : src->fresh_at;
 
-	return MAX(since + SERVERS_EVERY_MS +
-		(msec_t)MIN(rank, SERVERS_RANK_MAX) * SERVERS_RANK_MS - now,
+	if (rank == 0)
+		return src->brought
+		    ? CHANGED_MS
+		    : MAX(src->called_at + tables[src->kind].every_ms - now, 0);
+	return MAX(src->fresh_at + tables[src->kind].every_ms +
+		(msec_t)MIN(rank, RANK_MAX) * RANK_MS - now,
 	    0);
 }
 
@@ -401,8 +412,8 @@
 	}
 	if (!src->whole)
 		return 0;
-	if (src->kind == SOURCE_SERVERS)
-		return servers_next_in(src, now);
+	if (tables[src->kind].shared)
+		return shared_next_in(src, now);
 	return MAX(src->called_at + tables[src->kind].every_ms - now, 0);
 }
 
@@ -421,8 +432,9 @@
 		apply_page(src, page);
 		note_whole(src);
 		src->fresh_at = src->answered_at;
-		if (src->kind == SOURCE_SERVERS)
-			spread_servers(src->all, from);
+		src->brought = page->rows->len > 0;
+		if (tables[src->kind].shared)
+			spread_page(src, from);
 		break;
 	case TABLE_FORGOT:
 		note_answer(src, NULL);
@@ -471,17 +483,21 @@
 }
 
 void
-sources_hear(sources_t *s, const server_news_t *news, const table_page_t *page)
+sources_hear(sources_t *s, const table_news_t *news, const table_page_t *page)
 {
-	source_t *src = &s->source[SOURCE_SERVERS];
+	source_t *src;
 	msec_t now = clock_now();
 
+	if (news->table >= SOURCES || !tables[news->table].shared)
+		return;
+	src = &s->source[news->table];
 	if (!src->whole || src->reading)
 		return;
 	if (news->from > src->ver && src->call != NULL)
 		return;
 	if (news->from > src->ver) {
-		log_event(LOG_INFO, "servers.missed", "known",
+		log_event(LOG_INFO, "news.missed", "table",
+		    tables[src->kind].table, "known",
 		    log_num((long long)src->ver), "from",
 		    log_num((long long)news->from), NULL);
 		ask(src);
@@ -490,11 +506,11 @@
 	if (news->away)
 		s->away_until = MAX(s->away_until, now + TICK_MS);
 	src->called_at = now;
-	table_view_changes(&src->view, page, on_server, s);
-	g_ptr_array_set_size(s->changed, 0);
+	table_view_changes(&src->view, page, handlers[src->kind], s);
+	g_ptr_array_set_size(src->changed, 0);
 	src->ver = MAX(src->ver, news->to);
 	src->fresh_at = now;
-	s->view->servers_at = now;
+	note_whole(src);
 	if (src->call == NULL)
 		schedule(src->timer, next_in(src));
 }
@@ -685,7 +701,6 @@
 	s->view = view;
 	s->base = base;
 	s->writes = g_ptr_array_new();
-	s->changed = g_ptr_array_new_with_free_func(free_row);
 	table_store_init(&s->store, http, view->settings->store);
 	for (i = 0; i < SOURCES; i++) {
 		source_t *src = &s->source[i];
@@ -693,6 +708,7 @@
 		src->all = s;
 		src->kind = (source_kind_t)i;
 		table_view_init(&src->view);
+		src->changed = g_ptr_array_new_with_free_func(free_row);
 		src->timer = evtimer_new(base, on_timer, src);
 		schedule(src->timer, 0);
 	}
@@ -714,6 +730,7 @@
 			table_call_cancel(src->call);
 		event_free(src->timer);
 		g_free(src->from);
+		g_ptr_array_free(src->changed, TRUE);
 		table_view_finish(&src->view);
 	}
 	for (i = 0; i < s->writes->len; i++) {
@@ -726,7 +743,6 @@
 	if (s->join != NULL)
 		table_call_cancel(s->join);
 	g_ptr_array_free(s->writes, TRUE);
-	g_ptr_array_free(s->changed, TRUE);
 	event_free(s->join_timer);
 	event_free(s->ticker);
 	table_store_finish(&s->store);
--- a/src/gateway/sources.h
+++ b/src/gateway/sources.h
@@ -5,7 +5,7 @@
 #include "gateway/view.h"
 #include "platform/table_store.h"
 #include "protocol/beacon.h"
-#include "protocol/server_news.h"
+#include "protocol/table_news.h"
 #include "protocol/table_view.h"
 
 /*
@@ -31,9 +31,11 @@
 	table_view_t view;
 	uint64_t ver;	    /* changes up to it are known; 0: none */
 	gboolean whole;	    /* it was read whole since the last loss */
+	gboolean brought;   /* the last call brought changes */
 	gboolean reading;   /* the call under way reads, else it waits */
 	char *from;	    /* next key of a reading */
 	table_call_t *call; /* under way, or NULL */
+	GPtrArray *changed; /* table_row_t, to be passed on */
 	struct event *timer;
 	msec_t called_at;
 	msec_t answered_at;
@@ -42,8 +44,8 @@
 	msec_t lost_at;	 /* when the first of them was noticed */
 } source_t;
 
-/* Passes news of servers on to the hosts of the region. */
-typedef void (*sources_spread_t)(void *arg, server_news_t *news);
+/* Passes news of a table on to the hosts of the region. */
+typedef void (*sources_spread_t)(void *arg, table_news_t *news);
 
 struct sources {
 	view_t *view;
@@ -57,8 +59,7 @@
 	table_call_t *join; /* the write of this host's row, under way */
 	struct event *join_timer;
 	struct event *ticker;
-	GPtrArray *writes;  /* of rows of moves, under way */
-	GPtrArray *changed; /* table_row_t of servers, to be passed on */
+	GPtrArray *writes; /* of rows of moves, under way */
 	sources_spread_t spread;
 	void *spread_arg;
 };
@@ -70,9 +71,9 @@
 /** sources_leave() - Remove this host's row. */
 void sources_leave(sources_t *s);
 
-/** sources_hear() - Take in news of servers that another host read. */
+/** sources_hear() - Take in news of a table that another host read. */
 void sources_hear(
-    sources_t *s, const server_news_t *news, const table_page_t *page);
+    sources_t *s, const table_news_t *news, const table_page_t *page);
 
 /** sources_nudge() - A peer has orders that we lack: ask again at once. */
 void sources_nudge(sources_t *s, uint64_t orders_ver);
--- a/src/protocol/beacon.h
+++ b/src/protocol/beacon.h
@@ -32,7 +32,7 @@
 	PEER_BEACON = 1,
 	PEER_TOKEN_ASK,
 	PEER_TOKEN_ANSWER,
-	PEER_SERVERS,
+	PEER_TABLE,
 } peer_kind_t;
 
 /** beacon_kind() - First word of a datagram; 0 if there is none. */
--- a/src/protocol/server_news.c
+++ b/src/protocol/table_news.c
@@ -2,7 +2,7 @@
 
 #include <rpc/rpc.h>
 
-#include "protocol/server_news.h"
+#include "protocol/table_news.h"
 
 #define ROW_MAX_BYTES 4096
 #define KEY_MAX_BYTES 256
@@ -12,12 +12,12 @@
 #define ROWS_MAX 512
 
 static bool_t
-xdr_head(XDR *x, server_news_t *n, uint32_t *rows)
+xdr_head(XDR *x, table_news_t *n, uint32_t *rows)
 {
-	uint32_t kind = PEER_SERVERS, away = n->away ? 1 : 0;
+	uint32_t kind = PEER_TABLE, away = n->away ? 1 : 0;
 
-	if (!xdr_uint32_t(x, &kind) || kind != PEER_SERVERS ||
-	    !xdr_uint64_t(x, &n->host) || !xdr_uint64_t(x, &n->from) ||
+	if (!xdr_uint32_t(x, &kind) || kind != PEER_TABLE ||
+	    !xdr_uint32_t(x, &n->table) || !xdr_uint64_t(x, &n->from) ||
 	    !xdr_uint64_t(x, &n->to) || !xdr_uint32_t(x, &away) ||
 	    !xdr_uint32_t(x, rows) || *rows > ROWS_MAX)
 		return FALSE;
@@ -77,12 +77,12 @@
 }
 
 guint
-server_news_encode(server_news_t *news, guint first,
+table_news_encode(table_news_t *news, guint first,
     const beacon_secret_t *secret, uint8_t *out, size_t *len)
 {
 	guint last = fit(news->rows, first), i;
 	uint32_t n = last - first;
-	server_news_t head = *news;
+	table_news_t head = *news;
 	XDR x;
 	bool_t ok;
 
@@ -103,8 +103,8 @@
 }
 
 gboolean
-server_news_decode(const uint8_t *data, size_t len,
-    const beacon_secret_t *secret, server_news_t *news, table_page_t *page)
+table_news_decode(const uint8_t *data, size_t len,
+    const beacon_secret_t *secret, table_news_t *news, table_page_t *page)
 {
 	uint32_t n = 0, i;
 	gboolean ok;
--- a/src/protocol/table_view.c
+++ b/src/protocol/table_view.c
@@ -22,7 +22,7 @@
 }
 
 static void
-take(table_view_t *v, const table_row_t *row, table_news_t news, void *arg)
+take(table_view_t *v, const table_row_t *row, table_take_t news, void *arg)
 {
 	known_t *k = g_hash_table_lookup(v->known, row->key);
 
@@ -40,7 +40,7 @@
 
 void
 table_view_changes(
-    table_view_t *v, const table_page_t *page, table_news_t news, void *arg)
+    table_view_t *v, const table_page_t *page, table_take_t news, void *arg)
 {
 	GHashTable *last = g_hash_table_new(g_str_hash, g_str_equal);
 	table_row_t *row;
@@ -69,7 +69,7 @@
 }
 
 static void
-remove_missing(table_view_t *v, table_news_t news, void *arg)
+remove_missing(table_view_t *v, table_take_t news, void *arg)
 {
 	GPtrArray *missing = g_ptr_array_new();
 	GHashTableIter it;
@@ -100,7 +100,7 @@
 
 void
 table_view_page(
-    table_view_t *v, const table_page_t *page, table_news_t news, void *arg)
+    table_view_t *v, const table_page_t *page, table_take_t news, void *arg)
 {
 	guint i;
 
--- a/src/protocol/table_view.h
+++ b/src/protocol/table_view.h
@@ -17,16 +17,16 @@
 	uint64_t newest;     /* of all rows taken in */
 } table_view_t;
 
-/** typedef table_news_t - Called for each row that is news; removed rows have
+/** typedef table_take_t - Called for each row that is news; removed rows have
  * no value. */
-typedef void (*table_news_t)(void *arg, const table_row_t *row);
+typedef void (*table_take_t)(void *arg, const table_row_t *row);
 
 void table_view_init(table_view_t *v);
 void table_view_finish(table_view_t *v);
 
 /** table_view_changes() - Take in changes, of each row the last. */
 void table_view_changes(
-    table_view_t *v, const table_page_t *page, table_news_t news, void *arg);
+    table_view_t *v, const table_page_t *page, table_take_t news, void *arg);
 
 /** table_view_begin() - A reading of the whole table begins. */
 void table_view_begin(table_view_t *v);
@@ -37,6 +37,6 @@
  * With the last page, rows that the reading lacks are told as removed.
  */
 void table_view_page(
-    table_view_t *v, const table_page_t *page, table_news_t news, void *arg);
+    table_view_t *v, const table_page_t *page, table_take_t news, void *arg);
 
 #endif
--- a/tests/test_cold_ramp.c
+++ b/tests/test_cold_ramp.c
@@ -27,19 +27,16 @@
 
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
 		const cold_bound_t bound = {rows[i].overage, rows[i].slack};
-		double most =
-		    rows[i].rate * rows[i].overage + rows[i].slack;
+		double most = rows[i].rate * rows[i].overage + rows[i].slack;
 
 		for (h = 0; h < rows[i].hosts; h++)
-			seeds[h] = registry_hash(
-			    (char[]){'h', (char)('0' + h / 26),
-				(char)('a' + h % 26), '\0'});
+			seeds[h] = registry_hash((char[]){'h',
+			    (char)('0' + h / 26), (char)('a' + h % 26), '\0'});
 		for (s = 0; s < SERVERS; s++) {
 			uint32_t sent[END_MS] = {0}, window = 0, worst = 0;
 
 			for (h = 0; h < rows[i].hosts; h++) {
-				msec_t gap = cold_ramp_gap(&bound,
-				    rows[i].rate,
+				msec_t gap = cold_ramp_gap(&bound, rows[i].rate,
 				    cold_ramp_rank(s * 7919, seeds[h], seeds,
 					rows[i].hosts),
 				    rows[i].hosts);
@@ -57,8 +54,8 @@
 			ck_assert_msg(worst <= most, "%u hosts: %u of %.1f",
 			    rows[i].hosts, worst, most);
 			if (most >= 1)
-				ck_assert_msg(worst > 0, "%u hosts: none",
-				    rows[i].hosts);
+				ck_assert_msg(
+				    worst > 0, "%u hosts: none", rows[i].hosts);
 		}
 	}
 }
--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -166,8 +166,8 @@
 		manifest_workspace_t w = {
 		    .homes = g_strsplit(rows[i].workspace, ",", -1)};
 
-		ck_assert_int_eq(manifest_allows(&r, &w, rows[i].region),
-		    rows[i].allowed);
+		ck_assert_int_eq(
+		    manifest_allows(&r, &w, rows[i].region), rows[i].allowed);
 		g_strfreev(r.homes);
 		g_strfreev(w.homes);
 	}
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -111,9 +111,8 @@
 		registry_put(&r, &row, 1000);
 		registry_remove(&r, "a", rows[i].ver, rows[i].away, 2000);
 		registry_expire(&r, 2000 + REGISTRY_LAPSE_MS - 1);
-		ck_assert_msg(
-		    (find(&r, "a") != NULL) == rows[i].there_at_once, "%s",
-		    rows[i].name);
+		ck_assert_msg((find(&r, "a") != NULL) == rows[i].there_at_once,
+		    "%s", rows[i].name);
 		registry_expire(&r, 2000 + REGISTRY_LAPSE_MS);
 		ck_assert_msg((find(&r, "a") != NULL) == rows[i].there_later,
 		    "%s", rows[i].name);
--- a/tests/test_table_view.c
+++ b/tests/test_table_view.c
@@ -63,21 +63,21 @@
     {"the same page twice",
 	{"read: a=1@1 ^1", "changes: a=2@3 ^3", "changes: a=2@3 ^3"},
 	"a=1@1 a=2@3 "},
-    {"an old page", {"read: a=1@1 ^1", "changes: a=2@3 ^3",
-	"changes: a=1@1 ^1"}, "a=1@1 a=2@3 "},
+    {"an old page",
+	{"read: a=1@1 ^1", "changes: a=2@3 ^3", "changes: a=1@1 ^1"},
+	"a=1@1 a=2@3 "},
     {"of a page the last change",
 	{"read: a=1@1 ^1", "changes: a=2@3 a=3@4 b=1@5 a=4@6 ^6"},
 	"a=1@1 b=1@5 a=4@6 "},
-    {"a whole reading lacks a row",
-	{"read: a=1@1 b=1@2 ^2", "read: a=1@1 ^9"}, "a=1@1 b=1@2 b-@9 "},
+    {"a whole reading lacks a row", {"read: a=1@1 b=1@2 ^2", "read: a=1@1 ^9"},
+	"a=1@1 b=1@2 b-@9 "},
     {"an old reading removes nothing newer",
 	{"read: a=1@1 ^1", "changes: b=1@5 ^5", "read: a=1@1 ^3"},
 	"a=1@1 b=1@5 "},
-    {"pages of a reading",
-	{"read: a=1@1 + ^2", "read: b=1@2 ^3"}, "a=1@1 b=1@2 "},
+    {"pages of a reading", {"read: a=1@1 + ^2", "read: b=1@2 ^3"},
+	"a=1@1 b=1@2 "},
     {"a row that was removed comes back",
-	{"read: a=1@1 ^1", "changes: a-@2 ^2", "changes: a=2@3 ^3",
-	    "read: ^4"},
+	{"read: a=1@1 ^1", "changes: a-@2 ^2", "changes: a=2@3 ^3", "read: ^4"},
 	"a=1@1 a-@2 a=2@3 a-@4 "},
     {"a removal that was missed is told once",
 	{"read: a=1@1 ^1", "read: ^4", "read: ^5"}, "a=1@1 a-@4 "},
@@ -105,8 +105,8 @@
 		}
 		table_page_finish(&page);
 	}
-	ck_assert_msg(strcmp(told->str, p->told) == 0, "%s: told %s", p->name,
-	    told->str);
+	ck_assert_msg(
+	    strcmp(told->str, p->told) == 0, "%s: told %s", p->name, told->str);
 	table_view_finish(&v);
 	g_string_free(told, TRUE);
 }
