--- /dev/null
+++ b/tests/fuzz/fuzz_wire.c
@@ -0,0 +1,139 @@
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include "platform/wire_entries.h"
+#include "platform/wire_rows.h"
+#include "protocol/fleet_rows.h"
+#include "protocol/table_news.h"
+#include "protocol/token_msg.h"
+
+/*
+ * What comes from the store or a peer is either refused with a reason or read
+ * whole; nothing else is promised, so the sanitizers are the oracle. The first
+ * byte picks the decoder.
+ */
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void
+try_order(table_row_t *row, const char *key)
+{
+	GError *err = NULL;
+	order_t order;
+
+	row->key = (char *)key;
+	if (wire_order_decode(row, &order, &err))
+		order_finish(&order);
+	else
+		g_assert(err != NULL);
+	g_clear_error(&err);
+}
+
+static void
+try_server(table_row_t *row)
+{
+	wire_server_t *memory;
+	registry_row_t entry;
+	GError *err = NULL;
+
+	row->key = (char *)"i-1";
+	if (wire_server_decode(row, &entry, &memory, &err)) {
+		g_assert(entry.slots > 0 && entry.cold_ms >= 0);
+		wire_server_free(memory);
+	} else {
+		g_assert(err != NULL);
+	}
+	g_clear_error(&err);
+}
+
+static void
+try_fleet(table_row_t *row, const char *key)
+{
+	GError *err = NULL;
+	fleet_rows_t r;
+
+	row->key = (char *)key;
+	if (fleet_rows_decode(row, &r, &err))
+		fleet_rows_clear(&r);
+	g_clear_error(&err);
+}
+
+static void
+try_page(const char *text, size_t len)
+{
+	GError *err = NULL;
+	table_page_t page;
+
+	if (wire_rows_decode(text, len, &page, &err))
+		table_page_finish(&page);
+	g_clear_error(&err);
+}
+
+/* With a good keyed hash, so that what is behind it is reached. */
+static void
+try_datagram(const uint8_t *body, size_t size, int kind)
+{
+	static const beacon_secret_t secret = {{7}};
+	uint8_t data[1024];
+	table_news_t news;
+	table_page_t page;
+	fleet_news_t n;
+	token_msg_t msg;
+	size_t len;
+
+	if (size > 512)
+		return;
+	memcpy(data, body, size);
+	len = beacon_seal(data, size, &secret);
+	if (kind == 0) {
+		fleet_news_init(&n);
+		(void)beacon_decode(data, len, &secret, &n);
+		fleet_news_finish(&n);
+	} else if (kind == 1) {
+		if (table_news_decode(data, len, &secret, &news, &page))
+			table_page_finish(&page);
+	} else {
+		(void)token_msg_decode(data, len, &secret, &msg);
+	}
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	char *text;
+	table_row_t row = {.ver = 1};
+
+	if (size < 1)
+		return 0;
+	text = g_malloc(size);
+	memcpy(text, data + 1, size - 1);
+	text[size - 1] = '\0';
+	row.value = text;
+	row.len = size - 1;
+	switch (data[0] % 9) {
+	case 0:
+		try_order(&row, "config");
+		break;
+	case 1:
+		try_order(&row, "rollout/s");
+		break;
+	case 2:
+		try_server(&row);
+		break;
+	case 3:
+		try_fleet(&row, "host/h");
+		break;
+	case 4:
+		try_fleet(&row, "shift/s");
+		break;
+	case 5:
+		try_page(text, size - 1);
+		break;
+	default:
+		try_datagram(data + 1, size - 1, data[0] % 9 - 6);
+		break;
+	}
+	g_free(text);
+	return 0;
+}
--- /dev/null
+++ b/tests/test_peer_msg.c
@@ -0,0 +1,230 @@
+#include <string.h>
+
+#include "protocol/fleet_rows.h"
+#include "protocol/table_news.h"
+#include "protocol/token_msg.h"
+#include "state/registry.h"
+#include "suite.h"
+
+static const beacon_secret_t secret = {{1, 2, 3}};
+static const beacon_secret_t another = {{9}};
+
+static void
+add(GArray *amounts, const char *name, uint32_t amount)
+{
+	const fleet_amount_t a = {fleet_name(registry_hash(name)), amount};
+
+	g_array_append_val(amounts, a);
+}
+
+static size_t
+write_beacon(uint8_t *data)
+{
+	fleet_news_t n;
+	size_t len;
+
+	fleet_news_init(&n);
+	n.host = registry_hash("host-1");
+	n.incarnation = 77;
+	n.seq = 5;
+	n.ready = TRUE;
+	n.config = 12;
+	n.orders = 13;
+	add(n.demands, "school", 40);
+	add(n.loads, "i-1", 3);
+	add(n.loads, "i-2", 999999);
+	n.nshifts = 1;
+	n.shifts[0] = (fleet_shift_t){.service = 1, .to = 2, .old_running = 4};
+	n.shifts[0].routes[3].fresh = (judge_count_t){20, {2, 1}};
+	len = beacon_encode(&n, &secret, data);
+	fleet_news_finish(&n);
+	return len;
+}
+
+static void
+test_beacon(void)
+{
+	uint8_t data[BEACON_MAX_BYTES];
+	size_t len = write_beacon(data);
+	fleet_news_t n;
+
+	ck_assert_uint_gt(len, 0);
+	ck_assert_uint_eq(beacon_kind(data, len), PEER_BEACON);
+	fleet_news_init(&n);
+	ck_assert(beacon_decode(data, len, &secret, &n));
+	ck_assert(n.host == registry_hash("host-1"));
+	ck_assert_uint_eq(n.incarnation, 77);
+	ck_assert(n.ready && !n.leaving);
+	ck_assert_uint_eq(n.orders, 13);
+	ck_assert_uint_eq(fleet_amount(n.demands, registry_hash("school")), 40);
+	ck_assert_uint_eq(fleet_amount(n.loads, registry_hash("i-1")), 3);
+	ck_assert_uint_eq(
+	    fleet_amount(n.loads, registry_hash("i-2")), FLEET_AMOUNT_MAX);
+	ck_assert_uint_eq(fleet_amount(n.loads, registry_hash("i-3")), 0);
+	ck_assert_uint_eq(n.shifts[0].old_running, 4);
+	ck_assert_uint_eq(n.shifts[0].routes[3].fresh.bad[0], 2);
+	fleet_news_finish(&n);
+}
+
+/* Whatever was changed on the way, or comes from a stranger, is dropped. */
+static void
+test_tampered(void)
+{
+	uint8_t data[BEACON_MAX_BYTES];
+	size_t len = write_beacon(data), i;
+	fleet_news_t n;
+
+	fleet_news_init(&n);
+	ck_assert(!beacon_decode(data, len, &another, &n));
+	for (i = 0; i < len; i++) {
+		data[i] ^= 0x10;
+		ck_assert(!beacon_decode(data, len, &secret, &n));
+		data[i] ^= 0x10;
+		ck_assert(!beacon_decode(data, i, &secret, &n));
+	}
+	ck_assert(beacon_decode(data, len, &secret, &n));
+	fleet_news_finish(&n);
+}
+
+static void
+test_token(void)
+{
+	uint8_t data[TOKEN_MSG_BYTES];
+	token_msg_t m = {.kind = PEER_TOKEN_ANSWER,
+	    .id = 9,
+	    .host = 5,
+	    .workspace = 6,
+	    .granted = 0,
+	    .wait_ms = 120};
+	token_msg_t got;
+	size_t len = token_msg_encode(&m, &secret, data);
+
+	ck_assert_uint_le(len, sizeof(data));
+	ck_assert(token_msg_decode(data, len, &secret, &got));
+	ck_assert_uint_eq(got.id, 9);
+	ck_assert_uint_eq(got.wait_ms, 120);
+	ck_assert(!token_msg_decode(data, len, &another, &got));
+}
+
+/* Rows that don't fit one datagram lead on from version to version. */
+static void
+test_table_news(void)
+{
+	uint8_t data[BEACON_MAX_BYTES];
+	table_page_t from, page;
+	table_news_t news = {.table = 1, .from = 10, .to = 400};
+	table_news_t got;
+	uint64_t at = 10;
+	guint i, next = 0, seen = 0, datagrams = 0;
+	size_t len;
+
+	table_page_init(&from);
+	for (i = 0; i < 100; i++) {
+		table_row_t *row = table_page_add(&from);
+
+		row->key = g_strdup_printf("i-%u", i);
+		row->ver = 100 + i;
+		if (i % 5 != 0) {
+			row->value = g_strnfill(250, 'x');
+			row->len = 250;
+		}
+	}
+	news.rows = from.rows;
+	do {
+		next = table_news_encode(&news, next, &secret, data, &len);
+		ck_assert_uint_gt(len, 0);
+		ck_assert(table_news_decode(data, len, &secret, &got, &page));
+		ck_assert_uint_eq(got.table, 1);
+		ck_assert_uint_eq(got.from, at);
+		at = got.to;
+		for (i = 0; i < page.rows->len; i++) {
+			const table_row_t *a = g_ptr_array_index(page.rows, i);
+			const table_row_t *b =
+			    g_ptr_array_index(from.rows, seen + i);
+
+			ck_assert_str_eq(a->key, b->key);
+			ck_assert_uint_eq(a->ver, b->ver);
+			ck_assert(g_strcmp0(a->value, b->value) == 0);
+		}
+		seen += page.rows->len;
+		table_page_finish(&page);
+		datagrams++;
+	} while (next < from.rows->len);
+	ck_assert_uint_eq(seen, 100);
+	ck_assert_uint_eq(at, 400);
+	ck_assert_uint_gt(datagrams, 1);
+	table_page_finish(&from);
+}
+
+static void
+test_fleet_rows(void)
+{
+	static const struct {
+		const char *key, *value;
+		gboolean ok;
+	} rows[] = {
+	    {"host/h1",
+		"{\"callers\":\"1.1.1.1:1\",\"peer\":\"1.1.1.1:2\","
+		"\"region\":\"n\",\"domain\":\"d\",\"incarnation\":5}",
+		TRUE},
+	    {"host/h1", "{\"callers\":\"1.1.1.1:1\"}", FALSE},
+	    {"host/h1", "{", FALSE},
+	    {"host/h1", NULL, TRUE},
+	    {"shift/s",
+		"{\"to\":\"v2\",\"began\":5,\"duration_ms\":9,\"state\":1}",
+		TRUE},
+	    {"shift/s",
+		"{\"to\":\"v2\",\"began\":5,\"duration_ms\":9,\"state\":7}",
+		FALSE},
+	    {"shift/s",
+		"{\"to\":\"v2\",\"began\":5,\"duration_ms\":0,\"state\":1}",
+		FALSE},
+	    {"secret", "{\"secret\":\"00\"}", FALSE},
+	    {"other", "?", TRUE},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		table_row_t row = {.key = (char *)rows[i].key,
+		    .value = (char *)rows[i].value,
+		    .len = rows[i].value != NULL ? strlen(rows[i].value) : 0};
+		GError *err = NULL;
+		fleet_rows_t r;
+		gboolean ok = fleet_rows_decode(&row, &r, &err);
+
+		ck_assert_msg(
+		    ok == rows[i].ok, "%s %s", rows[i].key, rows[i].value);
+		if (ok)
+			fleet_rows_clear(&r);
+		g_clear_error(&err);
+	}
+}
+
+static void
+test_secret_row(void)
+{
+	char *text = fleet_rows_secret(&secret);
+	table_row_t row = {
+	    .key = (char *)"secret", .value = text, .len = strlen(text)};
+	fleet_rows_t r;
+
+	ck_assert(fleet_rows_decode(&row, &r, NULL));
+	ck_assert_mem_eq(r.u.secret.bytes, secret.bytes, sizeof(secret.bytes));
+	fleet_rows_clear(&r);
+	g_free(text);
+}
+
+static const suite_case_t cases[] = {
+    {"beacons", test_beacon},
+    {"beacons of strangers", test_tampered},
+    {"tokens", test_token},
+    {"news of a table", test_table_news},
+    {"rows of the fleet", test_fleet_rows},
+    {"the secret", test_secret_row},
+};
+
+int
+main(void)
+{
+	return suite_run("peer_msg", cases, G_N_ELEMENTS(cases));
+}
--- /dev/null
+++ b/tests/test_placing.c
@@ -0,0 +1,242 @@
+#include <string.h>
+
+#include "state/placing.h"
+#include "suite.h"
+
+#define SERVERS 12
+#define OBJECTS 600
+
+typedef struct {
+	registry_t registry;
+	GHashTable *regions;
+	char ids[SERVERS][16];
+} farm_t;
+
+static void
+farm_init(farm_t *f, guint n)
+{
+	guint i;
+
+	f->regions = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_insert(f->regions, "n1", "north");
+	g_hash_table_insert(f->regions, "s1", "south");
+	registry_init(&f->registry, f->regions);
+	for (i = 0; i < n; i++) {
+		registry_row_t row = {.service = "clips",
+		    .address = "10.0.0.1:80",
+		    .domain = i % 3 == 0 ? "n1" : "s1",
+		    .version = "v1",
+		    .slots = 3,
+		    .row_ver = i + 1};
+
+		g_snprintf(f->ids[i], sizeof(f->ids[i]), "server-%u", i);
+		row.id = f->ids[i];
+		registry_put(&f->registry, &row, 0);
+	}
+}
+
+static void
+farm_finish(farm_t *f)
+{
+	registry_finish(&f->registry);
+	g_hash_table_destroy(f->regions);
+}
+
+static guint
+candidates(const farm_t *f, placing_candidate_t *c)
+{
+	const GPtrArray *servers =
+	    registry_service(&f->registry, "clips")->servers;
+	guint i;
+
+	for (i = 0; i < servers->len; i++) {
+		backend_t *b = g_ptr_array_index(servers, i);
+
+		c[i] = (placing_candidate_t){.server = b,
+		    .load = backend_load(b, 1000),
+		    .near = strcmp(b->region, "north") == 0};
+	}
+	return servers->len;
+}
+
+static uint64_t
+object(guint i)
+{
+	char name[16];
+
+	g_snprintf(name, sizeof(name), "object-%u", i);
+	return registry_hash(name);
+}
+
+static const char *
+place(const farm_t *f, guint i)
+{
+	placing_candidate_t c[SERVERS];
+	guint n = candidates(f, c);
+	const placing_request_t request = {
+	    .object = object(i), .by_object = TRUE};
+	placing_t p = placing_choose(&request, c, n, 1000);
+
+	return p.verdict == PLACING_SEND ? p.server->id : NULL;
+}
+
+/* A server that goes moves only its own objects, to several others. */
+static void
+test_stable(void)
+{
+	const char *before[OBJECTS];
+	GHashTable *heirs = g_hash_table_new(g_str_hash, g_str_equal);
+	guint i, moved = 0;
+	farm_t f;
+
+	farm_init(&f, SERVERS);
+	for (i = 0; i < OBJECTS; i++)
+		before[i] = g_intern_string(place(&f, i));
+	registry_remove(&f.registry, "server-4", 1000, FALSE, 0);
+	for (i = 0; i < OBJECTS; i++) {
+		const char *now = place(&f, i);
+
+		if (strcmp(before[i], "server-4") != 0) {
+			ck_assert_str_eq(now, before[i]);
+			continue;
+		}
+		moved++;
+		g_hash_table_add(heirs, (char *)g_intern_string(now));
+	}
+	ck_assert_uint_gt(moved, OBJECTS / SERVERS / 2);
+	ck_assert_uint_lt(moved, OBJECTS / SERVERS * 2);
+	ck_assert_uint_gt(g_hash_table_size(heirs), 5);
+	g_hash_table_destroy(heirs);
+	farm_finish(&f);
+}
+
+static void
+test_shares(void)
+{
+	guint count = 0, i;
+	farm_t f;
+
+	farm_init(&f, 4);
+	((backend_t *)g_hash_table_lookup(f.registry.servers, "server-1"))
+	    ->slots = 9;
+	for (i = 0; i < OBJECTS; i++)
+		count += strcmp(place(&f, i), "server-1") == 0;
+	/* Half of all slots: 300, give or take four deviations of 12. */
+	ck_assert_uint_gt(count, 250);
+	ck_assert_uint_lt(count, 350);
+	farm_finish(&f);
+}
+
+/* What is decided for an object whose first server is S and second T. */
+static void
+test_room(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t first, others; /* requests there */
+		gboolean full, spent;
+		placing_verdict_t verdict;
+		gboolean at_first;
+	} rows[] = {
+	    {"idle", 0, 0, FALSE, FALSE, PLACING_SEND, TRUE},
+	    {"all slots taken", 3, 0, FALSE, FALSE, PLACING_SEND, TRUE},
+	    {"and a few wait", 5, 3, FALSE, FALSE, PLACING_SEND, TRUE},
+	    {"too many wait, others idle", 6, 0, FALSE, FALSE, PLACING_SEND,
+		FALSE},
+	    {"too many wait, others busy", 6, 2, FALSE, FALSE, PLACING_FULL,
+		FALSE},
+	    {"it said so, others busy", 2, 2, TRUE, FALSE, PLACING_FULL, FALSE},
+	    {"it is cold and had its share", 0, 2, FALSE, TRUE, PLACING_SEND,
+		FALSE},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		placing_candidate_t c[SERVERS];
+		const placing_request_t request = {
+		    .object = object(1), .by_object = TRUE};
+		const char *first;
+		placing_t p;
+		guint n, k;
+		farm_t f;
+
+		farm_init(&f, 6);
+		first = place(&f, 1);
+		n = candidates(&f, c);
+		for (k = 0; k < n; k++) {
+			gboolean is_first = strcmp(c[k].server->id, first) == 0;
+
+			c[k].load = is_first ? rows[i].first : rows[i].others;
+			c[k].spent = is_first && rows[i].spent;
+			if (is_first && rows[i].full)
+				c[k].server->full_until = 1200;
+		}
+		p = placing_choose(&request, c, n, 1000);
+		ck_assert_msg(
+		    p.verdict == rows[i].verdict, "%s: verdict", rows[i].name);
+		if (p.verdict == PLACING_SEND)
+			ck_assert_msg((strcmp(p.server->id, first) == 0) ==
+				rows[i].at_first,
+			    "%s: %s", rows[i].name, p.server->id);
+		else
+			ck_assert_int_gt(p.wait_ms, 0);
+		farm_finish(&f);
+	}
+}
+
+static void
+test_near(void)
+{
+	placing_candidate_t c[SERVERS];
+	placing_request_t request = {.by_object = TRUE, .stay_near = TRUE};
+	guint i, k, n;
+	placing_t p;
+	farm_t f;
+
+	farm_init(&f, SERVERS);
+	for (i = 0; i < OBJECTS; i++) {
+		request.object = object(i);
+		n = candidates(&f, c);
+		p = placing_choose(&request, c, n, 1000);
+		ck_assert_str_eq(p.server->region, "north");
+	}
+	/* The region is full: the body is moved after all. */
+	n = candidates(&f, c);
+	for (k = 0; k < n; k++)
+		c[k].load = c[k].near ? 6 : 0;
+	p = placing_choose(&request, c, n, 1000);
+	ck_assert_int_eq(p.verdict, PLACING_SEND);
+	ck_assert_str_eq(p.server->region, "south");
+	/* Without an object: the least busy one near. */
+	request.by_object = FALSE;
+	request.stay_near = FALSE;
+	n = candidates(&f, c);
+	for (k = 0; k < n; k++)
+		c[k].load = strcmp(c[k].server->id, "server-6") == 0 ? 0 : 1;
+	p = placing_choose(&request, c, n, 1000);
+	ck_assert_str_eq(p.server->id, "server-6");
+	farm_finish(&f);
+}
+
+static void
+test_nobody(void)
+{
+	const placing_request_t request = {.by_object = TRUE};
+
+	ck_assert_int_eq(
+	    placing_choose(&request, NULL, 0, 0).verdict, PLACING_NOBODY);
+}
+
+static const suite_case_t cases[] = {
+    {"a server that goes moves its own objects", test_stable},
+    {"shares follow slots", test_shares},
+    {"room at the first, at others, nowhere", test_room},
+    {"large bodies and requests without object stay near", test_near},
+    {"no server", test_nobody},
+};
+
+int
+main(void)
+{
+	return suite_run("placing", cases, G_N_ELEMENTS(cases));
+}
