Readers of a region are ranked among the hosts that reach the store

Change: beacons say whether calls to the store are answered; only those hosts are ranked; ranks wait 0.25 s each, 1 s at most. test_fleet failed before it.

--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -149,25 +149,34 @@
 	return f->hosts->len + 1;
 }
 
+static gboolean
+goes_before(const fleet_t *f, const fleet_host_t *h, msec_t now)
+{
+	return fleet_is_heard(h, now) && h->news.ready && h->seed < f->self;
+}
+
 guint
-fleet_region_rank(const fleet_t *f, const char *region, msec_t now)
+fleet_rank(const fleet_t *f, msec_t now)
 {
 	guint i, rank = 0;
 
-	for (i = 0; i < f->hosts->len; i++) {
-		const fleet_host_t *h = g_ptr_array_index(f->hosts, i);
-
-		rank += fleet_is_heard(h, now) && h->news.ready &&
-		    h->seed < f->self &&
-		    (region == NULL || strcmp(h->region, region) == 0);
-	}
+	for (i = 0; i < f->hosts->len; i++)
+		rank += goes_before(f, g_ptr_array_index(f->hosts, i), now);
 	return rank;
 }
 
 guint
-fleet_rank(const fleet_t *f, msec_t now)
+fleet_reader_rank(const fleet_t *f, const char *region, msec_t now)
 {
-	return fleet_region_rank(f, NULL, now);
+	guint i, rank = 0;
+
+	for (i = 0; i < f->hosts->len; i++) {
+		const fleet_host_t *h = g_ptr_array_index(f->hosts, i);
+
+		rank += goes_before(f, h, now) && h->news.reads &&
+		    strcmp(h->region, region) == 0;
+	}
+	return rank;
 }
 
 uint32_t
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -36,6 +36,7 @@
 	uint32_t seq;
 	gboolean ready;
 	gboolean leaving;
+	gboolean reads;	 /* its calls to the store are answered */
 	uint64_t config; /* version of the manifest in force */
 	uint64_t orders; /* version of the orders it has read */
 	GArray *demands; /* fleet_amount_t: workspace, tenths a second */
@@ -117,8 +118,9 @@
  */
 guint fleet_rank(const fleet_t *f, msec_t now);
 
-/** fleet_region_rank() - The same among those of a region. */
-guint fleet_region_rank(const fleet_t *f, const char *region, msec_t now);
+/** fleet_reader_rank() - The same among those of a region that reach the store.
+ */
+guint fleet_reader_rank(const fleet_t *f, const char *region, msec_t now);
 
 /** fleet_amount() - A host's number of a name; 0 if it said none. */
 uint32_t fleet_amount(const GArray *amounts, uint64_t hash);
--- a/src/gateway/beacons.c
+++ b/src/gateway/beacons.c
@@ -39,6 +39,7 @@
 	news.seq = ++b->seq;
 	news.ready = view_is_ready(v);
 	news.leaving = v->leaving;
+	news.reads = sources_answered(b->sources);
 	news.config =
 	    v->admission.manifest != NULL ? v->admission.manifest->version : 0;
 	news.orders = v->orders_ver;
--- a/src/gateway/sources.c
+++ b/src/gateway/sources.c
@@ -21,8 +21,8 @@
 #define CHANGED_MS 300
 /* The next host in rank reads if nothing came for so much longer, and each
  * further one. */
-#define RANK_MS 350
-#define RANK_MAX 8
+#define RANK_MS 250
+#define RANK_MAX 4
 /* After a call that failed; doubled by each further one. */
 #define RETRY_MS 150
 #define RETRY_MAX_MS 1000
@@ -388,7 +388,7 @@
 {
 	const view_t *v = src->all->view;
 	guint rank = view_is_ready(v)
-	    ? fleet_region_rank(&v->fleet, v->settings->region, now)
+	    ? fleet_reader_rank(&v->fleet, v->settings->region, now)
 	    : 0;
 
 	if (rank == 0)
@@ -596,6 +596,18 @@
 		schedule(s->join_timer, RETRY_MS / 3);
 }
 
+gboolean
+sources_answered(const sources_t *s)
+{
+	int i;
+
+	for (i = 0; i < SOURCES; i++) {
+		if (s->source[i].failures > 0)
+			return FALSE;
+	}
+	return TRUE;
+}
+
 void
 sources_leave(sources_t *s)
 {
--- a/src/gateway/sources.h
+++ b/src/gateway/sources.h
@@ -68,6 +68,9 @@
     sources_t *s, view_t *view, struct event_base *base, http_client_t *http);
 void sources_finish(sources_t *s);
 
+/** sources_answered() - Is every call to the store answered? */
+gboolean sources_answered(const sources_t *s);
+
 /** sources_leave() - Remove this host's row. */
 void sources_leave(sources_t *s);
 
--- a/src/protocol/beacon.c
+++ b/src/protocol/beacon.c
@@ -6,6 +6,9 @@
 #include "protocol/beacon.h"
 
 #define MAC_BYTES 16
+#define FLAG_READY 1
+#define FLAG_LEAVING 2
+#define FLAG_READS 4
 
 static bool_t
 xdr_amounts(XDR *x, GArray *amounts, u_int max)
@@ -72,7 +75,8 @@
 xdr_news(XDR *x, fleet_news_t *n)
 {
 	uint32_t format = PEER_BEACON;
-	uint32_t flags = (n->ready ? 1 : 0) | (n->leaving ? 2 : 0);
+	uint32_t flags = (n->ready ? FLAG_READY : 0) |
+	    (n->leaving ? FLAG_LEAVING : 0) | (n->reads ? FLAG_READS : 0);
 	u_int i;
 
 	if (!xdr_uint32_t(x, &format) || format != PEER_BEACON ||
@@ -83,8 +87,9 @@
 	    !xdr_amounts(x, n->loads, BEACON_LOADS_MAX) ||
 	    !xdr_u_int(x, &n->nshifts) || n->nshifts > FLEET_SHIFTS_MAX)
 		return FALSE;
-	n->ready = (flags & 1) != 0;
-	n->leaving = (flags & 2) != 0;
+	n->ready = (flags & FLAG_READY) != 0;
+	n->leaving = (flags & FLAG_LEAVING) != 0;
+	n->reads = (flags & FLAG_READS) != 0;
 	for (i = 0; i < n->nshifts; i++) {
 		if (!xdr_shift(x, &n->shifts[i]))
 			return FALSE;
--- /dev/null
+++ b/tests/test_fleet.c
@@ -0,0 +1,176 @@
+#include <string.h>
+
+#include "coordination/fleet.h"
+#include "state/registry.h"
+#include "suite.h"
+
+#define NOW 10000
+
+/* A host: name, region, then what it last said and when. */
+typedef struct {
+	const char *name, *region;
+	msec_t heard_at;
+	gboolean ready, leaving, reads;
+} row_t;
+
+static const row_t rows[] = {
+    {"a", "north", NOW - 100, TRUE, FALSE, TRUE},
+    {"b", "north", NOW - 100, TRUE, FALSE, FALSE},
+    {"c", "north", NOW - FLEET_SILENT_MS, TRUE, FALSE, TRUE},
+    {"d", "north", NOW - 100, FALSE, FALSE, TRUE},
+    {"e", "south", NOW - 100, TRUE, FALSE, TRUE},
+    {"f", "south", NOW - 100, TRUE, TRUE, TRUE},
+};
+
+static void
+fleet_of(fleet_t *f, const char *self)
+{
+	size_t i;
+
+	fleet_init(f, self);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *address = g_strdup_printf("10.0.0.%zu:80", i);
+		const fleet_row_t row = {rows[i].name, address, address,
+		    rows[i].region, "d", 1, i + 1};
+		fleet_news_t news;
+
+		fleet_put(f, &row, 0);
+		fleet_news_init(&news);
+		news.host = registry_hash(rows[i].name);
+		news.incarnation = 1;
+		news.seq = 1;
+		news.ready = rows[i].ready;
+		news.leaving = rows[i].leaving;
+		news.reads = rows[i].reads;
+		fleet_hear(f, &news, rows[i].heard_at);
+		fleet_news_finish(&news);
+		g_free(address);
+	}
+}
+
+static void
+test_news(void)
+{
+	static const struct {
+		uint64_t incarnation;
+		uint32_t seq;
+		gboolean taken;
+	} news[] = {{5, 3, TRUE}, {5, 3, FALSE}, {5, 2, FALSE}, {4, 9, FALSE},
+	    {6, 1, TRUE}, {6, 2, TRUE}};
+	const fleet_row_t row = {"a", "1", "2", "north", "d", 1, 1};
+	fleet_t f;
+	size_t i;
+
+	fleet_init(&f, "self");
+	fleet_put(&f, &row, 0);
+	for (i = 0; i < G_N_ELEMENTS(news); i++) {
+		fleet_news_t n;
+
+		fleet_news_init(&n);
+		n.host = registry_hash("a");
+		n.incarnation = news[i].incarnation;
+		n.seq = news[i].seq;
+		ck_assert_int_eq(fleet_hear(&f, &n, 1) != NULL, news[i].taken);
+		fleet_news_finish(&n);
+	}
+	fleet_finish(&f);
+}
+
+/* Among any hosts, each rank is held once, by those that may have it. */
+static void
+test_ranks(void)
+{
+	static const char *const duty[] = {"a", "b", "e", "f"};
+	static const char *const readers[] = {"a", "b"};
+	gboolean taken[8] = {FALSE};
+	guint rank;
+	fleet_t f;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(duty); i++) {
+		fleet_of(&f, duty[i]);
+		rank = fleet_rank(&f, NOW);
+		ck_assert_uint_lt(rank, G_N_ELEMENTS(duty));
+		ck_assert(!taken[rank]);
+		taken[rank] = TRUE;
+		fleet_finish(&f);
+	}
+	/* A host that does not reach the store is in nobody's way. */
+	for (i = 0; i < G_N_ELEMENTS(readers); i++) {
+		fleet_of(&f, readers[i]);
+		rank = fleet_reader_rank(&f, "north", NOW);
+		ck_assert_uint_le(rank, strcmp(readers[i], "b") == 0);
+		fleet_finish(&f);
+	}
+}
+
+static void
+test_lookup(void)
+{
+	static const struct {
+		const char *region;
+		gboolean ready; /* this host, of the north */
+		guint addresses;
+	} asked[] = {
+	    {"north", TRUE, 3},	 /* self, a, b */
+	    {"north", FALSE, 2}, /* a, b */
+	    {"south", TRUE, 1},	 /* e */
+	    {"west", TRUE, 4},	 /* nobody there: self, a, b, e */
+	    {NULL, TRUE, 4},
+	};
+	GPtrArray *out = g_ptr_array_new();
+	fleet_t f;
+	size_t i;
+
+	fleet_of(&f, "self");
+	for (i = 0; i < G_N_ELEMENTS(asked); i++) {
+		const fleet_self_t self = {
+		    "10.0.0.99:80", "north", "d", asked[i].ready};
+
+		g_ptr_array_set_size(out, 0);
+		fleet_lookup(&f, &self, asked[i].region, out, NOW);
+		ck_assert_uint_eq(out->len, asked[i].addresses);
+	}
+	g_ptr_array_free(out, TRUE);
+	fleet_finish(&f);
+}
+
+static void
+test_rows(void)
+{
+	fleet_row_t row = {"a", "1", "2", "north", "d", 1, 5};
+	fleet_t f;
+
+	fleet_init(&f, "self");
+	fleet_put(&f, &row, 0);
+	ck_assert_uint_eq(fleet_size(&f), 2);
+	row.callers = "9";
+	row.row_ver = 4;
+	fleet_put(&f, &row, 0);
+	ck_assert_str_eq(
+	    ((fleet_host_t *)g_ptr_array_index(f.hosts, 0))->callers, "1");
+	row.row_ver = 6;
+	fleet_put(&f, &row, 0);
+	ck_assert_str_eq(
+	    ((fleet_host_t *)g_ptr_array_index(f.hosts, 0))->callers, "9");
+	row.name = "self";
+	fleet_put(&f, &row, 0);
+	ck_assert_uint_eq(fleet_size(&f), 2);
+	fleet_remove(&f, "a");
+	fleet_remove(&f, "b");
+	ck_assert_uint_eq(fleet_size(&f), 1);
+	fleet_finish(&f);
+}
+
+static const suite_case_t cases[] = {
+    {"news replace older ones", test_news},
+    {"ranks for duties and for reading", test_ranks},
+    {"look-ups name hosts that take callers", test_lookup},
+    {"rows", test_rows},
+};
+
+int
+main(void)
+{
+	return suite_run("fleet", cases, G_N_ELEMENTS(cases));
+}
--- a/tests/test_peer_msg.c
+++ b/tests/test_peer_msg.c
@@ -28,6 +28,7 @@
 	n.incarnation = 77;
 	n.seq = 5;
 	n.ready = TRUE;
+	n.reads = TRUE;
 	n.config = 12;
 	n.orders = 13;
 	add(n.demands, "school", 40);
@@ -54,7 +55,7 @@
 	ck_assert(beacon_decode(data, len, &secret, &n));
 	ck_assert(n.host == registry_hash("host-1"));
 	ck_assert_uint_eq(n.incarnation, 77);
-	ck_assert(n.ready && !n.leaving);
+	ck_assert(n.ready && !n.leaving && n.reads);
 	ck_assert_uint_eq(n.orders, 13);
 	ck_assert_uint_eq(fleet_amount(n.demands, registry_hash("school")), 40);
 	ck_assert_uint_eq(fleet_amount(n.loads, registry_hash("i-1")), 3);
