--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -172,6 +172,7 @@
 {
 	if (job->ntried < DISPATCH_TRIES_MAX)
 		job->tried[job->ntried++] = backend_ref(server);
+	job->sent_load = backend_load(server, now);
 	server->own++;
 	server->sent_at = now;
 	shifts_sent(d->shifts, server);
@@ -188,7 +189,7 @@
 	server->own--;
 	switch (result->end) {
 	case DISPATCH_ANSWERED:
-		backend_answered(server, result->took_ms);
+		backend_answered(server, result->took_ms, job->sent_load);
 		sample.failed = result->failed;
 		sample.slow = route->objective_ms > 0 &&
 		    result->took_ms > SLOW_FACTOR * route->objective_ms;
--- a/src/coordination/dispatch.h
+++ b/src/coordination/dispatch.h
@@ -40,6 +40,7 @@
 	uint64_t object; /* hash; of the request's id if it names no object */
 	gboolean by_object;
 	size_t body_bytes;
+	double sent_load; /* at the server of the present try, when sent */
 	backend_t *tried[DISPATCH_TRIES_MAX]; /* references */
 	guint ntried;
 } dispatch_job_t;
--- a/src/coordination/rate_lender.c
+++ b/src/coordination/rate_lender.c
@@ -14,6 +14,11 @@
 /* Least wait of a caller over its rate, and the longest. */
 #define WAIT_MIN_MS 100
 #define WAIT_MAX_MS 2000
+/* A host that has just started finds so much of its part in its buckets: less
+ * than what came in while it was down, or else is left of the tolerance. */
+#define START_MS 500
+/* Until it has heard the others, and so knows its part. */
+#define YOUNG_MS 2000
 #define REGIONS_MAX 16
 
 /* A workspace at this host. */
@@ -21,6 +26,8 @@
 	uint64_t hash; /* of its name */
 	bucket_t bucket;
 	rate_demand_t demand;
+	msec_t made_at;
+	double given; /* largest part of which START_MS were given */
 } limit_entry_t;
 
 void
@@ -31,6 +38,8 @@
 	l->fleet = fleet;
 	l->region = region;
 	l->ready = FALSE;
+	l->young = FALSE;
+	l->first_at = 0;
 	l->limits =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 }
@@ -50,6 +59,7 @@
 		return e;
 	e = g_new0(limit_entry_t, 1);
 	e->hash = workspace;
+	e->made_at = now;
 	bucket_init(&e->bucket, limit_make(0, 0), now);
 	g_hash_table_insert(l->limits, &e->hash, e);
 	return e;
@@ -176,6 +186,20 @@
 	return part * DEPUTY_PART / regions[0].hosts;
 }
 
+/* Tokens for the first requests after a start, once for each part. */
+static void
+give_start(limit_entry_t *e, double rate, double part, msec_t now)
+{
+	limit_t more;
+
+	if (now - e->made_at > YOUNG_MS || part <= e->given)
+		return;
+	more = limit_make(rate * (part - e->given), 0);
+	e->bucket.level =
+	    MIN(e->bucket.level + more.rate * START_MS, e->bucket.limit.burst);
+	e->given = part;
+}
+
 /* A rate and what windows tolerate beyond it. */
 static double
 tolerated(const rate_lender_t *l, double rate)
@@ -195,6 +219,10 @@
 	double rate, part;
 	guint i;
 
+	if (m != NULL && l->first_at == 0)
+		l->first_at = now;
+	l->young = now - l->first_at <= YOUNG_MS;
+
 	for (i = 0; m != NULL && i < m->workspaces->len; i++) {
 		const manifest_workspace_t *w =
 		    g_ptr_array_index(m->workspaces, i);
@@ -208,6 +236,8 @@
 		rate = tolerated(l, w->rate);
 		bucket_set_limit(
 		    &e->bucket, limit_make(rate * part, w->burst * part), now);
+		if (l->young)
+			give_start(e, w->rate, part, now);
 	}
 }
 
--- a/src/coordination/rate_lender.h
+++ b/src/coordination/rate_lender.h
@@ -29,6 +29,8 @@
 	const char *region; /* of this host */
 	GHashTable *limits; /* workspace to its limit here */
 	gboolean ready;	    /* this host may lend */
+	msec_t first_at;    /* of the first manifest; 0: none yet */
+	gboolean young;	    /* that was a moment ago */
 } rate_lender_t;
 
 void rate_lender_init(rate_lender_t *l, const rate_bounds_t *bounds,
--- a/src/coordination/shifts.c
+++ b/src/coordination/shifts.c
@@ -25,6 +25,7 @@
 	msec_t window_at;
 	fleet_shift_t own;
 	gboolean bad; /* found here; no more is sent, whatever the row says */
+	gboolean doubtful; /* so far; the share does not grow */
 
 	msec_t due_since; /* a row is to be written since; 0: none */
 	msec_t written_at;
@@ -89,6 +90,7 @@
 	m->own.service = (uint32_t)registry_hash(m->service);
 	m->own.to = (uint32_t)registry_hash(to);
 	m->bad = FALSE;
+	m->doubtful = FALSE;
 	m->due_since = 0;
 	m->written_at = 0;
 	g_ptr_array_set_size(m->old_versions, 0);
@@ -218,6 +220,8 @@
 		return 0;
 	if (m->row.state == SHIFT_COMPLETED)
 		return SHARE_ONE;
+	if (m->doubtful)
+		store_now = m->row.began;
 	return version_shift_share(
 	    store_now - m->row.began, m->row.duration_ms);
 }
@@ -391,10 +395,14 @@
 static void
 judge_on(shift_t *m, msec_t now)
 {
+	judge_sample_t total;
+
 	if (now - m->window_at < WINDOW_MS)
 		return;
 	m->window_at = now;
 	report(m, "", 0, &m->own);
+	judge_feed_total(&m->feed, &total);
+	m->doubtful = version_shift_doubtful(&total);
 	judge_feed_window(&m->feed, &m->judge);
 	if (judge_verdict(&m->judge) == JUDGE_BAD)
 		m->bad = TRUE;
@@ -443,6 +451,7 @@
 	    .elapsed_ms = store_now - m->row.began,
 	    .duration_ms = m->row.duration_ms,
 	    .verdict = m->bad ? JUDGE_BAD : JUDGE_WAIT,
+	    .doubtful = m->doubtful,
 	};
 
 	count_slots(m, r, &in, now);
--- a/src/coordination/version_shift.c
+++ b/src/coordination/version_shift.c
@@ -9,6 +9,10 @@
 #define COMPLETE_FROM 88
 /* After this the shift ends, also with requests at the old version. */
 #define COMPLETE_LATEST 96
+/* Requests to the new version before it is clear of doubt, and the part of
+ * them that may go wrong beyond the old version's part. */
+#define CLEAR_REQUESTS 3
+#define CLEAR_BAD 0.25
 /* For the next host to act in place of one that has not. */
 #define TAKEOVER_MS 700
 
@@ -30,6 +34,24 @@
 	return SHARE_ONE;
 }
 
+static double
+bad_part(const judge_count_t *c)
+{
+	uint32_t bad = 0;
+	int m;
+
+	for (m = 0; m < JUDGE_METRICS; m++)
+		bad += c->bad[m];
+	return c->requests == 0 ? 0 : (double)bad / c->requests;
+}
+
+gboolean
+version_shift_doubtful(const judge_sample_t *total)
+{
+	return total->fresh.requests >= CLEAR_REQUESTS &&
+	    bad_part(&total->fresh) > bad_part(&total->peer) + CLEAR_BAD;
+}
+
 shift_decision_t
 version_shift_decide(const shift_input_t *in)
 {
@@ -37,14 +59,16 @@
 		return SHIFT_TAKE_BACK;
 	if (before(in->elapsed_ms, in->duration_ms, COMPLETE_FROM))
 		return SHIFT_GO_ON;
-	if (in->fresh_slots * 2 >= in->peer_slots && in->fresh_slots > 0) {
+	if (!in->doubtful && in->fresh_slots * 2 >= in->peer_slots &&
+	    in->fresh_slots > 0) {
 		if (in->old_running == 0 ||
 		    !before(in->elapsed_ms, in->duration_ms, COMPLETE_LATEST))
 			return SHIFT_COMPLETE;
 		return SHIFT_GO_ON;
 	}
-	return before(in->elapsed_ms, in->duration_ms, 100) ? SHIFT_GO_ON
-							    : SHIFT_TAKE_BACK;
+	return before(in->elapsed_ms, in->duration_ms, COMPLETE_LATEST)
+	    ? SHIFT_GO_ON
+	    : SHIFT_TAKE_BACK;
 }
 
 msec_t
--- a/src/coordination/version_shift.h
+++ b/src/coordination/version_shift.h
@@ -36,6 +36,16 @@
  */
 share_t version_shift_share(msec_t elapsed_ms, msec_t duration_ms);
 
+/**
+ * version_shift_doubtful() - Is what was seen of the new version too bad to go
+ * on, though not enough to judge it?
+ * @total: all requests of the move that have ended
+ *
+ * A doubtful move stays at its first share: answers that are missing come to
+ * nothing by waiting, and those of a slow version come late.
+ */
+gboolean version_shift_doubtful(const judge_sample_t *total);
+
 /* What the holder of the duty writes next. */
 typedef enum {
 	SHIFT_GO_ON,
@@ -47,6 +57,7 @@
 	msec_t elapsed_ms;
 	msec_t duration_ms;
 	judge_verdict_t verdict;
+	gboolean doubtful;
 	guint fresh_slots; /* of servers of the new version that are usable */
 	guint peer_slots;  /* of the old one */
 	guint old_running; /* requests at old servers, of all hosts heard */
@@ -56,7 +67,8 @@
  * version_shift_decide() - Judge a running shift.
  * @in: what is known
  *
- * A new version that lacks servers for the load is taken back at the end.
+ * A new version that is doubtful, or lacks servers for the load, is taken back
+ * at the end.
  */
 shift_decision_t version_shift_decide(const shift_input_t *in);
 
--- a/src/gateway/beacons.c
+++ b/src/gateway/beacons.c
@@ -3,10 +3,13 @@
 #include "base/log.h"
 #include "gateway/beacons.h"
 
-/* Hosts of the region are told so often, in milliseconds. */
-#define TELL_MS 500
-/* Those of other regions only each so many times. */
-#define FAR_EVERY 2
+/* How often this host looks whether there is something to tell. */
+#define LOOK_MS 100
+/* Hosts of the region are told each so many times, or when this host's state
+ * has changed; those of other regions half as often. */
+#define NEAR_EVERY 5
+#define FAR_EVERY 10
+#define STATE_UNTOLD 8
 
 static void
 add_loads(const view_t *v, GArray *loads)
@@ -101,15 +104,31 @@
 	}
 }
 
+/* What others go by at once: whether this host takes callers and reads. */
+static guint
+state_of(const beacons_t *b)
+{
+	const view_t *v = b->view;
+
+	return (view_is_ready(v) ? 1 : 0) | (v->leaving ? 2 : 0) |
+	    (sources_answered(b->sources) ? 4 : 0);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	beacons_t *b = arg;
+	guint state = state_of(b);
+	gboolean changed = state != b->state;
 
 	(void)fd;
 	(void)what;
+	b->looks++;
+	b->state = state;
+	if (!changed && b->looks % NEAR_EVERY != 0)
+		return;
 	sum_loads(b->view);
-	tell(b, b->seq % FAR_EVERY == 0);
+	tell(b, changed || b->looks % FAR_EVERY == 0);
 }
 
 static void
@@ -142,10 +161,13 @@
 	fleet_news_finish(&news);
 	if (h == NULL)
 		return;
-	if (!was_heard)
+	if (!was_heard) {
 		log_event(LOG_INFO, "host.heard", "host", h->name,
 		    "incarnation", log_num((long long)h->news.incarnation),
 		    NULL);
+		/* It has heard nobody yet: tell it with the next look. */
+		b->state = STATE_UNTOLD;
+	}
 	shifts_hear(&b->view->shifts, h);
 	sources_nudge(b->sources, h->news.orders);
 }
@@ -213,7 +235,7 @@
 beacons_init(beacons_t *b, view_t *view, sources_t *sources,
     struct event_base *base, GError **err)
 {
-	const struct timeval period = {0, TELL_MS * 1000};
+	const struct timeval period = {0, LOOK_MS * 1000};
 
 	memset(b, 0, sizeof(*b));
 	b->view = view;
--- a/src/gateway/beacons.h
+++ b/src/gateway/beacons.h
@@ -19,6 +19,8 @@
 	tokens_t tokens;
 	struct event *timer;
 	uint32_t seq;
+	guint looks;	  /* of the timer */
+	guint state;	  /* that was told last */
 	uint64_t refused; /* datagrams that were no beacons */
 } beacons_t;
 
--- a/src/state/judge_feed.c
+++ b/src/state/judge_feed.c
@@ -71,6 +71,38 @@
 	}
 }
 
+static void
+add_count(judge_count_t *to, const judge_count_t *from)
+{
+	int m;
+
+	to->requests += from->requests;
+	for (m = 0; m < JUDGE_METRICS; m++)
+		to->bad[m] += from->bad[m];
+}
+
+void
+judge_feed_total(const judge_feed_t *f, judge_sample_t *total)
+{
+	GHashTableIter it;
+	gpointer value;
+	unsigned int r;
+	int b;
+
+	memset(total, 0, sizeof(*total));
+	g_hash_table_iter_init(&it, f->sources);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const judge_source_t *s = value;
+
+		for (r = 0; r < f->routes; r++) {
+			for (b = 0; b < JUDGE_BANDS; b++) {
+				add_count(&total->fresh, &s->total[r][b].fresh);
+				add_count(&total->peer, &s->total[r][b].peer);
+			}
+		}
+	}
+}
+
 void
 judge_feed_window(judge_feed_t *f, judge_t *j)
 {
--- a/src/state/judge_feed.h
+++ b/src/state/judge_feed.h
@@ -41,6 +41,9 @@
 void judge_feed_report(judge_feed_t *f, const char *host, uint64_t incarnation,
     const judge_sample_t (*total)[JUDGE_BANDS]);
 
+/** judge_feed_total() - All that was reported since the beginning. */
+void judge_feed_total(const judge_feed_t *f, judge_sample_t *total);
+
 /** judge_feed_window() - Close the window and let it be judged. */
 void judge_feed_window(judge_feed_t *f, judge_t *j);
 
--- a/src/state/placing.c
+++ b/src/state/placing.c
@@ -83,23 +83,46 @@
 	return MAX(MAX(wait, b->full_until - now), WAIT_MIN_MS);
 }
 
+/* Requests at all servers, for each slot. */
+static double
+load_of(const placing_candidate_t *c, guint n)
+{
+	double load = 0, slots = 0;
+	guint i;
+
+	for (i = 0; i < n; i++) {
+		load += c[i].load;
+		slots += c[i].server->slots;
+	}
+	return load / slots;
+}
+
+/* Which servers are walked through. */
+typedef enum {
+	RANGE_ALL,
+	RANGE_NEAR,
+	RANGE_FAR,
+} range_t;
+
 /* Return: the first that has room, or NULL. */
 static placing_candidate_t *
 walk(const placing_request_t *request, placing_candidate_t *c, guint n,
-    gboolean near_only, msec_t now)
+    range_t range, msec_t now)
 {
+	double spill =
+	    load_of(c, n) < PLACING_SPILL_LOAD ? PLACING_SPILL_DEPTH : 0;
 	gboolean first = TRUE;
 	double depth;
 	guint i;
 
 	for (i = 0; i < n; i++) {
-		if (near_only && !c[i].near)
+		if ((range == RANGE_NEAR && !c[i].near) ||
+		    (range == RANGE_FAR && c[i].near))
 			continue;
 		/* One that is cold and spent is left out of the ranks. */
 		if (c[i].spent)
 			continue;
-		depth = first || !request->by_object ? PLACING_DEPTH
-						     : PLACING_SPILL_DEPTH;
+		depth = first || !request->by_object ? PLACING_DEPTH : spill;
 		if (has_room(&c[i], depth, now))
 			return &c[i];
 		first = FALSE;
@@ -118,9 +141,10 @@
 		return p;
 	rank(request, candidates, n);
 	if (request->stay_near)
-		c = walk(request, candidates, n, TRUE, now);
+		c = walk(request, candidates, n, RANGE_NEAR, now);
 	if (c == NULL)
-		c = walk(request, candidates, n, FALSE, now);
+		c = walk(request, candidates, n,
+		    request->stay_near ? RANGE_FAR : RANGE_ALL, now);
 	if (c == NULL) {
 		p.verdict = PLACING_FULL;
 		p.wait_ms = wait_of(&candidates[0], now);
--- a/src/state/placing.h
+++ b/src/state/placing.h
@@ -12,13 +12,18 @@
  * talking, and a server that goes moves only its own objects. Under heavy
  * load a request that is spilled to another server runs cold there, takes the
  * time of three warm ones and evicts an object; it is refused instead. Spills
- * are for times with room: the next server in rank must be nearly idle.
+ * are for times with room: the whole service must be half idle, the next in
+ * rank nearly idle.
  */
 
-/* Requests that are let wait at the first server, for each slot. */
-#define PLACING_DEPTH 2.0
-/* The same at a server that is not the object's own. */
+/* Requests that are let be at the first server, for each slot: they run warm,
+ * so those who wait are still answered soon. A server queues about as many
+ * more and turns the rest away. */
+#define PLACING_DEPTH 3.0
+/* The same at a server that is not the object's own, and only while the whole
+ * service has less than this for each slot. */
 #define PLACING_SPILL_DEPTH 0.4
+#define PLACING_SPILL_LOAD 0.7
 /* Bodies of this size stay in their region while it has room. */
 #define PLACING_LARGE_BYTES 16384
 /* A server turned a request away: as long as a slot needs to become free. */
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -292,14 +292,17 @@
 }
 
 void
-backend_answered(backend_t *b, msec_t took_ms)
+backend_answered(backend_t *b, msec_t took_ms, double load)
 {
+	/* Those before it had to end first, as many at once as it has slots. */
+	double sample = (double)took_ms / MAX(1, (load + 1) / b->slots);
+
 	b->failures = 0;
 	b->out_until = 0;
 	if (b->service_ms <= 0)
-		b->service_ms = (double)took_ms;
+		b->service_ms = sample;
 	else
-		b->service_ms += SMOOTHING * ((double)took_ms - b->service_ms);
+		b->service_ms += SMOOTHING * (sample - b->service_ms);
 }
 
 gboolean
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -156,8 +156,13 @@
 /** backend_failed() - A request did not come back whole; may eject it. */
 void backend_failed(backend_t *b, gboolean unreachable, msec_t now);
 
-/** backend_answered() - A request came back. */
-void backend_answered(backend_t *b, msec_t took_ms);
+/**
+ * backend_answered() - A request came back.
+ * @b: the server
+ * @took_ms: since it was sent
+ * @load: requests there when it was sent
+ */
+void backend_answered(backend_t *b, msec_t took_ms, double load);
 
 /**
  * backend_usable() - May a request be sent there, as far as it is known?
