--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -23,9 +23,10 @@
 
 /* One host's totals of a move since it began. */
 typedef struct {
-	uint32_t service;     /* hash of its name */
-	uint32_t to;	      /* hash of the new version */
-	uint32_t old_running; /* requests at servers of other versions */
+	uint32_t service;	/* hash of its name */
+	uint32_t to;		/* hash of the new version */
+	uint32_t old_running;	/* requests at servers of other versions */
+	uint32_t fresh_running; /* and at those of the new one */
 	judge_sample_t routes[FLEET_SHIFT_ROUTES];
 } fleet_shift_t;
 
--- a/src/coordination/shifts.c
+++ b/src/coordination/shifts.c
@@ -24,8 +24,8 @@
 	judge_feed_t feed;
 	msec_t window_at;
 	fleet_shift_t own;
-	gboolean bad; /* found here; no more is sent, whatever the row says */
-	gboolean doubtful; /* so far; the share does not grow */
+	gboolean bad;	/* found here; no more is sent, whatever the row says */
+	gboolean clear; /* seen to be good: the share may grow */
 
 	msec_t due_since; /* a row is to be written since; 0: none */
 	msec_t written_at;
@@ -90,7 +90,7 @@
 	m->own.service = (uint32_t)registry_hash(m->service);
 	m->own.to = (uint32_t)registry_hash(to);
 	m->bad = FALSE;
-	m->doubtful = FALSE;
+	m->clear = FALSE;
 	m->due_since = 0;
 	m->written_at = 0;
 	g_ptr_array_set_size(m->old_versions, 0);
@@ -220,7 +220,7 @@
 		return 0;
 	if (m->row.state == SHIFT_COMPLETED)
 		return SHARE_ONE;
-	if (m->doubtful)
+	if (!m->clear)
 		store_now = m->row.began;
 	return version_shift_share(
 	    store_now - m->row.began, m->row.duration_ms);
@@ -297,26 +297,35 @@
 	return strcmp(b->version, m->row.to) == 0;
 }
 
+/* Where requests at a server are counted, or NULL. */
+static uint32_t *
+running_count(shift_t *m, const backend_t *b)
+{
+	if (m == NULL || target(m) == NULL)
+		return NULL;
+	return strcmp(b->version, target(m)) == 0 ? &m->own.fresh_running
+						  : &m->own.old_running;
+}
+
 void
 shifts_sent(shifts_t *s, const backend_t *b)
 {
-	shift_t *m = find(s, b->service->name);
+	uint32_t *n = running_count(find(s, b->service->name), b);
 
-	if (m != NULL && target(m) != NULL &&
-	    strcmp(b->version, target(m)) != 0)
-		m->own.old_running++;
+	if (n != NULL)
+		(*n)++;
 }
 
 void
 shifts_ended(shifts_t *s, const backend_t *b, const shift_sample_t *sample)
 {
 	shift_t *m = find(s, b->service->name);
+	uint32_t *n = running_count(m, b);
 	judge_sample_t *cell;
 	judge_count_t *count;
 
-	if (m != NULL && target(m) != NULL &&
-	    strcmp(b->version, target(m)) != 0 && m->own.old_running > 0)
-		m->own.old_running--;
+	if (n != NULL && *n > 0)
+		(*n)--;
 	m = running(s, b);
 	if (m == NULL || sample == NULL)
 		return;
@@ -393,16 +402,39 @@
 }
 
 static void
-judge_on(shift_t *m, msec_t now)
+sum_running(
+    const shift_t *m, const fleet_t *f, msec_t now, guint *old, guint *fresh)
+{
+	const fleet_shift_t *told;
+	guint i;
+
+	*old = m->own.old_running;
+	*fresh = m->own.fresh_running;
+	for (i = 0; i < f->hosts->len; i++) {
+		const fleet_host_t *h = g_ptr_array_index(f->hosts, i);
+
+		told = fleet_is_heard(h, now) ? told_by(h, m) : NULL;
+		if (told != NULL) {
+			*old += told->old_running;
+			*fresh += told->fresh_running;
+		}
+	}
+}
+
+static void
+judge_on(shift_t *m, const fleet_t *f, msec_t now, msec_t store_now)
 {
-	judge_sample_t total;
+	shift_seen_t seen;
+	guint old;
 
 	if (now - m->window_at < WINDOW_MS)
 		return;
 	m->window_at = now;
 	report(m, "", 0, &m->own);
-	judge_feed_total(&m->feed, &total);
-	m->doubtful = version_shift_doubtful(&total);
+	judge_feed_total(&m->feed, &seen.total);
+	sum_running(m, f, now, &old, &seen.fresh_running);
+	m->clear = version_shift_clear(
+	    &seen, store_now - m->row.began, m->row.duration_ms);
 	judge_feed_window(&m->feed, &m->judge);
 	if (judge_verdict(&m->judge) == JUDGE_BAD)
 		m->bad = TRUE;
@@ -427,22 +459,6 @@
 	}
 }
 
-static guint
-running_at_old(const shift_t *m, const fleet_t *f, msec_t now)
-{
-	const fleet_shift_t *told;
-	guint i, n = m->own.old_running;
-
-	for (i = 0; i < f->hosts->len; i++) {
-		const fleet_host_t *h = g_ptr_array_index(f->hosts, i);
-
-		told = fleet_is_heard(h, now) ? told_by(h, m) : NULL;
-		if (told != NULL)
-			n += told->old_running;
-	}
-	return n;
-}
-
 static shift_decision_t
 decide(const shift_t *m, const registry_t *r, const fleet_t *f, msec_t now,
     msec_t store_now)
@@ -451,11 +467,12 @@
 	    .elapsed_ms = store_now - m->row.began,
 	    .duration_ms = m->row.duration_ms,
 	    .verdict = m->bad ? JUDGE_BAD : JUDGE_WAIT,
-	    .doubtful = m->doubtful,
+	    .clear = m->clear,
 	};
+	guint fresh_running;
 
 	count_slots(m, r, &in, now);
-	in.old_running = running_at_old(m, f, now);
+	sum_running(m, f, now, &in.old_running, &fresh_running);
 	return version_shift_decide(&in);
 }
 
@@ -503,7 +520,7 @@
 
 		memset(&write, 0, sizeof(write));
 		if (!is_over(m) && row_holds(m))
-			judge_on(m, now);
+			judge_on(m, f, now, store_now);
 		if (!next_row(m, r, f, now, store_now, &write.row)) {
 			m->due_since = 0;
 			continue;
--- a/src/coordination/version_shift.c
+++ b/src/coordination/version_shift.c
@@ -9,9 +9,9 @@
 #define COMPLETE_FROM 88
 /* After this the shift ends, also with requests at the old version. */
 #define COMPLETE_LATEST 96
-/* Requests to the new version before it is clear of doubt, and the part of
- * them that may go wrong beyond the old version's part. */
-#define CLEAR_REQUESTS 3
+/* Good answers of the new version after which its share may grow, and the part
+ * of all its answers that may be bad beyond the old version's part. */
+#define CLEAR_GOOD 3
 #define CLEAR_BAD 0.25
 /* For the next host to act in place of one that has not. */
 #define TAKEOVER_MS 700
@@ -45,11 +45,27 @@
 	return c->requests == 0 ? 0 : (double)bad / c->requests;
 }
 
+static uint32_t
+good_of(const judge_count_t *c)
+{
+	uint32_t bad = 0;
+	int m;
+
+	for (m = 0; m < JUDGE_METRICS; m++)
+		bad += c->bad[m];
+	return c->requests > bad ? c->requests - bad : 0;
+}
+
 gboolean
-version_shift_doubtful(const judge_sample_t *total)
+version_shift_clear(
+    const shift_seen_t *seen, msec_t elapsed_ms, msec_t duration_ms)
 {
-	return total->fresh.requests >= CLEAR_REQUESTS &&
-	    bad_part(&total->fresh) > bad_part(&total->peer) + CLEAR_BAD;
+	const judge_count_t *fresh = &seen->total.fresh;
+
+	if (fresh->requests == 0 && seen->fresh_running == 0)
+		return !before(elapsed_ms, duration_ms, THIRD_UNTIL);
+	return good_of(fresh) >= CLEAR_GOOD &&
+	    bad_part(fresh) <= bad_part(&seen->total.peer) + CLEAR_BAD;
 }
 
 shift_decision_t
@@ -59,7 +75,7 @@
 		return SHIFT_TAKE_BACK;
 	if (before(in->elapsed_ms, in->duration_ms, COMPLETE_FROM))
 		return SHIFT_GO_ON;
-	if (!in->doubtful && in->fresh_slots * 2 >= in->peer_slots &&
+	if (in->clear && in->fresh_slots * 2 >= in->peer_slots &&
 	    in->fresh_slots > 0) {
 		if (in->old_running == 0 ||
 		    !before(in->elapsed_ms, in->duration_ms, COMPLETE_LATEST))
--- a/src/coordination/version_shift.h
+++ b/src/coordination/version_shift.h
@@ -36,15 +36,24 @@
  */
 share_t version_shift_share(msec_t elapsed_ms, msec_t duration_ms);
 
+/* What was seen of the new version so far, by all hosts that are heard. */
+typedef struct {
+	judge_sample_t total; /* requests of the move that have ended */
+	guint fresh_running;  /* at servers of the new version */
+} shift_seen_t;
+
 /**
- * version_shift_doubtful() - Is what was seen of the new version too bad to go
- * on, though not enough to judge it?
- * @total: all requests of the move that have ended
+ * version_shift_clear() - Was enough good seen of the new version to go on?
+ * @seen: what was seen
+ * @elapsed_ms: since the start
+ * @duration_ms: in which the shift is to be done
  *
- * A doubtful move stays at its first share: answers that are missing come to
- * nothing by waiting, and those of a slow version come late.
+ * Until then a move stays at its first share. What is missing does not count
+ * as good: a slow version's answers come late, and hosts that start anew have
+ * lost what they saw. A service without requests goes on by time.
  */
-gboolean version_shift_doubtful(const judge_sample_t *total);
+gboolean version_shift_clear(
+    const shift_seen_t *seen, msec_t elapsed_ms, msec_t duration_ms);
 
 /* What the holder of the duty writes next. */
 typedef enum {
@@ -57,7 +66,7 @@
 	msec_t elapsed_ms;
 	msec_t duration_ms;
 	judge_verdict_t verdict;
-	gboolean doubtful;
+	gboolean clear;
 	guint fresh_slots; /* of servers of the new version that are usable */
 	guint peer_slots;  /* of the old one */
 	guint old_running; /* requests at old servers, of all hosts heard */
@@ -67,8 +76,8 @@
  * version_shift_decide() - Judge a running shift.
  * @in: what is known
  *
- * A new version that is doubtful, or lacks servers for the load, is taken back
- * at the end.
+ * A new version that was not seen to be good, or lacks servers for the load, is
+ * taken back at the end.
  */
 shift_decision_t version_shift_decide(const shift_input_t *in);
 
--- a/src/gateway/sources.c
+++ b/src/gateway/sources.c
@@ -3,6 +3,7 @@
 #include <sodium.h>
 
 #include "base/log.h"
+#include "coordination/reader_pace.h"
 #include "gateway/sources.h"
 #include "platform/wire_entries.h"
 #include "protocol/fleet_rows.h"
@@ -17,12 +18,6 @@
 #define FLEET_WAIT_MS 5600
 #define ORDERS_EVERY_MS 200
 #define ORDERS_WAIT_MS 20000
-/* After a call that brought changes the next one may begin so soon. */
-#define CHANGED_MS 300
-/* The next host in rank reads if nothing came for so much longer, and each
- * further one. */
-#define RANK_MS 250
-#define RANK_MAX 4
 /* After a call that failed; doubled by each further one. */
 #define RETRY_MS 150
 #define RETRY_MAX_MS 1000
@@ -382,22 +377,22 @@
 		v->servers_at = src->called_at;
 }
 
-/* The first of the region reads; the others only if it does not. */
 static msec_t
 shared_next_in(const source_t *src, msec_t now)
 {
 	const view_t *v = src->all->view;
-	guint rank = view_is_ready(v)
-	    ? fleet_reader_rank(&v->fleet, v->settings->region, now)
-	    : 0;
+	const reader_state_t state = {
+	    .rank = view_is_ready(v)
+		? fleet_reader_rank(&v->fleet, v->settings->region, now)
+		: 0,
+	    .asked_at = src->asked_at,
+	    .answered_at = src->answered_at,
+	    .brought = src->brought,
+	    .fresh_at = src->fresh_at,
+	};
 
-	if (rank == 0)
-		return src->brought
-		    ? CHANGED_MS
-		    : MAX(src->called_at + tables[src->kind].every_ms - now, 0);
-	return MAX(src->fresh_at + tables[src->kind].every_ms +
-		(msec_t)MIN(rank, RANK_MAX) * RANK_MS - now,
-	    0);
+	return MAX(
+	    reader_pace_next(&state, tables[src->kind].every_ms) - now, 0);
 }
 
 static msec_t
@@ -459,6 +454,7 @@
 	const char *table = tables[src->kind].table;
 
 	src->called_at = clock_now();
+	src->asked_at = src->called_at;
 	src->reading = !src->whole;
 	if (src->reading) {
 		if (src->from == NULL)
@@ -692,6 +688,12 @@
 	(void)fd;
 	(void)what;
 	registry_expire(&v->registry, now);
+	/* Ranks change: the first one that is left reads at once. */
+	for (i = 0; i < SOURCES; i++) {
+		if (tables[i].shared && s->source[i].call == NULL &&
+		    s->source[i].whole && s->source[i].failures == 0)
+			schedule(s->source[i].timer, next_in(&s->source[i]));
+	}
 	v->rates.ready = view_is_ready(v);
 	rate_lender_tick(&v->rates, v->admission.manifest, now);
 	if (view_is_ready(v))
--- a/src/gateway/sources.h
+++ b/src/gateway/sources.h
@@ -37,7 +37,8 @@
 	table_call_t *call; /* under way, or NULL */
 	GPtrArray *changed; /* table_row_t, to be passed on */
 	struct event *timer;
-	msec_t called_at;
+	msec_t called_at; /* last call, or news of one by another host */
+	msec_t asked_at;  /* last call of this host */
 	msec_t answered_at;
 	msec_t fresh_at; /* its changes were last read or passed on */
 	guint failures;	 /* one after the other */
--- a/src/protocol/beacon.c
+++ b/src/protocol/beacon.c
@@ -60,7 +60,8 @@
 			mask |= UINT32_C(1) << i;
 	}
 	if (!xdr_uint32_t(x, &s->service) || !xdr_uint32_t(x, &s->to) ||
-	    !xdr_uint32_t(x, &s->old_running) || !xdr_uint32_t(x, &mask))
+	    !xdr_uint32_t(x, &s->old_running) ||
+	    !xdr_uint32_t(x, &s->fresh_running) || !xdr_uint32_t(x, &mask))
 		return FALSE;
 	for (i = 0; i < FLEET_SHIFT_ROUTES; i++) {
 		if ((mask >> i & 1) != 0 &&
--- a/tests/test_shifts.c
+++ b/tests/test_shifts.c
@@ -32,6 +32,7 @@
 	double errors;	    /* of the old version */
 	int dead;	    /* a host that stops in the middle; -1: none */
 	shift_state_t end;
+	msec_t herd_at; /* all hosts but the first start anew; 0: never */
 } play_t;
 
 typedef struct {
@@ -39,6 +40,7 @@
 	fleet_t fleet;
 	shifts_t shifts;
 	uint32_t seq;
+	uint64_t incarnation;
 } player_t;
 
 /* A request whose answer is late. */
@@ -81,6 +83,7 @@
 		registry_init(&p->registry, w->regions);
 		fleet_init(&p->fleet, name);
 		shifts_init(&p->shifts);
+		p->incarnation = 1;
 		for (i = 0; i < HOSTS; i++) {
 			char other[16];
 			const fleet_row_t row = {other, "1.1.1.1:1",
@@ -144,7 +147,7 @@
 			continue;
 		fleet_news_init(&news);
 		news.host = p->fleet.self;
-		news.incarnation = 1;
+		news.incarnation = p->incarnation;
 		news.seq = p->seq;
 		news.ready = TRUE;
 		shifts_tell(&p->shifts, &news);
@@ -245,6 +248,30 @@
 		w->bad_at = now;
 }
 
+/* What these hosts have counted and judged is lost. */
+static void
+restart_hosts(world_t *w, msec_t now)
+{
+	GHashTableIter it;
+	gpointer server;
+	guint h;
+
+	g_array_set_size(w->pending, 0);
+	for (h = 1; h < HOSTS; h++) {
+		player_t *p = &w->players[h];
+
+		shifts_finish(&p->shifts);
+		shifts_init(&p->shifts);
+		p->incarnation++;
+		p->seq = 0;
+		g_hash_table_iter_init(&it, p->registry.servers);
+		while (g_hash_table_iter_next(&it, NULL, &server))
+			shifts_saw(&p->shifts, server, TRUE, now);
+		shifts_order(&p->shifts, "clips", "v2", w->play->duration_ms);
+		shifts_take_row(&p->shifts, "clips", &w->row, w->row_ver);
+	}
+}
+
 static void
 end_late(world_t *w, msec_t now)
 {
@@ -282,6 +309,8 @@
 				tick(&w, h, now);
 		}
 		end_late(&w, now);
+		if (now == p->herd_at)
+			restart_hosts(&w, now);
 		due = p->rate * STEP_MS / MSEC_PER_SEC;
 		n = (guint)due + (g_rand_double(w.rand) < due - (guint)due);
 		for (i = 0; i < n; i++)
@@ -301,22 +330,31 @@
 }
 
 static const play_t plays[] = {
-    {"good", 16000, 60, 0, 0, -1, 0, 0.001, -1, SHIFT_COMPLETED},
-    {"good, short", 12000, 60, 0, 0, -1, 0, 0.001, -1, SHIFT_COMPLETED},
+    {"good", 16000, 60, 0, 0, -1, 0, 0.001, -1, SHIFT_COMPLETED, 0},
+    {"good, short", 12000, 60, 0, 0, -1, 0, 0.001, -1, SHIFT_COMPLETED, 0},
     {"good, its duty's host dies", 16000, 60, 0, 0, -1, 0, 0.001, 0,
-	SHIFT_COMPLETED},
+	SHIFT_COMPLETED, 0},
     {"good where all fail alike", 16000, 60, 0.1, 0, -1, 0, 0.1, -1,
-	SHIFT_COMPLETED},
-    {"bad at once", 16000, 60, 0.5, 0, -1, 0, 0.001, -1, SHIFT_ROLLED_BACK},
+	SHIFT_COMPLETED, 0},
+    {"bad at once", 16000, 60, 0.5, 0, -1, 0, 0.001, -1, SHIFT_ROLLED_BACK, 0},
     {"bad at once, many requests", 16000, 1300, 0.5, 0, -1, 0, 0.001, -1,
-	SHIFT_ROLLED_BACK},
+	SHIFT_ROLLED_BACK, 0},
     {"slow, few requests", 10000, 25, 1, 0, -1, 2500, 0.001, -1,
-	SHIFT_ROLLED_BACK},
-    {"slow", 16000, 60, 1, 0, -1, 2500, 0.001, -1, SHIFT_ROLLED_BACK},
-    {"bad later", 16000, 60, 0.5, 4000, -1, 0, 0.001, -1, SHIFT_ROLLED_BACK},
-    {"bad on one route", 16000, 60, 0.5, 0, 1, 0, 0.001, -1, SHIFT_ROLLED_BACK},
+	SHIFT_ROLLED_BACK, 0},
+    {"slow", 16000, 60, 1, 0, -1, 2500, 0.001, -1, SHIFT_ROLLED_BACK, 0},
+    {"bad later", 16000, 60, 0.5, 4000, -1, 0, 0.001, -1, SHIFT_ROLLED_BACK, 0},
+    {"bad on one route", 16000, 60, 0.5, 0, 1, 0, 0.001, -1, SHIFT_ROLLED_BACK,
+	0},
     {"bad, its duty's host dies", 16000, 60, 0.5, 5000, -1, 0, 0.001, 0,
-	SHIFT_ROLLED_BACK},
+	SHIFT_ROLLED_BACK, 0},
+    {"good, most hosts start anew", 16000, 60, 0, 0, -1, 0, 0.001, -1,
+	SHIFT_COMPLETED, 5000},
+    {"slow, most hosts start anew", 10000, 25, 1, 0, -1, 2500, 0.001, -1,
+	SHIFT_ROLLED_BACK, 2500},
+    {"bad, most hosts start anew", 16000, 60, 0.5, 0, -1, 0, 0.001, -1,
+	SHIFT_ROLLED_BACK, 1000},
+    {"good, hardly any requests", 16000, 7, 0, 0, -1, 0, 0.001, -1,
+	SHIFT_COMPLETED, 0},
 };
 
 static void
