--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -5,8 +5,11 @@
 /* A server of which a domain's state tells that it may be cold: by then its
  * next entry says whether it is. */
 #define COOL_MS 3000
-/* An answer is slow for the judgement beyond so many times the objective. */
-#define SLOW_FACTOR 4
+/* An answer is slow for the judgement beyond so many times the objective. A
+ * new server that is still cold is given more: it takes twice the time of one
+ * that only does not know the object. */
+#define SLOW_FACTOR 2.5
+#define SLOW_FACTOR_COLD 5.0
 
 void
 dispatch_init(dispatch_t *d, const registry_t *registry, const fleet_t *fleet,
@@ -178,6 +181,17 @@
 	shifts_sent(d->shifts, server);
 }
 
+static gboolean
+is_slow(const manifest_route_t *route, const backend_t *server, msec_t took_ms,
+    msec_t now)
+{
+	double factor =
+	    backend_is_cold(server, now) ? SLOW_FACTOR_COLD : SLOW_FACTOR;
+
+	return route->objective_ms > 0 &&
+	    (double)took_ms > factor * (double)route->objective_ms;
+}
+
 void
 dispatch_ended(dispatch_t *d, const dispatch_job_t *job, backend_t *server,
     const dispatch_result_t *result, msec_t now)
@@ -191,8 +205,7 @@
 	case DISPATCH_ANSWERED:
 		backend_answered(server, result->took_ms, job->sent_load);
 		sample.failed = result->failed;
-		sample.slow = route->objective_ms > 0 &&
-		    result->took_ms > SLOW_FACTOR * route->objective_ms;
+		sample.slow = is_slow(route, server, result->took_ms, now);
 		break;
 	case DISPATCH_FULL:
 		server->full_until = now + PLACING_FULL_MS;
--- a/src/coordination/version_shift.c
+++ b/src/coordination/version_shift.c
@@ -12,7 +12,7 @@
 /* Good answers of the new version after which its share may grow, and the part
  * of all its answers that may be bad beyond the old version's part. */
 #define CLEAR_GOOD 3
-#define CLEAR_BAD 0.25
+#define CLEAR_BAD 0.15
 /* For the next host to act in place of one that has not. */
 #define TAKEOVER_MS 700
 
