--- a/src/gateway/sources.c
+++ b/src/gateway/sources.c
@@ -112,7 +112,10 @@
 	GError *err = NULL;
 	order_t order;
 
-	v->orders_ver = MAX(v->orders_ver, row->ver);
+	/* A row that a whole reading lacks bears the reading's version, which
+	 * no order has: peers would ask for it in vain. */
+	if (row->value != NULL)
+		v->orders_ver = MAX(v->orders_ver, row->ver);
 	if (!wire_order_decode(row, &order, &err)) {
 		log_bad_row(row, err);
 		return;
