--- a/src/coordination/version_shift.c
+++ b/src/coordination/version_shift.c
@@ -10,9 +10,14 @@
 /* After this the shift ends, also with requests at the old version. */
 #define COMPLETE_LATEST 96
 /* Good answers of the new version after which its share may grow, and the part
- * of all its answers that may be bad beyond the old version's part. */
-#define CLEAR_GOOD 3
+ * of all its answers that may be bad beyond the old version's part. Bad ones
+ * often come last, as time-outs. */
+#define CLEAR_GOOD 8
 #define CLEAR_BAD 0.15
+/* Of a quiet service, fewer: one that has no more requests than this in the
+ * whole time. */
+#define QUIET_GOOD 3
+#define QUIET_REQUESTS 120
 /* For the next host to act in place of one that has not. */
 #define TAKEOVER_MS 700
 
@@ -56,16 +61,30 @@
 	return c->requests > bad ? c->requests - bad : 0;
 }
 
+static gboolean
+is_quiet(const shift_seen_t *seen, msec_t elapsed_ms, msec_t duration_ms)
+{
+	double requests =
+	    seen->total.fresh.requests + seen->total.peer.requests;
+
+	return elapsed_ms > 0 &&
+	    requests / (double)elapsed_ms * (double)duration_ms <=
+	    QUIET_REQUESTS;
+}
+
 gboolean
 version_shift_clear(
     const shift_seen_t *seen, msec_t elapsed_ms, msec_t duration_ms)
 {
 	const judge_count_t *fresh = &seen->total.fresh;
+	uint32_t good = good_of(fresh);
 
 	if (fresh->requests == 0 && seen->fresh_running == 0)
 		return !before(elapsed_ms, duration_ms, THIRD_UNTIL);
-	return good_of(fresh) >= CLEAR_GOOD &&
-	    bad_part(fresh) <= bad_part(&seen->total.peer) + CLEAR_BAD;
+	if (bad_part(fresh) > bad_part(&seen->total.peer) + CLEAR_BAD)
+		return FALSE;
+	return good >= CLEAR_GOOD ||
+	    (good >= QUIET_GOOD && is_quiet(seen, elapsed_ms, duration_ms));
 }
 
 shift_decision_t
