--- a/src/gateway/sources.c
+++ b/src/gateway/sources.c
@@ -1,10 +1,10 @@
 #include <string.h>
 
-#include <sodium.h>
-
 #include "base/log.h"
 #include "coordination/reader_pace.h"
 #include "gateway/sources.h"
+#include "gateway/sources_rows.h"
+#include "gateway/sources_write.h"
 #include "platform/wire_entries.h"
 #include "protocol/fleet_rows.h"
 
@@ -52,124 +52,6 @@
 	event_add(timer, &tv);
 }
 
-static void
-log_bad_row(const table_row_t *row, GError *err)
-{
-	log_event(LOG_WARN, "row.refused", "key", row->key, "row_version",
-	    log_num((long long)row->ver), "error", err->message, NULL);
-	g_error_free(err);
-}
-
-/* ---- orders ---- */
-
-static void
-take_manifest(view_t *v, const order_t *order, const table_row_t *row)
-{
-	manifest_t *m = order->u.manifest;
-	gboolean ok;
-
-	if (order->removed) {
-		log_event(LOG_WARN, "config.removed", "kept", "1", NULL);
-		return;
-	}
-	ok = admission_take_manifest(&v->admission, m);
-	log_event(ok ? LOG_INFO : LOG_WARN,
-	    ok ? "config.in_force" : "config.refused", "version",
-	    log_num((long long)m->version), "in_force",
-	    log_num((long long)v->admission.manifest->version), "routes",
-	    log_num(m->routes->len), "row_version",
-	    log_num((long long)row->ver), NULL);
-}
-
-static void
-take_drain(view_t *v, const order_t *order)
-{
-	/* Servers may be cold before the order, and when it is lifted. */
-	if (dispatch_drain(&v->dispatch, order->name, !order->removed))
-		log_event(LOG_INFO,
-		    order->removed ? "domain.taken_back" : "domain.drained",
-		    "domain", order->name, NULL);
-	dispatch_cool(&v->dispatch, order->name, clock_now());
-}
-
-static void
-take_shift(view_t *v, const order_t *order)
-{
-	if (order->removed)
-		shifts_unorder(&v->shifts, order->name);
-	else
-		shifts_order(&v->shifts, order->name, order->u.shift.to,
-		    order->u.shift.duration_ms);
-	log_event(LOG_INFO, "shift.ordered", "service", order->name, "to",
-	    order->removed ? NULL : order->u.shift.to, NULL);
-}
-
-static void
-on_order(void *arg, const table_row_t *row)
-{
-	sources_t *s = arg;
-	view_t *v = s->view;
-	GError *err = NULL;
-	order_t order;
-
-	/* A row that a whole reading lacks bears the reading's version, which
-	 * no order has: peers would ask for it in vain. */
-	if (row->value != NULL)
-		v->orders_ver = MAX(v->orders_ver, row->ver);
-	if (!wire_order_decode(row, &order, &err)) {
-		log_bad_row(row, err);
-		return;
-	}
-	switch (order.kind) {
-	case ORDER_MANIFEST:
-		take_manifest(v, &order, row);
-		break;
-	case ORDER_SHIFT:
-		take_shift(v, &order);
-		break;
-	case ORDER_DRAIN:
-		take_drain(v, &order);
-		break;
-	case ORDER_FOREIGN:
-		log_event(LOG_INFO, "order.foreign", "key", row->key, NULL);
-		break;
-	}
-	order_finish(&order);
-}
-
-/* ---- servers ---- */
-
-static const char *
-change_name(registry_change_t change)
-{
-	switch (change) {
-	case REGISTRY_NEW:
-		return "server.joined";
-	case REGISTRY_RESTART:
-		return "server.restarted";
-	case REGISTRY_CHANGED:
-		return "server.changed";
-	case REGISTRY_SAME:
-	case REGISTRY_STALE:
-		break;
-	}
-	return NULL;
-}
-
-static void
-copy_row(GPtrArray *to, const table_row_t *row)
-{
-	table_row_t *copy = g_new0(table_row_t, 1);
-
-	*copy = *row;
-	copy->key = g_strdup(row->key);
-	if (row->value != NULL) {
-		copy->value = g_malloc(row->len + 1);
-		memcpy(copy->value, row->value, row->len + 1);
-	}
-	g_ptr_array_add(to, copy);
-}
-
 static void
 free_row(void *p)
 {
@@ -180,106 +62,6 @@
 	g_free(row);
 }
 
-/* Return: whether it tells more than that the server lives. */
-static gboolean
-take_entry(sources_t *s, const registry_row_t *entry)
-{
-	view_t *v = s->view;
-	msec_t now = clock_now();
-	registry_change_t change = registry_put(&v->registry, entry, now);
-	backend_t *b = g_hash_table_lookup(v->registry.servers, entry->id);
-
-	if (b != NULL && change != REGISTRY_STALE)
-		shifts_saw(
-		    &v->shifts, b, !s->source[SOURCE_SERVERS].whole, now);
-	if (change_name(change) != NULL)
-		log_event(LOG_INFO, change_name(change), "server", entry->id,
-		    "service", entry->service, "domain", entry->domain,
-		    "version", entry->version, "draining",
-		    entry->draining ? "1" : "0", "cold_ms",
-		    log_num(entry->cold_ms), "row_version",
-		    log_num((long long)entry->row_ver), NULL);
-	return change_name(change) != NULL || entry->cold_ms > 0;
-}
-
-static void
-on_server(void *arg, const table_row_t *row)
-{
-	sources_t *s = arg;
-	msec_t asked_at = s->source[SOURCE_SERVERS].called_at;
-	wire_server_t *memory;
-	registry_row_t entry;
-	GError *err = NULL;
-
-	if (row->value == NULL) {
-		copy_row(s->source[SOURCE_SERVERS].changed, row);
-		if (registry_remove(&s->view->registry, row->key, row->ver,
-			asked_at < s->away_until, clock_now()))
-			log_event(LOG_INFO, "server.gone", "server", row->key,
-			    "row_version", log_num((long long)row->ver),
-			    "store_was_away",
-			    asked_at < s->away_until ? "1" : "0", NULL);
-		return;
-	}
-	if (!wire_server_decode(row, &entry, &memory, &err)) {
-		log_bad_row(row, err);
-		return;
-	}
-	if (g_hash_table_contains(s->view->registry.regions, entry.domain)) {
-		if (take_entry(s, &entry))
-			copy_row(s->source[SOURCE_SERVERS].changed, row);
-	} else {
-		log_event(LOG_WARN, "row.refused", "key", row->key, "error",
-		    "unknown failure domain", NULL);
-	}
-	wire_server_free(memory);
-}
-
-/* ---- the fleet's own rows ---- */
-
-static void
-on_fleet(void *arg, const table_row_t *row)
-{
-	sources_t *s = arg;
-	GError *err = NULL;
-	fleet_rows_t r;
-
-	if (!fleet_rows_decode(row, &r, &err)) {
-		log_bad_row(row, err);
-		return;
-	}
-	copy_row(s->source[SOURCE_FLEET].changed, row);
-	switch (r.kind) {
-	case FLEET_ROW_HOST:
-		log_event(LOG_INFO, r.removed ? "host.removed" : "host.listed",
-		    "host", r.name, "row_version", log_num((long long)row->ver),
-		    NULL);
-		if (r.removed)
-			fleet_remove(&s->view->fleet, r.name);
-		else
-			fleet_put(&s->view->fleet, &r.u.host, clock_now());
-		break;
-	case FLEET_ROW_SHIFT:
-		shifts_take_row(&s->view->shifts, r.name,
-		    r.removed ? NULL : &r.u.shift, row->ver);
-		log_event(LOG_INFO, "shift.row", "service", r.name, "to",
-		    r.removed ? NULL : r.u.shift.to, "state",
-		    r.removed ? NULL : log_num(r.u.shift.state), NULL);
-		break;
-	case FLEET_ROW_SECRET:
-		s->has_secret = !r.removed;
-		if (s->has_secret)
-			s->secret = r.u.secret;
-		s->secret_ver = row->ver;
-		break;
-	case FLEET_ROW_FOREIGN:
-		break;
-	}
-	fleet_rows_clear(&r);
-}
-
-/* ---- calls ---- */
-
 static void
 note_answer(source_t *src, const table_page_t *page)
 {
@@ -320,9 +102,9 @@
 }
 
 static const table_take_t handlers[SOURCES] = {
-    [SOURCE_ORDERS] = on_order,
-    [SOURCE_SERVERS] = on_server,
-    [SOURCE_FLEET] = on_fleet,
+    [SOURCE_ORDERS] = sources_rows_order,
+    [SOURCE_SERVERS] = sources_rows_server,
+    [SOURCE_FLEET] = sources_rows_fleet,
 };
 
 static void
@@ -531,70 +313,6 @@
 	ask(src);
 }
 
-/* ---- this host's row ---- */
-
-static void
-on_joined(void *arg, table_outcome_t outcome, const table_page_t *page,
-    const GError *err)
-{
-	sources_t *s = arg;
-
-	(void)page;
-	s->join = NULL;
-	if (outcome == TABLE_DONE) {
-		if (!s->view->leaving)
-			s->view->joined = TRUE;
-		log_event(LOG_INFO,
-		    s->view->leaving ? "host.row_removed" : "host.joined",
-		    "incarnation", log_num((long long)s->view->incarnation),
-		    NULL);
-		return;
-	}
-	log_event(LOG_WARN, "host.row_not_written", "error",
-	    err != NULL ? err->message : "another host was first", NULL);
-	if (!s->view->leaving)
-		schedule(s->join_timer, RETRY_MS * 2);
-}
-
-static void
-write_row(sources_t *s, gboolean leave)
-{
-	const gateway_settings_t *set = s->view->settings;
-	const fleet_row_t row = {set->id, set->callers, set->peers, set->region,
-	    set->domain, s->view->incarnation, 0};
-	char *key = g_strconcat(FLEET_KEY_HOST, set->id, NULL);
-	char *value = leave ? NULL : fleet_rows_host(&row), *secret = NULL;
-	table_write_t w = {.n = 0};
-	beacon_secret_t fresh;
-
-	table_write_put(&w, FLEET_TABLE, key, value);
-	if (!leave && !s->has_secret) {
-		randombytes_buf(fresh.bytes, sizeof(fresh.bytes));
-		secret = fleet_rows_secret(&fresh);
-		table_write_put_if(
-		    &w, FLEET_TABLE, FLEET_KEY_SECRET, secret, s->secret_ver);
-	}
-	s->join = table_store_write(&s->store, &w, on_joined, s);
-	g_free(key);
-	g_free(value);
-	g_free(secret);
-}
-
-static void
-on_join_timer(evutil_socket_t fd, short what, void *arg)
-{
-	sources_t *s = arg;
-
-	(void)fd;
-	(void)what;
-	if (s->join != NULL || s->view->joined || s->view->leaving)
-		return;
-	if (s->source[SOURCE_FLEET].whole)
-		write_row(s, FALSE);
-	else
-		schedule(s->join_timer, RETRY_MS / 3);
-}
-
 gboolean
 sources_answered(const sources_t *s)
 {
@@ -607,78 +325,6 @@
 	return TRUE;
 }
 
-void
-sources_leave(sources_t *s)
-{
-	if (s->join != NULL)
-		table_call_cancel(s->join);
-	s->join = NULL;
-	write_row(s, TRUE);
-}
-
-/* ---- moves ---- */
-
-typedef struct {
-	sources_t *all;
-	table_call_t *call;
-	char *service;
-	shift_state_t state;
-} move_write_t;
-
-static void
-on_move_written(void *arg, table_outcome_t outcome, const table_page_t *page,
-    const GError *err)
-{
-	move_write_t *w = arg;
-	static const char *const outcomes[] = {
-	    [TABLE_DONE] = "done",
-	    [TABLE_CONFLICT] = "another host was first",
-	    [TABLE_FORGOT] = "forgot",
-	    [TABLE_FAILED] = "failed",
-	    [TABLE_UNKNOWN] = "unknown",
-	};
-
-	(void)page;
-	log_event(LOG_INFO, "shift.written", "service", w->service, "state",
-	    log_num(w->state), "outcome", outcomes[outcome], "error",
-	    err != NULL ? err->message : NULL, NULL);
-	g_ptr_array_remove_fast(w->all->writes, w);
-	g_free(w->service);
-	g_free(w);
-}
-
-static void
-write_move(sources_t *s, const shift_write_t *write)
-{
-	static const wire_shift_state_t states[] = {
-	    [SHIFT_RUNNING] = WIRE_SHIFT_RUNNING,
-	    [SHIFT_COMPLETED] = WIRE_SHIFT_COMPLETED,
-	    [SHIFT_ROLLED_BACK] = WIRE_SHIFT_ROLLED_BACK,
-	};
-	char *key = g_strconcat(FLEET_KEY_SHIFT, write->service, NULL);
-	char *value = fleet_rows_shift(&write->row);
-	char *status_key = wire_status_key(write->service);
-	char *status =
-	    wire_status_encode(states[write->row.state], write->row.to);
-	move_write_t *w = g_new0(move_write_t, 1);
-	table_write_t tx = {.n = 0};
-
-	w->all = s;
-	w->service = g_strdup(write->service);
-	w->state = write->row.state;
-	table_write_put_if(&tx, FLEET_TABLE, key, value, write->expected);
-	table_write_put(&tx, WIRE_TABLE_STATUS, status_key, status);
-	log_event(LOG_INFO, "shift.decided", "service", write->service, "to",
-	    write->row.to, "state", log_num(write->row.state), "verdict",
-	    log_num(write->verdict), NULL);
-	g_ptr_array_add(s->writes, w);
-	w->call = table_store_write(&s->store, &tx, on_move_written, w);
-	g_free(key);
-	g_free(value);
-	g_free(status_key);
-	g_free(status);
-}
-
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -703,7 +349,7 @@
 		shifts_tick(&v->shifts, &v->registry, &v->fleet, now,
 		    view_store_now(v, now), writes);
 	for (i = 0; i < writes->len; i++)
-		write_move(s, &g_array_index(writes, shift_write_t, i));
+		sources_write_move(s, &g_array_index(writes, shift_write_t, i));
 	g_array_free(writes, TRUE);
 }
 
@@ -729,8 +375,8 @@
 		src->timer = evtimer_new(base, on_timer, src);
 		schedule(src->timer, 0);
 	}
-	s->join_timer = evtimer_new(base, on_join_timer, s);
-	schedule(s->join_timer, RETRY_MS / 3);
+	s->join_timer = evtimer_new(base, sources_write_join, s);
+	schedule(s->join_timer, 0);
 	s->ticker = event_new(base, -1, EV_PERSIST, on_tick, s);
 	event_add(s->ticker, &tick);
 }
@@ -750,16 +396,7 @@
 		g_ptr_array_free(src->changed, TRUE);
 		table_view_finish(&src->view);
 	}
-	for (i = 0; i < s->writes->len; i++) {
-		move_write_t *w = g_ptr_array_index(s->writes, i);
-
-		table_call_cancel(w->call);
-		g_free(w->service);
-		g_free(w);
-	}
-	if (s->join != NULL)
-		table_call_cancel(s->join);
-	g_ptr_array_free(s->writes, TRUE);
+	sources_write_finish(s);
 	event_free(s->join_timer);
 	event_free(s->ticker);
 	table_store_finish(&s->store);
--- /dev/null
+++ b/src/gateway/sources_rows.c
@@ -0,0 +1,216 @@
+#include <string.h>
+
+#include "base/log.h"
+#include "gateway/sources_rows.h"
+#include "platform/wire_entries.h"
+#include "protocol/fleet_rows.h"
+
+static void
+log_bad_row(const table_row_t *row, GError *err)
+{
+	log_event(LOG_WARN, "row.refused", "key", row->key, "row_version",
+	    log_num((long long)row->ver), "error", err->message, NULL);
+	g_error_free(err);
+}
+
+static void
+take_manifest(view_t *v, const order_t *order, const table_row_t *row)
+{
+	manifest_t *m = order->u.manifest;
+	gboolean ok;
+
+	if (order->removed) {
+		log_event(LOG_WARN, "config.removed", "kept", "1", NULL);
+		return;
+	}
+	ok = admission_take_manifest(&v->admission, m);
+	log_event(ok ? LOG_INFO : LOG_WARN,
+	    ok ? "config.in_force" : "config.refused", "version",
+	    log_num((long long)m->version), "in_force",
+	    log_num((long long)v->admission.manifest->version), "routes",
+	    log_num(m->routes->len), "row_version",
+	    log_num((long long)row->ver), NULL);
+}
+
+static void
+take_drain(view_t *v, const order_t *order)
+{
+	/* Servers may be cold before the order, and when it is lifted. */
+	if (dispatch_drain(&v->dispatch, order->name, !order->removed))
+		log_event(LOG_INFO,
+		    order->removed ? "domain.taken_back" : "domain.drained",
+		    "domain", order->name, NULL);
+	dispatch_cool(&v->dispatch, order->name, clock_now());
+}
+
+static void
+take_shift(view_t *v, const order_t *order)
+{
+	if (order->removed)
+		shifts_unorder(&v->shifts, order->name);
+	else
+		shifts_order(&v->shifts, order->name, order->u.shift.to,
+		    order->u.shift.duration_ms);
+	log_event(LOG_INFO, "shift.ordered", "service", order->name, "to",
+	    order->removed ? NULL : order->u.shift.to, NULL);
+}
+
+void
+sources_rows_order(void *arg, const table_row_t *row)
+{
+	sources_t *s = arg;
+	view_t *v = s->view;
+	GError *err = NULL;
+	order_t order;
+
+	/* A row that a whole reading lacks bears the reading's version, which
+	 * no order has: peers would ask for it in vain. */
+	if (row->value != NULL)
+		v->orders_ver = MAX(v->orders_ver, row->ver);
+	if (!wire_order_decode(row, &order, &err)) {
+		log_bad_row(row, err);
+		return;
+	}
+	switch (order.kind) {
+	case ORDER_MANIFEST:
+		take_manifest(v, &order, row);
+		break;
+	case ORDER_SHIFT:
+		take_shift(v, &order);
+		break;
+	case ORDER_DRAIN:
+		take_drain(v, &order);
+		break;
+	case ORDER_FOREIGN:
+		log_event(LOG_INFO, "order.foreign", "key", row->key, NULL);
+		break;
+	}
+	order_finish(&order);
+}
+
+static const char *
+change_name(registry_change_t change)
+{
+	switch (change) {
+	case REGISTRY_NEW:
+		return "server.joined";
+	case REGISTRY_RESTART:
+		return "server.restarted";
+	case REGISTRY_CHANGED:
+		return "server.changed";
+	case REGISTRY_SAME:
+	case REGISTRY_STALE:
+		break;
+	}
+	return NULL;
+}
+
+static void
+copy_row(GPtrArray *to, const table_row_t *row)
+{
+	table_row_t *copy = g_new0(table_row_t, 1);
+
+	*copy = *row;
+	copy->key = g_strdup(row->key);
+	if (row->value != NULL) {
+		copy->value = g_malloc(row->len + 1);
+		memcpy(copy->value, row->value, row->len + 1);
+	}
+	g_ptr_array_add(to, copy);
+}
+
+/* Return: whether it tells more than that the server lives. */
+static gboolean
+take_entry(sources_t *s, const registry_row_t *entry)
+{
+	view_t *v = s->view;
+	msec_t now = clock_now();
+	registry_change_t change = registry_put(&v->registry, entry, now);
+	backend_t *b = g_hash_table_lookup(v->registry.servers, entry->id);
+
+	if (b != NULL && change != REGISTRY_STALE)
+		shifts_saw(
+		    &v->shifts, b, !s->source[SOURCE_SERVERS].whole, now);
+	if (change_name(change) != NULL)
+		log_event(LOG_INFO, change_name(change), "server", entry->id,
+		    "service", entry->service, "domain", entry->domain,
+		    "version", entry->version, "draining",
+		    entry->draining ? "1" : "0", "cold_ms",
+		    log_num(entry->cold_ms), "row_version",
+		    log_num((long long)entry->row_ver), NULL);
+	return change_name(change) != NULL || entry->cold_ms > 0;
+}
+
+void
+sources_rows_server(void *arg, const table_row_t *row)
+{
+	sources_t *s = arg;
+	msec_t asked_at = s->source[SOURCE_SERVERS].called_at;
+	wire_server_t *memory;
+	registry_row_t entry;
+	GError *err = NULL;
+
+	if (row->value == NULL) {
+		copy_row(s->source[SOURCE_SERVERS].changed, row);
+		if (registry_remove(&s->view->registry, row->key, row->ver,
+			asked_at < s->away_until, clock_now()))
+			log_event(LOG_INFO, "server.gone", "server", row->key,
+			    "row_version", log_num((long long)row->ver),
+			    "store_was_away",
+			    asked_at < s->away_until ? "1" : "0", NULL);
+		return;
+	}
+	if (!wire_server_decode(row, &entry, &memory, &err)) {
+		log_bad_row(row, err);
+		return;
+	}
+	if (g_hash_table_contains(s->view->registry.regions, entry.domain)) {
+		if (take_entry(s, &entry))
+			copy_row(s->source[SOURCE_SERVERS].changed, row);
+	} else {
+		log_event(LOG_WARN, "row.refused", "key", row->key, "error",
+		    "unknown failure domain", NULL);
+	}
+	wire_server_free(memory);
+}
+
+void
+sources_rows_fleet(void *arg, const table_row_t *row)
+{
+	sources_t *s = arg;
+	GError *err = NULL;
+	fleet_rows_t r;
+
+	if (!fleet_rows_decode(row, &r, &err)) {
+		log_bad_row(row, err);
+		return;
+	}
+	copy_row(s->source[SOURCE_FLEET].changed, row);
+	switch (r.kind) {
+	case FLEET_ROW_HOST:
+		log_event(LOG_INFO, r.removed ? "host.removed" : "host.listed",
+		    "host", r.name, "row_version", log_num((long long)row->ver),
+		    NULL);
+		if (r.removed)
+			fleet_remove(&s->view->fleet, r.name);
+		else
+			fleet_put(&s->view->fleet, &r.u.host, clock_now());
+		break;
+	case FLEET_ROW_SHIFT:
+		shifts_take_row(&s->view->shifts, r.name,
+		    r.removed ? NULL : &r.u.shift, row->ver);
+		log_event(LOG_INFO, "shift.row", "service", r.name, "to",
+		    r.removed ? NULL : r.u.shift.to, "state",
+		    r.removed ? NULL : log_num(r.u.shift.state), NULL);
+		break;
+	case FLEET_ROW_SECRET:
+		s->has_secret = !r.removed;
+		if (s->has_secret)
+			s->secret = r.u.secret;
+		s->secret_ver = row->ver;
+		break;
+	case FLEET_ROW_FOREIGN:
+		break;
+	}
+	fleet_rows_clear(&r);
+}
--- /dev/null
+++ b/src/gateway/sources_write.c
@@ -0,0 +1,167 @@
+#include <sodium.h>
+
+#include "base/log.h"
+#include "gateway/sources_write.h"
+#include "platform/wire_entries.h"
+#include "protocol/fleet_rows.h"
+
+/* Until the fleet's table is known, and after a write that failed. */
+#define JOIN_WAIT_MS 50
+#define JOIN_RETRY_MS 300
+
+static void
+schedule(struct event *timer, msec_t ms)
+{
+	struct timeval tv = {0, ms * 1000};
+
+	event_add(timer, &tv);
+}
+
+static void
+on_joined(void *arg, table_outcome_t outcome, const table_page_t *page,
+    const GError *err)
+{
+	sources_t *s = arg;
+
+	(void)page;
+	s->join = NULL;
+	if (outcome == TABLE_DONE) {
+		if (!s->view->leaving)
+			s->view->joined = TRUE;
+		log_event(LOG_INFO,
+		    s->view->leaving ? "host.row_removed" : "host.joined",
+		    "incarnation", log_num((long long)s->view->incarnation),
+		    NULL);
+		return;
+	}
+	log_event(LOG_WARN, "host.row_not_written", "error",
+	    err != NULL ? err->message : "another host was first", NULL);
+	if (!s->view->leaving)
+		schedule(s->join_timer, JOIN_RETRY_MS);
+}
+
+static void
+write_row(sources_t *s, gboolean leave)
+{
+	const gateway_settings_t *set = s->view->settings;
+	const fleet_row_t row = {set->id, set->callers, set->peers, set->region,
+	    set->domain, s->view->incarnation, 0};
+	char *key = g_strconcat(FLEET_KEY_HOST, set->id, NULL);
+	char *value = leave ? NULL : fleet_rows_host(&row), *secret = NULL;
+	table_write_t w = {.n = 0};
+	beacon_secret_t fresh;
+
+	table_write_put(&w, FLEET_TABLE, key, value);
+	if (!leave && !s->has_secret) {
+		randombytes_buf(fresh.bytes, sizeof(fresh.bytes));
+		secret = fleet_rows_secret(&fresh);
+		table_write_put_if(
+		    &w, FLEET_TABLE, FLEET_KEY_SECRET, secret, s->secret_ver);
+	}
+	s->join = table_store_write(&s->store, &w, on_joined, s);
+	g_free(key);
+	g_free(value);
+	g_free(secret);
+}
+
+void
+sources_write_join(evutil_socket_t fd, short what, void *arg)
+{
+	sources_t *s = arg;
+
+	(void)fd;
+	(void)what;
+	if (s->join != NULL || s->view->joined || s->view->leaving)
+		return;
+	if (s->source[SOURCE_FLEET].whole)
+		write_row(s, FALSE);
+	else
+		schedule(s->join_timer, JOIN_WAIT_MS);
+}
+
+void
+sources_leave(sources_t *s)
+{
+	if (s->join != NULL)
+		table_call_cancel(s->join);
+	s->join = NULL;
+	write_row(s, TRUE);
+}
+
+typedef struct {
+	sources_t *all;
+	table_call_t *call;
+	char *service;
+	shift_state_t state;
+} move_write_t;
+
+static void
+on_move_written(void *arg, table_outcome_t outcome, const table_page_t *page,
+    const GError *err)
+{
+	move_write_t *w = arg;
+	static const char *const outcomes[] = {
+	    [TABLE_DONE] = "done",
+	    [TABLE_CONFLICT] = "another host was first",
+	    [TABLE_FORGOT] = "forgot",
+	    [TABLE_FAILED] = "failed",
+	    [TABLE_UNKNOWN] = "unknown",
+	};
+
+	(void)page;
+	log_event(LOG_INFO, "shift.written", "service", w->service, "state",
+	    log_num(w->state), "outcome", outcomes[outcome], "error",
+	    err != NULL ? err->message : NULL, NULL);
+	g_ptr_array_remove_fast(w->all->writes, w);
+	g_free(w->service);
+	g_free(w);
+}
+
+void
+sources_write_move(sources_t *s, const shift_write_t *write)
+{
+	static const wire_shift_state_t states[] = {
+	    [SHIFT_RUNNING] = WIRE_SHIFT_RUNNING,
+	    [SHIFT_COMPLETED] = WIRE_SHIFT_COMPLETED,
+	    [SHIFT_ROLLED_BACK] = WIRE_SHIFT_ROLLED_BACK,
+	};
+	char *key = g_strconcat(FLEET_KEY_SHIFT, write->service, NULL);
+	char *value = fleet_rows_shift(&write->row);
+	char *status_key = wire_status_key(write->service);
+	char *status =
+	    wire_status_encode(states[write->row.state], write->row.to);
+	move_write_t *w = g_new0(move_write_t, 1);
+	table_write_t tx = {.n = 0};
+
+	w->all = s;
+	w->service = g_strdup(write->service);
+	w->state = write->row.state;
+	table_write_put_if(&tx, FLEET_TABLE, key, value, write->expected);
+	table_write_put(&tx, WIRE_TABLE_STATUS, status_key, status);
+	log_event(LOG_INFO, "shift.decided", "service", write->service, "to",
+	    write->row.to, "state", log_num(write->row.state), "verdict",
+	    log_num(write->verdict), NULL);
+	g_ptr_array_add(s->writes, w);
+	w->call = table_store_write(&s->store, &tx, on_move_written, w);
+	g_free(key);
+	g_free(value);
+	g_free(status_key);
+	g_free(status);
+}
+
+void
+sources_write_finish(sources_t *s)
+{
+	guint i;
+
+	for (i = 0; i < s->writes->len; i++) {
+		move_write_t *w = g_ptr_array_index(s->writes, i);
+
+		table_call_cancel(w->call);
+		g_free(w->service);
+		g_free(w);
+	}
+	if (s->join != NULL)
+		table_call_cancel(s->join);
+	g_ptr_array_free(s->writes, TRUE);
+}
