--- a/src/state/placing.h
+++ b/src/state/placing.h
@@ -12,8 +12,8 @@
  * talking, and a server that goes moves only its own objects. Under heavy
  * load a request that is spilled to another server runs cold there, takes the
  * time of three warm ones and evicts an object; it is refused instead. Spills
- * are for times with room: the whole service must be half idle, the next in
- * rank nearly idle.
+ * are for times with room: the service as a whole must have slots free, and
+ * the next in rank most of its own.
  */
 
 /* Requests that are let be at the first server, for each slot: they run warm,
