--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -33,6 +33,7 @@
 #define LOGGED_ROWS_MAX 16
 /* Changes are sent to the other hosts again for this time. */
 #define RESEND_MS 1500
+#define RESEND_ROWS_MAX 32
 #define TICK_MS BALANCE_TICK_MS
 
 static const struct {
@@ -158,26 +159,35 @@
 	g_array_set_size(t->batches, 0);
 }
 
-/* Drops rows that were sent for the last time. */
+/* Drops the first @n batches with their rows. */
 static void
-forget_sent(synced_table_t *t, msec_t now)
+forget_batches(synced_table_t *t, guint n)
 {
-	guint n = 0, gone;
-
-	while (n < t->batches->len &&
-	    now - g_array_index(t->batches, sent_batch_t, n).at >= RESEND_MS)
-		n++;
-	if (n == 0)
-		return;
-	gone = n < t->batches->len
+	guint gone = n < t->batches->len
 	    ? g_array_index(t->batches, sent_batch_t, n).first
 	    : t->for_peers->len;
+
 	g_ptr_array_remove_range(t->for_peers, 0, gone);
 	g_array_remove_range(t->batches, 0, n);
 	for (n = 0; n < t->batches->len; n++)
 		g_array_index(t->batches, sent_batch_t, n).first -= gone;
 }
 
+/* Drops rows that were sent for the last time. Many rows are sent only once. */
+static void
+forget_sent(synced_table_t *t, msec_t now)
+{
+	guint n = 0;
+
+	while (n < t->batches->len &&
+	    now - g_array_index(t->batches, sent_batch_t, n).at >= RESEND_MS)
+		n++;
+	if (t->for_peers->len > RESEND_ROWS_MAX)
+		n = t->batches->len;
+	if (n > 0)
+		forget_batches(t, n);
+}
+
 /*
  * Sends the changes since @from to the hosts of the region, after those of the
  * last RESEND_MS: a datagram may have been lost, and a host that has just
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -47,6 +47,7 @@
 	struct event *timer;
 	struct event *connect_timer; /* NULL: no separate connect time-out */
 	msec_t timeout_ms;
+	msec_t input_at;   /* last part of the answer; 0: none */
 	msec_t ends_at;	   /* time limit of an answer that arrives; 0: none */
 	gboolean starting; /* http_call() is running */
 	gboolean
@@ -210,9 +211,12 @@
 	struct timeval tv;
 
 	(void)buffer;
-	if (info->n_added == 0 || call == NULL || call->ends_at == 0)
+	if (info->n_added == 0 || call == NULL)
 		return;
-	left = CLAMP(call->ends_at - clock_now(), 0, call->timeout_ms);
+	call->input_at = clock_now();
+	if (call->ends_at == 0)
+		return;
+	left = CLAMP(call->ends_at - call->input_at, 0, call->timeout_ms);
 	tv.tv_sec = (time_t)(left / MSEC_PER_SEC);
 	tv.tv_usec = (suseconds_t)(left % MSEC_PER_SEC) * 1000;
 	event_add(call->timer, &tv);
@@ -512,6 +516,12 @@
 	call_free(call);
 }
 
+msec_t
+http_call_input_at(const http_call_t *call)
+{
+	return call->input_at;
+}
+
 void
 http_call_pause(http_call_t *call, gboolean paused)
 {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -88,6 +88,9 @@
  */
 void http_call_cancel(http_call_t *call);
 
+/** http_call_input_at() - When a part of the answer last came; 0: never. */
+msec_t http_call_input_at(const http_call_t *call);
+
 /**
  * http_call_pause() - Pause or resume reading the answer.
  * @call: the call
