--- a/src/coordination/rate_share.h
+++ b/src/coordination/rate_share.h
@@ -29,9 +29,9 @@
 double rate_share_of(const rate_region_t *own, double rate,
     const rate_region_t *others, guint n);
 
-/* After this many statuses most hosts have received a reported demand: by way
+/* After this many statuses every host has received a reported demand: by way
  * of its collector, the other collectors, and theirs to their hosts. */
-#define RATE_REPORTED_MAX 1
+#define RATE_REPORTED_MAX 3
 /* A status that is sent sooner after the last one does not count as one. */
 #define RATE_REPORT_MS 400
 
