--- a/src/coordination/rate_lender.c
+++ b/src/coordination/rate_lender.c
@@ -18,7 +18,7 @@
  * They are fewer than those that accrued while it was down, or else fit into
  * what is left of the tolerance. */
 #define START_TOKENS_MS 400
-/* Time after the first manifest in which beacons of the other hosts arrive, so
+/* Time after the first manifest in which reports of the other hosts arrive, so
  * that this host knows its part. */
 #define START_PHASE_MS 2000
 #define REGIONS_MAX 16
--- a/src/gateway/view.h
+++ b/src/gateway/view.h
@@ -11,7 +11,7 @@
 
 /*
  * What this host currently knows of configuration, backend servers, shifts and
- * hosts. The store sync and the beacons update it; the request path and the
+ * hosts. The store sync and the status sync update it; the request path and the
  * look-ups read it. Nothing here does input or output.
  */
 typedef struct {
