request.end names the object, the server's region and the caller's time

A region whose requests change their region (SHIFT) could not be seen from the log: request.end named a server only, the lines that say where servers are exceed the log's rate at the start of a large deployment, and neither requests of one object nor callers who come back after a refusal could be recognised.

--- a/src/gateway/relay_reply.c
+++ b/src/gateway/relay_reply.c
@@ -36,10 +36,14 @@
 	    "status", log_num(status), "reason", reason, "route",
 	    a->route != NULL ? a->route->name : NULL, "workspace",
 	    a->workspace != NULL ? a->workspace->name : NULL, "service",
-	    a->service != NULL ? a->service->name : NULL, "server",
-	    last != NULL ? last->id : NULL, "tries", log_num(r->job.ntried),
-	    "took_ms", log_num(now - r->began_at), "retry_ms",
-	    log_num(r->wait_ms), "config",
+	    a->service != NULL ? a->service->name : NULL, "object",
+	    r->job.by_object ? log_num((long long)(uint32_t)r->job.object)
+			     : NULL,
+	    "server", last != NULL ? last->id : NULL, "server_region",
+	    last != NULL ? last->region : NULL, "tries", log_num(r->job.ntried),
+	    "budget_ms", log_num(r->job.left_ms), "took_ms",
+	    log_num(now - r->began_at), "retry_ms", log_num(r->wait_ms),
+	    "config",
 	    a->manifest != NULL ? log_num((long long)a->manifest->version)
 				: NULL,
 	    "servers_age_ms", log_num(now - v->servers_synced_at), NULL);
