Keep to the limits that backend servers name in their answers

A backend server in need names in its answers how many requests a second it takes from all hosts together (Server-Limit).

Cause: no host read the header. Class: a limit that all hosts must keep together needs one place that counts; each host's own restraint adds up.

Change: answers' limits are read (one decimal number from 0 to 1,000,000; anything else is refused with a counter and a log line) and kept with the server's start. A request to such a server takes a token, as for a workspace's rate. One host of the server's region lends to all hosts; requests name the limit, answers the latest one, and the part of the objects that is beyond it, which is placed elsewhere. A lender that takes over counts a whole window as lent. Requests that get no token go to the next server, else are refused at once.

--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -134,6 +134,13 @@
 	    !g_hash_table_contains(d->drains, b->domain);
 }
 
+gboolean
+dispatch_may_send(const dispatch_t *d, const dispatch_job_t *job,
+    const backend_t *server, msec_t now)
+{
+	return server->listed && is_able(d, job, server, now);
+}
+
 /* This host's rank for a cold server; kept until the hosts change. */
 static guint
 ramp_rank(const dispatch_t *d, backend_t *b)
@@ -206,7 +213,7 @@
 		    .server = b,
 		    .load = backend_load(b, now),
 		    .same_region = same_region,
-		    .throttled =
+		    .throttled = now < b->limited_until ||
 			is_throttled(d, job->admission->service, b, now),
 		};
 	}
--- a/src/coordination/rate_lender.c
+++ b/src/coordination/rate_lender.c
@@ -3,9 +3,6 @@
 #include "coordination/rate_lender.h"
 #include "state/registry.h"
 
-/* Fraction of overage and slack that is lent. The rest covers short times in
- * which two regions compute different parts. */
-#define LENT_SLACK_PART 0.5
 /* Fraction of the region's part that the deputy lends beside the lender. All
  * other hosts together lend the same, for requests that neither answered. */
 #define DEPUTY_PART 0.1
@@ -39,6 +36,7 @@
 	window_t lent;
 	double part;	   /* of the region, smoothed over a window */
 	double window_max; /* tokens that may be lent in a window */
+	double lent_rate;  /* tokens per second of this host's part */
 	msec_t made_at;
 	msec_t ticked_at;
 	double start_part; /* largest part for which start tokens were added */
@@ -104,13 +102,15 @@
 /*
  * Tokens that may have been lent before this host started and are still in the
  * window. All tokens of that time count as lent, except for START_TOKENS_MS, in
- * which the host is taken to have been down.
+ * which the host is taken to have been down. A lender for all regions may have
+ * taken over from one that lent until then.
  */
 static double
 lent_before(const rate_lender_t *l, const limit_entry_t *e, msec_t now)
 {
-	double gone = (double)(now - e->made_at + START_TOKENS_MS) /
-	    (double)l->bounds.window_ms;
+	msec_t down_ms = l->all_regions ? 0 : START_TOKENS_MS;
+	double gone =
+	    (double)(now - e->made_at + down_ms) / (double)l->bounds.window_ms;
 
 	return e->window_max * MAX(1 - gone, 0);
 }
@@ -159,27 +159,28 @@
 }
 
 static gboolean
-may_lend(const rate_lender_t *l, const fleet_host_t *h, msec_t now)
+may_lend(const fleet_host_t *h, const char *region, msec_t now)
 {
 	return fleet_is_live(h, now) && h->ready && !h->leaving &&
-	    strcmp(h->region, l->region) == 0;
+	    strcmp(h->region, region) == 0;
 }
 
 const fleet_host_t *
-rate_lender_of(
-    const rate_lender_t *l, uint64_t workspace, guint rank, msec_t now)
+rate_lender_of(const rate_lender_t *l, const char *region, uint64_t name,
+    guint rank, msec_t now)
 {
 	const fleet_host_t *first = NULL, *second = NULL;
-	uint64_t own = l->ready ? score(workspace, l->fleet->self) : 0;
+	gboolean self = l->ready && strcmp(region, l->region) == 0;
+	uint64_t own = self ? score(name, l->fleet->self) : 0;
 	uint64_t best = own, next = 0, s;
 	guint i;
 
 	for (i = 0; i < l->fleet->hosts->len; i++) {
 		const fleet_host_t *h = g_ptr_array_index(l->fleet->hosts, i);
 
-		if (!may_lend(l, h, now))
+		if (!may_lend(h, region, now))
 			continue;
-		s = score(workspace, h->seed);
+		s = score(name, h->seed);
 		if (s > best) {
 			next = best;
 			second = first;
@@ -231,10 +232,10 @@
 	for (i = 0; i < l->fleet->hosts->len; i++) {
 		const fleet_host_t *h = g_ptr_array_index(l->fleet->hosts, i);
 
-		r = region_of(all, h->region);
+		r = region_of(all, l->all_regions ? l->region : h->region);
 		r->hosts++;
 		r->live += fleet_is_live(h, now);
-		if (may_lend(l, h, now))
+		if (may_lend(h, l->region, now))
 			g_array_append_val(all->lenders, h->seed);
 	}
 }
@@ -316,24 +317,23 @@
  * all of them, at whatever pace it sends.
  */
 static double
-window_tokens(const rate_lender_t *l, const manifest_workspace_t *w)
+window_tokens(const rate_lender_t *l, const rate_limit_t *w)
 {
 	const rate_bounds_t *b = &l->bounds;
 	double window = (double)b->window_ms / MSEC_PER_SEC;
 
-	return (w->rate * window + w->burst) *
-	    (1 + LENT_SLACK_PART * b->overage) +
-	    LENT_SLACK_PART * b->slack;
+	return (w->rate * window + w->burst) * (1 + b->lent_part * b->overage) +
+	    b->lent_part * b->slack;
 }
 
 /* Refill rate of a workspace's bucket, in tokens per second. */
 static double
-token_rate(const rate_lender_t *l, const manifest_workspace_t *w)
+token_rate(const rate_lender_t *l, const rate_limit_t *w)
 {
 	const rate_bounds_t *b = &l->bounds;
 
 	if (b->window_ms <= 0)
-		return w->rate * (1 + LENT_SLACK_PART * b->overage);
+		return w->rate * (1 + b->lent_part * b->overage);
 	return window_tokens(l, w) * MSEC_PER_SEC / (double)b->window_ms;
 }
 
@@ -354,36 +354,91 @@
 	e->ticked_at = now;
 }
 
+/* Most tokens that this host's part holds. */
+static double
+part_burst(const rate_lender_t *l, const limit_entry_t *e, double burst)
+{
+	double held = e->lent_rate * (double)l->bounds.hold_ms / MSEC_PER_SEC;
+
+	return l->bounds.hold_ms > 0 ? MAX(burst, MAX(held, 1)) : burst;
+}
+
+static void
+tick_limit(
+    rate_lender_t *l, const rate_limit_t *limit, regions_t *regions, msec_t now)
+{
+	limit_entry_t *e = entry_of(l, limit->name, now);
+	double part;
+
+	rate_demand_tick(&e->demand, now);
+	part = part_of(l, e, limit->rate, regions, now);
+	smooth_part(l, e, part, now);
+	e->window_max = window_tokens(l, limit) * e->part;
+	e->lent_rate = token_rate(l, limit) * part;
+	bucket_set_limit(&e->bucket,
+	    limit_make(e->lent_rate, part_burst(l, e, limit->burst * part)),
+	    now);
+	if (l->starting)
+		add_start_tokens(e, limit->rate, part, now);
+}
+
 void
-rate_lender_tick(rate_lender_t *l, const manifest_t *m, msec_t now)
+rate_lender_tick_limits(
+    rate_lender_t *l, const rate_limit_t *limits, guint n, msec_t now)
 {
 	regions_t regions;
-	double rate, part;
 	guint i;
 
+	count_hosts(l, &regions, now);
+	for (i = 0; i < n; i++)
+		tick_limit(l, &limits[i], &regions, now);
+	g_array_free(regions.lenders, TRUE);
+}
+
+void
+rate_lender_tick(rate_lender_t *l, const manifest_t *m, msec_t now)
+{
+	rate_limit_t *limits;
+	guint i, n = 0;
+
 	if (m != NULL && l->first_manifest_at == 0)
 		l->first_manifest_at = now;
 	l->starting = now - l->first_manifest_at <= START_PHASE_MS;
-	count_hosts(l, &regions, now);
-	for (i = 0; m != NULL && i < m->workspaces->len; i++) {
+	if (m == NULL)
+		return;
+	limits = g_new(rate_limit_t, m->workspaces->len);
+	for (i = 0; i < m->workspaces->len; i++) {
 		const manifest_workspace_t *w =
 		    g_ptr_array_index(m->workspaces, i);
-		limit_entry_t *e;
 
-		if (w->rate <= 0)
-			continue;
-		e = entry_of(l, registry_hash(w->name), now);
-		rate_demand_tick(&e->demand, now);
-		part = part_of(l, e, w->rate, &regions, now);
-		rate = token_rate(l, w);
-		smooth_part(l, e, part, now);
-		e->window_max = window_tokens(l, w) * e->part;
-		bucket_set_limit(
-		    &e->bucket, limit_make(rate * part, w->burst * part), now);
-		if (l->starting)
-			add_start_tokens(e, w->rate, part, now);
+		if (w->rate > 0)
+			limits[n++] = (rate_limit_t){
+			    registry_hash(w->name), w->rate, w->burst};
 	}
-	g_array_free(regions.lenders, TRUE);
+	rate_lender_tick_limits(l, limits, n, now);
+	g_free(limits);
+}
+
+void
+rate_lender_forget(rate_lender_t *l, uint64_t name)
+{
+	g_hash_table_remove(l->limits, &name);
+}
+
+double
+rate_lender_demand(const rate_lender_t *l, uint64_t name)
+{
+	const limit_entry_t *e = g_hash_table_lookup(l->limits, &name);
+
+	return e != NULL ? e->demand.demand : 0;
+}
+
+double
+rate_lender_part(const rate_lender_t *l, uint64_t name)
+{
+	const limit_entry_t *e = g_hash_table_lookup(l->limits, &name);
+
+	return e != NULL ? e->lent_rate : 0;
 }
 
 void
--- a/src/coordination/rate_lender.h
+++ b/src/coordination/rate_lender.h
@@ -25,13 +25,25 @@
 	double overage; /* fraction by which a workspace may exceed its rate */
 	double slack;	/* requests beyond that, in each window */
 	msec_t window_ms;
+	double lent_part; /* part of overage and slack that is lent, 0..1 */
+	/* Besides its burst, a part holds the tokens of this time, and at least
+	 * one, so that a small part lends any; 0: its burst only. */
+	msec_t hold_ms;
 } rate_bounds_t;
 
+/* A limit that the hosts share. */
+typedef struct {
+	uint64_t name; /* hash */
+	double rate;   /* per second */
+	double burst;
+} rate_limit_t;
+
 typedef struct {
 	rate_bounds_t bounds;
 	const fleet_t *fleet;
 	const char *region;	  /* of this host */
 	GHashTable *limits;	  /* workspace hash to its limit on this host */
+	gboolean all_regions;	  /* a part is of all hosts, not of a region */
 	gboolean ready;		  /* this host may lend */
 	msec_t first_manifest_at; /* 0: no manifest yet */
 	gboolean starting;	  /* shortly after @first_manifest_at */
@@ -44,6 +56,19 @@
 /** rate_lender_tick() - Recompute this host's parts of a manifest's rates. */
 void rate_lender_tick(rate_lender_t *l, const manifest_t *m, msec_t now);
 
+/** rate_lender_tick_limits() - Recompute this host's parts of some limits. */
+void rate_lender_tick_limits(
+    rate_lender_t *l, const rate_limit_t *limits, guint n, msec_t now);
+
+/** rate_lender_forget() - Drop a limit. */
+void rate_lender_forget(rate_lender_t *l, uint64_t name);
+
+/** rate_lender_demand() - Tokens asked of this host, per second; smoothed. */
+double rate_lender_demand(const rate_lender_t *l, uint64_t name);
+
+/** rate_lender_part() - Tokens that this host lends, per second. */
+double rate_lender_part(const rate_lender_t *l, uint64_t name);
+
 /**
  * rate_lender_take() - Lend a token from this host's part.
  * @l: the lender
@@ -57,16 +82,18 @@
     rate_lender_t *l, uint64_t workspace, msec_t *wait_ms, msec_t now);
 
 /**
- * rate_lender_of() - Find the host that lends a workspace's tokens here.
+ * rate_lender_of() - Find the host of a region that lends the tokens of a
+ * limit.
  * @l: the lender
- * @workspace: hash of its name
+ * @region: the region
+ * @name: hash of the limit's name
  * @rank: 0 for the lender, 1 for its deputy
  * @now: time
  *
- * Return: a host of this region, or NULL for this host.
+ * Return: a host of the region, or NULL for this host.
  */
-const fleet_host_t *rate_lender_of(
-    const rate_lender_t *l, uint64_t workspace, guint rank, msec_t now);
+const fleet_host_t *rate_lender_of(const rate_lender_t *l, const char *region,
+    uint64_t name, guint rank, msec_t now);
 
 /** rate_lender_demands() - Append this host's demands, for its status. */
 void rate_lender_demands(rate_lender_t *l, GArray *amounts, msec_t now);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -142,11 +142,12 @@
 		g_string_append_printf(out,
 		    "server id=%s service=%s domain=%s version=%s usable=%d "
 		    "cold=%d draining=%d own=%u load=%.1f slots=%u "
-		    "service_ms=%.0f\n",
+		    "service_ms=%.0f limit=%.3f limit_offloaded=%.3f\n",
 		    b->id, b->service->name, b->domain, b->version,
 		    backend_usable(b, now), backend_is_cold(b, now),
 		    b->draining, b->own, backend_load(b, now), b->slots,
-		    b->service_ms);
+		    b->service_ms, b->limit_at != 0 ? b->limit_rate : 0,
+		    b->limit_offloaded);
 	}
 	for (i = 0; i < v->fleet.hosts->len; i++) {
 		const fleet_host_t *h = g_ptr_array_index(v->fleet.hosts, i);
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -20,6 +20,10 @@
 #define DEFAULT_MAX_CONNECTIONS 3000
 #define DEFAULT_BODY_MEMORY (64 * 1024 * 1024)
 #define DEFAULT_LOG_LINES 200
+
+/* Part of the tolerance of workspaces' rates that is lent. The rest covers
+ * short times in which two regions compute different parts. */
+#define RATES_LENT_PART 0.5
 #define DEFAULT_LINK_MBPS 1000
 #define DEFAULT_CPU_SHARE 1
 
@@ -124,6 +128,7 @@
 	if (g_key_file_has_group(ini->file, "bounds"))
 		ini_group(ini, "bounds", fields, G_N_ELEMENTS(fields));
 	s->rates.window_ms = (msec_t)(window_sec * MSEC_PER_SEC);
+	s->rates.lent_part = RATES_LENT_PART;
 	s->lookup_ttl_ms = (msec_t)(ttl_sec * MSEC_PER_SEC);
 }
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -82,17 +82,17 @@
 }
 
 static void
-on_token(void *arg, gboolean granted, msec_t wait_ms)
+on_token(void *arg, const server_limit_answer_t *answer)
 {
 	relay_t *r = arg;
 
 	r->token_request = NULL;
-	if (granted) {
+	if (answer->granted) {
 		relay_act(r, r->first_action);
 		return;
 	}
 	metrics_count(r->relays->metrics, r->relays->over_rate, 1);
-	relay_reply_own(r, STATUS_OVER_RATE, wait_ms, "over-rate");
+	relay_reply_own(r, STATUS_OVER_RATE, answer->wait_ms, "over-rate");
 }
 
 /* Return: FALSE if no server could take the request now; then it needs no
@@ -234,6 +234,16 @@
 	relays->harmful =
 	    metrics_add(m, METRIC_COUNTER, "refused_harmful_total",
 		"requests refused as they crashed servers");
+	relays->limits_named =
+	    metrics_add(m, METRIC_COUNTER, "server_limits_named_total",
+		"answers in which a backend server named a limit");
+	relays->limits_invalid =
+	    metrics_add(m, METRIC_COUNTER, "server_limits_invalid_total",
+		"answers whose limit is not a decimal number in range");
+	relays->limits_reached =
+	    metrics_add(m, METRIC_COUNTER, "server_limits_reached_total",
+		"times that a request was placed elsewhere as a server's limit "
+		"was reached");
 	relays->request_ms = metrics_add(m, METRIC_HISTOGRAM, "request_ms",
 	    "time from a request to its answer, ms");
 	relays->server_ms = metrics_add(m, METRIC_HISTOGRAM, "server_ms",
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -24,7 +24,8 @@
 	uint64_t last_number; /* number of the last request */
 
 	metric_id_t requests, answered, refused, failed, callers_gone;
-	metric_id_t tries, retries, over_rate, no_room, harmful;
+	metric_id_t tries, retries, over_rate, no_room, harmful, limits_named,
+	    limits_invalid, limits_reached;
 	metric_id_t request_ms, server_ms;
 	metrics_t *metrics;
 } relays_t;
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -7,7 +7,8 @@
 
 /*
  * Internal to the relay: relay.c starts a request, relay_try.c sends it to
- * servers, relay_reply.c answers it. The function that ends a relay frees it,
+ * servers, relay_limit.c keeps to the limits that these name, relay_reply.c
+ * answers it. The function that ends a relay frees it,
  * so a relay must not be used after a call that may end it.
  */
 
@@ -33,6 +34,9 @@
 	struct event *timer;
 	token_request_t *token_request; /* in flight, or NULL */
 
+	backend_t *placed; /* reference; a token for it is requested */
+	guint limit_asks;  /* tokens of servers that were requested */
+
 	/* The try in flight. */
 	http_call_t *call;
 	backend_t *server;
@@ -75,6 +79,15 @@
 /** relay_act() - Do what the attempt decided. */
 void relay_act(relay_t *r, attempt_action_t action);
 
+/** relay_choose_server() - Choose a server for the next try. */
+void relay_choose_server(relay_t *r);
+
+/** relay_read_limit() - Take over what an answer says of its server's limit. */
+void relay_read_limit(relay_t *r, backend_t *server, const wire_answer_t *a);
+
+/** relay_send_within_limit() - Send to a server once its limit allows it. */
+void relay_send_within_limit(relay_t *r, backend_t *server);
+
 /** relay_cancel_try() - Cancel the try in flight. */
 void relay_cancel_try(relay_t *r, dispatch_end_t end);
 
--- a/src/gateway/relay_reply.c
+++ b/src/gateway/relay_reply.c
@@ -16,6 +16,8 @@
 		event_free(r->timer);
 	if (r->token_request != NULL)
 		tokens_cancel(r->token_request);
+	if (r->placed != NULL)
+		backend_unref(r->placed);
 	dispatch_job_clear(&r->job);
 	admission_clear(&r->admission);
 	g_free(r->id);
--- a/src/gateway/relay_try.c
+++ b/src/gateway/relay_try.c
@@ -82,6 +82,8 @@
 	wire_answer_read(status, headers, &a);
 	if (a.has_load && !a.other_server)
 		backend_report(server, a.running + a.waiting, clock_now());
+	if (!a.other_server)
+		relay_read_limit(r, server, &a);
 	r->server_has_room = a.has_load && a.running + a.waiting < a.slots;
 	if (a.not_run)
 		r->wait_ms = dispatch_retry_ms(r->server_has_room);
@@ -211,8 +213,8 @@
 	    evhttp_request_get_uri(req), text, &r->fingerprint);
 }
 
-static void
-choose_server(relay_t *r)
+void
+relay_choose_server(relay_t *r)
 {
 	view_t *v = r->relays->view;
 	msec_t now = clock_now();
@@ -230,13 +232,11 @@
 	}
 	p = dispatch_place(&v->dispatch, &r->job, now, view_store_now(v, now));
 	if (p.verdict == PLACING_SEND) {
-		r->server = p.server;
-		r->sent_at = now;
-		e = relay_event(r, ATTEMPT_PLACED);
-	} else {
-		r->wait_ms = p.wait_ms;
-		e = relay_event(r, ATTEMPT_NO_SERVER);
+		relay_send_within_limit(r, p.server);
+		return;
 	}
+	r->wait_ms = p.wait_ms;
+	e = relay_event(r, ATTEMPT_NO_SERVER);
 	relay_step(r, &e);
 }
 
@@ -252,7 +252,7 @@
 	case ATTEMPT_WAIT:
 		break;
 	case ATTEMPT_PLACE:
-		choose_server(r);
+		relay_choose_server(r);
 		break;
 	case ATTEMPT_SEND:
 		if (r->server != NULL)
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -442,6 +442,7 @@
 	}
 	v->rates.ready = view_is_ready(v);
 	rate_lender_tick(&v->rates, v->admission.manifest, now);
+	server_limits_tick(&v->server_limits, view_is_ready(v), now);
 	if (view_is_ready(v))
 		shifts_tick(&v->shifts, &v->registry, &v->fleet, now,
 		    view_store_now(v, now), writes);
--- a/src/gateway/tokens.c
+++ b/src/gateway/tokens.c
@@ -5,15 +5,24 @@
 
 /* Time for a lender of the region to answer: many round trips within it. */
 #define ANSWER_TIMEOUT_MS 80
+/* The same for a lender in another region. */
+#define ANSWER_TIMEOUT_FAR_MS 300
 /* A lender that did not answer in time is skipped for this long. */
 #define SILENT_SKIP_MS 1000
 /* Retry-After if no lender answered and this host has no token. */
 #define UNANSWERED_RETRY_MS 300
 
+/* What a token is for. */
+typedef struct {
+	server_limit_t limit; /* of a workspace: only its name */
+	gboolean is_server;
+	const char *region; /* of the lenders; belongs to whoever asks */
+} token_use_t;
+
 struct token_request {
 	tokens_t *tokens;
 	uint32_t id;
-	uint64_t workspace;
+	token_use_t use;
 	guint rank;	 /* 0: the lender is asked, 1: its deputy */
 	uint64_t lender; /* seed of the host that is asked */
 	token_done_t done;
@@ -75,43 +84,90 @@
 }
 
 static void
-finish_request(token_request_t *request, gboolean granted, msec_t wait_ms)
+finish_request(token_request_t *request, const server_limit_answer_t *answer)
 {
 	token_done_t done = request->done;
 	void *arg = request->arg;
 
 	g_hash_table_remove(
 	    request->tokens->pending, GUINT_TO_POINTER(request->id));
-	done(arg, granted, wait_ms);
+	done(arg, answer);
+}
+
+/* Lends a token from this host's part. */
+static void
+lend(tokens_t *t, const token_use_t *use, server_limit_answer_t *answer)
+{
+	msec_t now = clock_now();
+
+	*answer = (server_limit_answer_t){0};
+	if (use->is_server)
+		server_limits_take(
+		    &t->view->server_limits, &use->limit, answer, now);
+	else
+		answer->granted = rate_lender_take(
+		    &t->view->rates, use->limit.server, &answer->wait_ms, now);
 }
 
 /* Return: the next host to ask, or NULL if it is this host. */
 static const fleet_host_t *
-next_lender(const tokens_t *t, uint64_t workspace, guint *rank, msec_t now)
+next_lender(const tokens_t *t, const token_use_t *use, guint *rank, msec_t now)
 {
+	const rate_lender_t *l =
+	    use->is_server ? &t->view->server_limits.lender : &t->view->rates;
 	const fleet_host_t *h;
 
 	for (; *rank < RATE_LENDERS; (*rank)++) {
-		h = rate_lender_of(&t->view->rates, workspace, *rank, now);
+		h = rate_lender_of(
+		    l, use->region, use->limit.server, *rank, now);
 		if (h == NULL || time_left(t->silent, h->seed, now) == 0)
 			return h;
 	}
 	return NULL;
 }
 
+static uint32_t
+thousandths(double number)
+{
+	return (uint32_t)(number * MSEC_PER_SEC + 0.5);
+}
+
+static void
+put_limit(token_msg_t *msg, const server_limit_t *limit, msec_t now)
+{
+	msg->is_server = TRUE;
+	msg->name = limit->server;
+	msg->rate = thousandths(limit->rate);
+	msg->age_ms = (uint32_t)CLAMP(now - limit->at, 0, UINT32_MAX);
+}
+
+static server_limit_t
+get_limit(const token_msg_t *msg, msec_t now)
+{
+	const server_limit_t limit = {msg->name,
+	    (double)msg->rate / MSEC_PER_SEC, now - (msec_t)msg->age_ms};
+
+	return limit;
+}
+
 static void
 send_request(token_request_t *request, const fleet_host_t *h)
 {
-	const struct timeval wait = {0, ANSWER_TIMEOUT_MS * 1000};
 	tokens_t *t = request->tokens;
+	gboolean is_far = strcmp(h->region, t->view->settings->region) != 0;
+	const struct timeval wait = {0,
+	    (is_far ? ANSWER_TIMEOUT_FAR_MS : ANSWER_TIMEOUT_MS) *
+		MSEC_PER_SEC};
 	uint8_t data[TOKEN_MSG_BYTES];
 	token_msg_t msg = {
 	    .kind = PEER_TOKEN_REQUEST,
 	    .id = request->id,
 	    .host = t->view->fleet.self,
-	    .workspace = request->workspace,
+	    .name = request->use.limit.server,
 	};
 
+	if (request->use.is_server)
+		put_limit(&msg, &request->use.limit, clock_now());
 	request->lender = h->seed;
 	t->requests_sent++;
 	datagram_send(
@@ -124,7 +180,8 @@
 {
 	token_request_t *request = arg;
 	tokens_t *t = request->tokens;
-	msec_t now = clock_now(), wait_ms = 0;
+	msec_t now = clock_now();
+	server_limit_answer_t answer;
 	const fleet_host_t *h;
 
 	(void)fd;
@@ -132,42 +189,41 @@
 	set_until(t->silent, request->lender, now + SILENT_SKIP_MS);
 	t->unanswered++;
 	request->rank++;
-	h = next_lender(t, request->workspace, &request->rank, now);
+	h = next_lender(t, &request->use, &request->rank, now);
 	if (h != NULL) {
 		send_request(request, h);
-	} else if (rate_lender_take(
-		       &t->view->rates, request->workspace, &wait_ms, now)) {
-		finish_request(request, TRUE, 0);
-	} else {
-		finish_request(request, FALSE, UNANSWERED_RETRY_MS);
+		return;
 	}
+	lend(t, &request->use, &answer);
+	if (!answer.granted)
+		answer.wait_ms = UNANSWERED_RETRY_MS;
+	finish_request(request, &answer);
 }
 
-token_request_t *
-tokens_take(tokens_t *t, uint64_t workspace, token_done_t done, void *arg)
+static token_request_t *
+take(tokens_t *t, const token_use_t *use, token_done_t done, void *arg)
 {
 	msec_t now = clock_now();
-	msec_t wait_ms = time_left(t->exhausted, workspace, now);
+	server_limit_answer_t answer = {0};
 	const fleet_host_t *h;
 	token_request_t *request;
 	guint rank = 0;
-	gboolean ok;
 
-	if (wait_ms > 0) {
-		done(arg, FALSE, wait_ms);
+	answer.wait_ms = time_left(t->exhausted, use->limit.server, now);
+	if (answer.wait_ms > 0) {
+		done(arg, &answer);
 		return NULL;
 	}
-	h = next_lender(t, workspace, &rank, now);
+	h = next_lender(t, use, &rank, now);
 	if (h == NULL) {
-		ok =
-		    rate_lender_take(&t->view->rates, workspace, &wait_ms, now);
-		done(arg, ok, wait_ms);
+		lend(t, use, &answer);
+		done(arg, &answer);
 		return NULL;
 	}
 	request = g_new0(token_request_t, 1);
 	request->tokens = t;
 	request->id = ++t->last_id;
-	request->workspace = workspace;
+	request->use = *use;
 	request->rank = rank;
 	request->done = done;
 	request->arg = arg;
@@ -177,6 +233,26 @@
 	return request;
 }
 
+token_request_t *
+tokens_take(tokens_t *t, uint64_t workspace, token_done_t done, void *arg)
+{
+	const token_use_t use = {
+	    .limit = {.server = workspace},
+	    .region = t->view->settings->region,
+	};
+
+	return take(t, &use, done, arg);
+}
+
+token_request_t *
+tokens_take_of_server(tokens_t *t, const server_limit_t *limit,
+    const char *region, token_done_t done, void *arg)
+{
+	const token_use_t use = {*limit, TRUE, region};
+
+	return take(t, &use, done, arg);
+}
+
 void
 tokens_cancel(token_request_t *request)
 {
@@ -190,14 +266,20 @@
 	const fleet_host_t *h = fleet_find(&t->view->fleet, msg->host);
 	uint8_t data[TOKEN_MSG_BYTES];
 	token_msg_t reply = *msg;
-	msec_t wait_ms = 0;
+	msec_t now = clock_now();
+	const token_use_t use = {get_limit(msg, now), msg->is_server != 0, ""};
+	server_limit_answer_t answer;
 
 	if (h == NULL)
 		return;
+	lend(t, &use, &answer);
 	reply.kind = PEER_TOKEN_ANSWER;
-	reply.granted = rate_lender_take(
-	    &t->view->rates, msg->workspace, &wait_ms, clock_now());
-	reply.wait_ms = (uint32_t)wait_ms;
+	reply.granted = answer.granted;
+	reply.wait_ms = (uint32_t)answer.wait_ms;
+	if (msg->is_server) {
+		put_limit(&reply, &answer.limit, now);
+		reply.offloaded = thousandths(answer.offloaded);
+	}
 	datagram_send(t->socket, h->peer, data,
 	    token_msg_encode(&reply, t->secret, data));
 }
@@ -206,6 +288,8 @@
 tokens_receive(tokens_t *t, const token_msg_t *msg)
 {
 	token_request_t *request;
+	msec_t now = clock_now();
+	server_limit_answer_t answer;
 
 	if (msg->kind == PEER_TOKEN_REQUEST) {
 		answer_request(t, msg);
@@ -213,10 +297,16 @@
 	}
 	request = g_hash_table_lookup(t->pending, GUINT_TO_POINTER(msg->id));
 	if (request == NULL || msg->host != t->view->fleet.self ||
-	    msg->workspace != request->workspace)
+	    msg->name != request->use.limit.server ||
+	    (msg->is_server != 0) != request->use.is_server)
 		return;
 	if (msg->granted == 0)
-		set_until(
-		    t->exhausted, msg->workspace, clock_now() + msg->wait_ms);
-	finish_request(request, msg->granted != 0, msg->wait_ms);
+		set_until(t->exhausted, msg->name, now + msg->wait_ms);
+	answer = (server_limit_answer_t){
+	    .granted = msg->granted != 0,
+	    .wait_ms = msg->wait_ms,
+	    .offloaded = (double)msg->offloaded / MSEC_PER_SEC,
+	    .limit = get_limit(msg, now),
+	};
+	finish_request(request, &answer);
 }
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -14,6 +14,7 @@
 	admission_init(&v->admission);
 	rate_lender_init(
 	    &v->rates, &settings->rates, &v->fleet, settings->region);
+	server_limits_init(&v->server_limits, &v->fleet, settings->region);
 	shifts_init(&v->shifts);
 	dispatch_init(&v->dispatch, &v->registry, &v->fleet, &v->shifts,
 	    settings->region, &settings->dispatch);
@@ -24,6 +25,7 @@
 {
 	dispatch_finish(&v->dispatch);
 	shifts_finish(&v->shifts);
+	server_limits_finish(&v->server_limits);
 	rate_lender_finish(&v->rates);
 	admission_finish(&v->admission);
 	fleet_finish(&v->fleet);
--- a/src/gateway/view.h
+++ b/src/gateway/view.h
@@ -4,7 +4,7 @@
 #include "coordination/admission.h"
 #include "coordination/dispatch.h"
 #include "coordination/fleet.h"
-#include "coordination/rate_lender.h"
+#include "coordination/server_limits.h"
 #include "coordination/shifts.h"
 #include "gateway/gateway_settings.h"
 #include "state/registry.h"
@@ -20,6 +20,7 @@
 	fleet_t fleet;
 	admission_state_t admission;
 	rate_lender_t rates;
+	server_limits_t server_limits;
 	shifts_t shifts;
 	dispatch_t dispatch;
 
--- a/src/protocol/token_msg.c
+++ b/src/protocol/token_msg.c
@@ -6,8 +6,10 @@
 	token_msg_t *m = msg;
 
 	return xdr_uint32_t(x, &m->kind) && xdr_uint32_t(x, &m->id) &&
-	    xdr_uint64_t(x, &m->host) && xdr_uint64_t(x, &m->workspace) &&
-	    xdr_uint32_t(x, &m->granted) && xdr_uint32_t(x, &m->wait_ms);
+	    xdr_uint64_t(x, &m->host) && xdr_uint64_t(x, &m->name) &&
+	    xdr_uint32_t(x, &m->granted) && xdr_uint32_t(x, &m->wait_ms) &&
+	    xdr_uint32_t(x, &m->is_server) && xdr_uint32_t(x, &m->rate) &&
+	    xdr_uint32_t(x, &m->age_ms) && xdr_uint32_t(x, &m->offloaded);
 }
 
 size_t
--- a/src/state/placing.c
+++ b/src/state/placing.c
@@ -71,9 +71,11 @@
 static gboolean
 is_offloaded(const backend_t *server, uint64_t object, scope_t scope)
 {
+	double part = scope == SCOPE_ANY ? server->offloaded
+					 : server->offloaded_in_region;
+
 	return hash_below(mix(server->seed + mix(object ^ server->seed)),
-	    scope == SCOPE_ANY ? server->offloaded
-			       : server->offloaded_in_region);
+	    MAX(part, server->limit_offloaded));
 }
 
 typedef struct {
@@ -98,14 +100,14 @@
 	return c->load / c->server->slots;
 }
 
-/* Servers of the object's region go first; in both groups, those that offload
- * the object go last. */
+/* Servers that offload the object go last; in both groups, those of the
+ * object's region go first. */
 static guint
 tier_of(const placing_request_t *request, const placing_candidate_t *c,
     scope_t scope)
 {
-	return (scope == SCOPE_LOCAL && !c->same_region ? 2 : 0) +
-	    is_offloaded(c->server, request->object, scope);
+	return (is_offloaded(c->server, request->object, scope) ? 2 : 0) +
+	    (scope == SCOPE_LOCAL && !c->same_region);
 }
 
 /* A server in another region counts as if it had one more request for each
@@ -153,7 +155,8 @@
 	double over = c->load - PLACING_DEPTH * b->slots + 1;
 	msec_t wait = (msec_t)(MAX(over, 1) * service / b->slots);
 
-	return MAX(MAX(wait, b->full_until - now), WAIT_MIN_MS);
+	wait = MAX(wait, MAX(b->full_until, b->limited_until) - now);
+	return MAX(wait, WAIT_MIN_MS);
 }
 
 /* Requests for each slot, over all servers. */
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -279,6 +279,35 @@
 	b->reported_at = now;
 }
 
+gboolean
+backend_limit(backend_t *b, double rate, msec_t at)
+{
+	gboolean changed = b->limit_at == 0 || b->limit_rate != rate;
+
+	if (at < b->limit_at)
+		return FALSE;
+	b->limit_rate = rate;
+	b->limit_at = at;
+	return changed;
+}
+
+gboolean
+backend_unlimit(backend_t *b)
+{
+	gboolean had = b->limit_at != 0;
+
+	b->limit_at = 0;
+	b->limited_until = 0;
+	b->limit_offloaded = 0;
+	return had;
+}
+
+uint64_t
+backend_limit_id(const backend_t *b)
+{
+	return b->seed ^ ((uint64_t)b->born * UINT64_C(0x9e3779b97f4a7c15));
+}
+
 void
 backend_failed(backend_t *b, gboolean unreachable, msec_t now)
 {
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -76,6 +76,12 @@
 	double offloaded;
 	double offloaded_in_region;
 
+	/* Limit of its rate, as it names it in its answers. */
+	double limit_rate;	/* requests per second, of all hosts */
+	msec_t limit_at;	/* when it was named; 0: it names none */
+	msec_t limited_until;	/* no token for it before then */
+	double limit_offloaded; /* part of its objects beyond the limit, 0..1 */
+
 	/* Failures. */
 	uint32_t failures; /* in a row */
 	/* end of its ejection; then it gets one request at a time; 0: none */
@@ -169,6 +175,23 @@
  */
 void backend_report(backend_t *b, uint32_t running, msec_t now);
 
+/**
+ * backend_limit() - Take over the limit that a server names.
+ * @b: the server
+ * @rate: requests per second of all hosts together
+ * @at: when it named the limit
+ *
+ * Return: whether the limit is new or has changed. An older one than is known
+ * changes nothing.
+ */
+gboolean backend_limit(backend_t *b, double rate, msec_t at);
+
+/** backend_unlimit() - The server names no limit any more. Return: it did. */
+gboolean backend_unlimit(backend_t *b);
+
+/** backend_limit_id() - Identifies the limits of this start of the server. */
+uint64_t backend_limit_id(const backend_t *b);
+
 /** backend_failed() - Count a request without a complete answer; may eject. */
 void backend_failed(backend_t *b, gboolean unreachable, msec_t now);
 
--- a/tests/test_peer_msg.c
+++ b/tests/test_peer_msg.c
@@ -97,9 +97,13 @@
 	token_msg_t m = {.kind = PEER_TOKEN_ANSWER,
 	    .id = 9,
 	    .host = 5,
-	    .workspace = 6,
+	    .name = 6,
 	    .granted = 0,
-	    .wait_ms = 120};
+	    .wait_ms = 120,
+	    .is_server = 1,
+	    .rate = 4700,
+	    .age_ms = 40,
+	    .offloaded = 250};
 	token_msg_t decoded;
 	size_t len = token_msg_encode(&m, &secret, data);
 
@@ -107,6 +111,10 @@
 	ck_assert(token_msg_decode(data, len, &secret, &decoded));
 	ck_assert_uint_eq(decoded.id, 9);
 	ck_assert_uint_eq(decoded.wait_ms, 120);
+	ck_assert_uint_eq(decoded.is_server, 1);
+	ck_assert_uint_eq(decoded.rate, 4700);
+	ck_assert_uint_eq(decoded.age_ms, 40);
+	ck_assert_uint_eq(decoded.offloaded, 250);
 	ck_assert(!token_msg_decode(data, len, &foreign_secret, &decoded));
 }
 
--- a/tests/test_rate_lender.c
+++ b/tests/test_rate_lender.c
@@ -65,7 +65,10 @@
 static void
 start_host(world_t *w, guint i, uint64_t incarnation)
 {
-	const rate_bounds_t bounds = {0.1, 20, WINDOW_MS};
+	const rate_bounds_t bounds = {.overage = 0.1,
+	    .slack = 20,
+	    .window_ms = WINDOW_MS,
+	    .lent_part = 0.5};
 	sim_host_t *p = &w->sim_hosts[i];
 	guint k;
 
@@ -185,7 +188,7 @@
 {
 	const fleet_host_t *h =
 	    rate_lender_of(&w->sim_hosts[caller_host].lender,
-		registry_hash(WORKSPACE), 0, now);
+		w->regions[caller_host], registry_hash(WORKSPACE), 0, now);
 	guint i;
 
 	for (i = 0; h != NULL && i < w->scenario->hosts; i++) {
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -364,6 +364,52 @@
 	}
 }
 
+static void
+test_server_limits(void)
+{
+	static const struct {
+		const char *value, *second; /* NULL: not sent */
+		wire_limit_t limit;
+		double rate;
+	} rows[] = {
+	    {NULL, NULL, WIRE_LIMIT_NONE, 0},
+	    {"6.3", NULL, WIRE_LIMIT_NAMED, 6.3},
+	    {"12", NULL, WIRE_LIMIT_NAMED, 12},
+	    {"0", NULL, WIRE_LIMIT_NAMED, 0},
+	    {"1000000", NULL, WIRE_LIMIT_NAMED, 1e6},
+	    {"1000001", NULL, WIRE_LIMIT_INVALID, 0},
+	    {"6.3", "6.3", WIRE_LIMIT_INVALID, 0},
+	    {"", NULL, WIRE_LIMIT_INVALID, 0},
+	    {"-1", NULL, WIRE_LIMIT_INVALID, 0},
+	    {"+1", NULL, WIRE_LIMIT_INVALID, 0},
+	    {".5", NULL, WIRE_LIMIT_INVALID, 0},
+	    {"1.2.3", NULL, WIRE_LIMIT_INVALID, 0},
+	    {"1e3", NULL, WIRE_LIMIT_INVALID, 0},
+	    {"0x10", NULL, WIRE_LIMIT_INVALID, 0},
+	    {"nan", NULL, WIRE_LIMIT_INVALID, 0},
+	    {"inf", NULL, WIRE_LIMIT_INVALID, 0},
+	    {"6,3", NULL, WIRE_LIMIT_INVALID, 0},
+	    {"6 a second", NULL, WIRE_LIMIT_INVALID, 0},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct evkeyvalq h = TAILQ_HEAD_INITIALIZER(h);
+		wire_answer_t a;
+
+		if (rows[i].value != NULL)
+			evhttp_add_header(&h, "Server-Limit", rows[i].value);
+		if (rows[i].second != NULL)
+			evhttp_add_header(&h, "server-limit", rows[i].second);
+		wire_answer_read(200, &h, &a);
+		ck_assert_msg(a.limit == rows[i].limit, "%s: read as %d",
+		    rows[i].value, (int)a.limit);
+		if (a.limit == WIRE_LIMIT_NAMED)
+			ck_assert_double_eq(a.limit_rate, rows[i].rate);
+		evhttp_clear_headers(&h);
+	}
+}
+
 static void
 test_lookups(void)
 {
@@ -409,6 +455,7 @@
     {"headers of a request", test_request},
     {"headers passed on to a server", test_forward},
     {"headers of an answer", test_answers},
+    {"limits of servers", test_server_limits},
     {"look-ups", test_lookups},
 };
 
