--- a/src/coordination/server_limits.c
+++ b/src/coordination/server_limits.c
@@ -7,7 +7,7 @@
 #define WINDOW_MS 4000
 /* The rest covers requests that take longer to the server than others, and the
  * time in which hosts see each other differently. */
-#define LENT_PART 0.7
+#define LENT_PART 0.6
 /* Tokens that accrue in this time are held for a burst. */
 #define HOLD_MS 1000
 /* A server that names less still gets this many requests per second, whose
