A token that arrives after a pause of its host is not used

A host that is paused between its request for a token and the answer took the token when it ran again, seconds later, when the window in which it was lent may be over: a permission that had run out. Deadlines of names that have passed are dropped, so that the table does not grow with each start of a server. /state shows the part of the objects that stay in the region.

--- a/src/coordination/balance.h
+++ b/src/coordination/balance.h
@@ -19,8 +19,8 @@
  * spread over all regions else. At first each region keeps as many as leave the
  * servers of all regions equally busy if hosts have equal demand. The load that
  * needs this: hundreds of servers in regions that are far apart, some with few
- * servers to which workspaces are bound. Callers may not notice that traffic
- * changes its region, so few objects do at a time.
+ * servers to which workspaces are bound. Only few objects change region at a
+ * time, so that the traffic of a region never moves all at once.
  */
 
 /**
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -202,7 +202,9 @@
 		if (!is_allowed(d, job, b, cohort, now))
 			continue;
 		able = is_able(d, job, b, now);
-		score = same_region ? placing_score(b, job->object) : 0;
+		score = same_region && job->by_object
+		    ? placing_score(b, job->object)
+		    : 0;
 		if (score > best) {
 			best = score;
 			out->has_home = able;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -149,6 +149,14 @@
 		    b->service_ms, b->limit_at != 0 ? b->limit_rate : 0,
 		    b->limit_offloaded);
 	}
+	g_hash_table_iter_init(&it, v->registry.services);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const registry_service_t *s = value;
+
+		g_string_append_printf(out,
+		    "service name=%s servers=%u local_part=%.3f\n", s->name,
+		    s->servers->len, s->local_part);
+	}
 	for (i = 0; i < v->fleet.hosts->len; i++) {
 		const fleet_host_t *h = g_ptr_array_index(v->fleet.hosts, i);
 
--- a/src/gateway/tokens.c
+++ b/src/gateway/tokens.c
@@ -11,6 +11,9 @@
 #define SILENT_SKIP_MS 1000
 /* Retry-After if no lender answered and this host has no token. */
 #define UNANSWERED_RETRY_MS 300
+/* A token that arrives later is not used. This host was paused meanwhile, and
+ * the window that the token was lent in may be over. */
+#define TOKEN_VALID_MS 1000
 
 /* What a token is for. */
 typedef struct {
@@ -23,6 +26,7 @@
 	tokens_t *tokens;
 	uint32_t id;
 	token_use_t use;
+	msec_t asked_at;
 	guint rank;	 /* 0: the lender is asked, 1: its deputy */
 	uint64_t lender; /* seed of the host that is asked */
 	token_done_t done;
@@ -63,13 +67,19 @@
 	g_hash_table_destroy(t->exhausted);
 }
 
-/* Return: time left until the deadline of a hash, or 0. */
+/* Return: time left until the deadline of a hash, or 0. A deadline that has
+ * passed is dropped. */
 static msec_t
 time_left(GHashTable *deadlines, uint64_t hash, msec_t now)
 {
 	const msec_t *until = g_hash_table_lookup(deadlines, &hash);
 
-	return until != NULL && now < *until ? *until - now : 0;
+	if (until == NULL)
+		return 0;
+	if (now < *until)
+		return *until - now;
+	g_hash_table_remove(deadlines, &hash);
+	return 0;
 }
 
 static void
@@ -224,6 +234,7 @@
 	request->tokens = t;
 	request->id = ++t->last_id;
 	request->use = *use;
+	request->asked_at = now;
 	request->rank = rank;
 	request->done = done;
 	request->arg = arg;
@@ -298,7 +309,8 @@
 	request = g_hash_table_lookup(t->pending, GUINT_TO_POINTER(msg->id));
 	if (request == NULL || msg->host != t->view->fleet.self ||
 	    msg->name != request->use.limit.server ||
-	    (msg->is_server != 0) != request->use.is_server)
+	    (msg->is_server != 0) != request->use.is_server ||
+	    now - request->asked_at > TOKEN_VALID_MS)
 		return;
 	if (msg->granted == 0)
 		set_until(t->exhausted, msg->name, now + msg->wait_ms);
