--- a/src/coordination/dispatch.h
+++ b/src/coordination/dispatch.h
@@ -96,7 +96,9 @@
 placing_t dispatch_place(
     dispatch_t *d, const dispatch_job_t *job, msec_t now, msec_t store_now);
 
-/** dispatch_may_send() - Whether a server that was chosen can still be used. */
+/** dispatch_may_send() - Whether a server from dispatch_place() is still
+ * usable.
+ */
 gboolean dispatch_may_send(const dispatch_t *d, const dispatch_job_t *job,
     const backend_t *server, msec_t now);
 
--- a/src/coordination/rate_lender.h
+++ b/src/coordination/rate_lender.h
@@ -14,6 +14,9 @@
  * second host by the hash is the deputy. It lends a small part, for the time
  * until a dead lender is known to be silent.
  *
+ * The limits that backend servers name have one lender for all regions
+ * (server_limits.h).
+ *
  * Expected load: tens of hosts that each see few requests of a workspace, or
  * one workspace that sends many times its usual rate to all hosts at once.
  */
@@ -43,7 +46,7 @@
 	const fleet_t *fleet;
 	const char *region;	  /* of this host */
 	GHashTable *limits;	  /* workspace hash to its limit on this host */
-	gboolean all_regions;	  /* a part is of all hosts, not of a region */
+	gboolean all_regions;	  /* one lender for the hosts of all regions */
 	gboolean ready;		  /* this host may lend */
 	msec_t first_manifest_at; /* 0: no manifest yet */
 	gboolean starting;	  /* shortly after @first_manifest_at */
--- a/src/coordination/server_limits.h
+++ b/src/coordination/server_limits.h
@@ -7,10 +7,10 @@
  * Keeps all hosts together to the limits that backend servers name in their
  * answers. One host in the server's region lends the tokens to all hosts, since
  * most requests come from there, and a limit of a few requests a second would
- * leave a region less than a token (rate_lender.h). A host that asks for one
- * names the limit as it heard it. The lender answers with the latest that it
- * was told, and with the part of the server's objects that are beyond the
- * limit. Hosts place these elsewhere.
+ * leave a region less than a token. A host that requests one names the limit
+ * that it knows. The lender answers with the latest limit that it received, and
+ * with the part of the server's objects that are beyond it. Hosts place these
+ * elsewhere.
  *
  * Expected load: most servers of a service in need at the same time, with
  * limits of a few requests a second, and tens of hosts that each send a server
@@ -35,7 +35,6 @@
 typedef struct {
 	rate_lender_t lender;
 	GHashTable *named; /* id of a server to what its lender knows */
-	msec_t ticked_at;
 } server_limits_t;
 
 void server_limits_init(
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -8,8 +8,8 @@
 /*
  * Internal to the relay: relay.c starts a request, relay_try.c sends it to
  * servers, relay_limit.c keeps to the limits that these name, relay_reply.c
- * answers it. The function that ends a relay frees it,
- * so a relay must not be used after a call that may end it.
+ * answers it. The function that ends a relay frees it, so a relay must not be
+ * used after a call that may end it.
  */
 
 #define STATUS_OVER_RATE 429
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -186,7 +186,11 @@
  */
 gboolean backend_limit(backend_t *b, double rate, msec_t at);
 
-/** backend_unlimit() - The server names no limit any more. Return: it did. */
+/**
+ * backend_unlimit() - Drop the limit of a server that names none any more.
+ *
+ * Return: whether there was one.
+ */
 gboolean backend_unlimit(backend_t *b);
 
 /** backend_limit_id() - Identifies the limits of this start of the server. */
