--- a/src/gateway/status_sync.c
+++ b/src/gateway/status_sync.c
@@ -44,25 +44,14 @@
 	shifts_report(&v->shifts, status);
 }
 
-static void
-count_bytes(status_sync_t *s, const fleet_host_t *h, size_t len)
-{
-	metric_id_t hop = s->bytes_fleet;
-
-	if (h->domain_seed == s->view->fleet.domain)
-		hop = s->bytes_domain;
-	else if (strcmp(h->region, s->view->settings->region) == 0)
-		hop = s->bytes_region;
-	metrics_count(s->metrics, hop, len);
-}
-
 static void
 send_to(
     status_sync_t *s, const fleet_host_t *h, const uint8_t *data, size_t len)
 {
 	if (len == 0)
 		return;
-	count_bytes(s, h, len);
+	control_bytes_sent(&s->bytes, &s->view->fleet, h, len,
+	    peer_msg_kind(data, len) == PEER_TABLE);
 	datagram_send(&s->socket, h->peer, data, len);
 }
 
@@ -323,6 +312,7 @@
 
 	(void)fd;
 	(void)what;
+	control_bytes_tick(&s->bytes, now);
 	send_status_if_due(s, now);
 	s->collector.urgent |= s->bundle_urgent;
 	due = collector_tick(
@@ -584,13 +574,6 @@
 	    "table changes and suspects passed on to the hosts of the domain");
 	s->rejected = metrics_add(m, METRIC_COUNTER, "datagrams_rejected_total",
 	    "datagrams that are not valid messages");
-	s->bytes_domain = metrics_add(m, METRIC_COUNTER,
-	    "control_bytes_domain_total", "bytes sent within the domain");
-	s->bytes_region =
-	    metrics_add(m, METRIC_COUNTER, "control_bytes_region_total",
-		"bytes sent to other domains of the region");
-	s->bytes_fleet = metrics_add(m, METRIC_COUNTER,
-	    "control_bytes_fleet_total", "bytes sent to other regions");
 	s->acting = metrics_add(m, METRIC_GAUGE, "collector_acting",
 	    "1 while this host collects the statuses of its domain");
 	s->takeovers = metrics_add(m, METRIC_GAUGE, "collector_takeovers",
@@ -634,6 +617,7 @@
 	s->store_sync = store_sync;
 	s->metrics = metrics;
 	register_metrics(s);
+	control_bytes_init(&s->bytes, view->settings->link_mbps, metrics);
 	fleet_status_init(&s->last_sent);
 	collector_init(&s->collector, &view->fleet);
 	s->timer = event_new(base, -1, EV_PERSIST, on_timer, s);
--- a/src/gateway/status_sync.h
+++ b/src/gateway/status_sync.h
@@ -3,6 +3,7 @@
 
 #include "base/metrics.h"
 #include "coordination/collector.h"
+#include "gateway/control_bytes.h"
 #include "gateway/store_sync.h"
 #include "gateway/suspects.h"
 #include "gateway/tokens.h"
@@ -34,7 +35,7 @@
 	gboolean bundle_urgent;
 	metrics_t *metrics;
 	metric_id_t statuses, summaries, bundles, relayed, rejected;
-	metric_id_t bytes_domain, bytes_region, bytes_fleet;
+	control_bytes_t bytes;
 	metric_id_t acting, takeovers, domains_fresh, summary_age;
 } status_sync_t;
 
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -87,15 +87,20 @@
 static void
 note_failure(synced_table_t *t, const GError *err)
 {
-	if (t->failures++ == 0) {
-		t->lost_at = clock_now();
-		log_event(LOG_WARN, "store.lost", "table",
-		    table_defs[t->kind].name, "error",
-		    err != NULL ? err->message : NULL, NULL);
-	}
+	msec_t now = clock_now();
+	gboolean first = t->failures++ == 0;
+
+	if (first)
+		t->lost_at = now;
+	log_event(first ? LOG_WARN : LOG_INFO,
+	    first ? "store.lost" : "store.call_failed", "table",
+	    table_defs[t->kind].name, "failures", log_num(t->failures),
+	    "listing", log_num(t->listing), "took_ms",
+	    log_num(now - t->own_call_at), "lost_ms", log_num(now - t->lost_at),
+	    "error", err != NULL ? err->message : NULL, NULL);
 	/* After a long failure, reading the table again takes less than reading
 	 * all changes since then. */
-	if (clock_now() - t->lost_at > UNREACHABLE_MS && t->complete) {
+	if (now - t->lost_at > UNREACHABLE_MS && t->complete) {
 		t->complete = FALSE;
 		g_free(t->next_key);
 		t->next_key = NULL;
