CONFIG: changes of tables take at most a quarter of a host's link

Cause: when the fleet starts, several hosts of a region read the changes of servers, and each sends them to all collectors; each acting collector (112 hosts at some time) passed on whatever arrived, as often as it arrived, to each host of its domain. front-to-dora-34, with a link of 12 Mbit/s, sent 91 MB in 4 s: a minute of its link. Until that was sent, connections to the store were not made, requests did not get through, and its statuses came late. A call for orders that was open went on; the first one after it was not connected for 10 to 20 s. Class: fan-out without a bound on a shared link.

Ruled out: the way calls are repeated (each failed as no connection was made, with no segment sent again, and succeeded as soon as the link was free), and the path in (summaries arrived all the while).

Change: a collector passes each version of a table on once. Rows take at most a quarter of the link, with a burst of a second; what does not fit becomes a notice of the version, upon which the hosts read the changes from the store. Decided by coordination/fanout for the reader as well as for collectors.

--- a/src/gateway/status_sync.c
+++ b/src/gateway/status_sync.c
@@ -55,21 +55,6 @@
 	datagram_send(&s->socket, h->peer, data, len);
 }
 
-/* Sends to all other hosts of this host's domain. */
-static void
-send_domain(status_sync_t *s, const uint8_t *data, size_t len)
-{
-	const fleet_t *f = &s->view->fleet;
-	guint i;
-
-	for (i = 0; i < f->hosts->len; i++) {
-		const fleet_host_t *h = g_ptr_array_index(f->hosts, i);
-
-		if (h->domain_seed == f->domain)
-			send_to(s, h, data, len);
-	}
-}
-
 /* Sends to the collectors of this host's domain. */
 static void
 send_own_collectors(status_sync_t *s, const uint8_t *data, size_t len)
@@ -90,13 +75,13 @@
 	}
 }
 
-/* Sends to the collectors of the other domains, of this region only or of all.
+/*
+ * Appends the collectors of the other domains, of this region only or of all:
+ * const fleet_host_t pointers.
  */
 static void
-send_collectors(
-    status_sync_t *s, const uint8_t *data, size_t len, gboolean all_regions)
+append_collectors(const view_t *v, GPtrArray *out, gboolean all_regions)
 {
-	const view_t *v = s->view;
 	msec_t now = clock_now();
 	const fleet_host_t *targets[FLEET_TARGETS_MAX];
 	GHashTableIter it;
@@ -112,10 +97,54 @@
 			continue;
 		n = fleet_targets(&v->fleet, domain, targets, now);
 		for (i = 0; i < n; i++)
-			send_to(s, targets[i], data, len);
+			g_ptr_array_add(out, (gpointer)targets[i]);
 	}
 }
 
+static void
+append_domain(const view_t *v, GPtrArray *out)
+{
+	const fleet_t *f = &v->fleet;
+	guint i;
+
+	for (i = 0; i < f->hosts->len; i++) {
+		fleet_host_t *h = g_ptr_array_index(f->hosts, i);
+
+		if (h->domain_seed == f->domain)
+			g_ptr_array_add(out, h);
+	}
+}
+
+static void
+send_all(status_sync_t *s, const GPtrArray *to, const uint8_t *data, size_t len)
+{
+	guint i;
+
+	for (i = 0; i < to->len; i++)
+		send_to(s, g_ptr_array_index(to, i), data, len);
+}
+
+static void
+send_domain(status_sync_t *s, const uint8_t *data, size_t len)
+{
+	GPtrArray *to = g_ptr_array_new();
+
+	append_domain(s->view, to);
+	send_all(s, to, data, len);
+	g_ptr_array_free(to, TRUE);
+}
+
+/* Sends to the collectors of the other domains of all regions. */
+static void
+send_collectors(status_sync_t *s, const uint8_t *data, size_t len)
+{
+	GPtrArray *to = g_ptr_array_new();
+
+	append_collectors(s->view, to, TRUE);
+	send_all(s, to, data, len);
+	g_ptr_array_free(to, TRUE);
+}
+
 static gboolean
 can_send(const status_sync_t *s)
 {
@@ -290,7 +319,7 @@
 	with_list = d == NULL || fleet_list_is_due(d);
 	add_part(parts, &summary, with_list);
 	summary_msg_encode(&msg, parts, 0, &s->store_sync->secret, data, &len);
-	send_collectors(s, data, len, TRUE);
+	send_collectors(s, data, len);
 	metrics_count(s->metrics, s->summaries, 1);
 	append_foreign(s, parts);
 	send_bundle(s, parts, stopping);
@@ -446,10 +475,57 @@
 	g_array_free(summaries, TRUE);
 }
 
+static size_t
+encode_notice(
+    const status_sync_t *s, const table_update_t *update, uint8_t *data)
+{
+	GPtrArray *no_rows = g_ptr_array_new();
+	table_update_t notice = *update;
+	size_t len;
+
+	notice.from = notice.to;
+	notice.rows = no_rows;
+	(void)table_update_encode(
+	    &notice, 0, &s->store_sync->secret, data, &len);
+	g_ptr_array_free(no_rows, TRUE);
+	return len;
+}
+
+/* Sends rows, or in place of those that the link has no room for a notice that
+ * they have changed. */
+static void
+send_update(status_sync_t *s, const table_update_t *update, const GPtrArray *to)
+{
+	uint8_t data[PEER_MSG_MAX_BYTES], notice[PEER_MSG_MAX_BYTES];
+	size_t len, notice_len = encode_notice(s, update, notice);
+	table_update_t rest = *update;
+	fanout_verdict_t verdict;
+	guint next = 0;
+
+	do {
+		next = table_update_encode(
+		    &rest, next, &s->store_sync->secret, data, &len);
+		verdict = fanout_choose(
+		    &s->fanout, len, notice_len, to->len, clock_now());
+		switch (verdict) {
+		case FANOUT_ROWS:
+			send_all(s, to, data, len);
+			break;
+		case FANOUT_NOTICE:
+			send_all(s, to, notice, notice_len);
+			metrics_count(s->metrics, s->notices, 1);
+			return;
+		case FANOUT_NOTHING:
+			metrics_count(s->metrics, s->notices_omitted, 1);
+			return;
+		}
+	} while (next < update->rows->len);
+}
+
 static void
 receive_table(status_sync_t *s, const uint8_t *data, size_t len)
 {
-	uint8_t copy[PEER_MSG_MAX_BYTES];
+	GPtrArray *to;
 	table_update_t update;
 	table_page_t page;
 
@@ -458,14 +534,16 @@
 		metrics_count(s->metrics, s->rejected, 1);
 		return;
 	}
-	if (update.relay) {
+	if (update.relay &&
+	    fanout_advances(&s->fanout, update.table, update.to)) {
 		table_update_t passed = update;
 
 		passed.relay = FALSE;
 		passed.rows = page.rows;
-		(void)table_update_encode(
-		    &passed, 0, &s->store_sync->secret, copy, &len);
-		send_domain(s, copy, len);
+		to = g_ptr_array_new();
+		append_domain(s->view, to);
+		send_update(s, &passed, to);
+		g_ptr_array_free(to, TRUE);
 		metrics_count(s->metrics, s->relayed, 1);
 	}
 	store_sync_receive(s->store_sync, &update, &page);
@@ -477,25 +555,19 @@
 send_table(void *arg, table_update_t *update)
 {
 	status_sync_t *s = arg;
-	uint8_t data[PEER_MSG_MAX_BYTES];
-	table_update_t own = *update;
-	guint next = 0;
-	size_t len;
+	GPtrArray *to;
 
 	if (!s->store_sync->has_secret)
 		return;
+	to = g_ptr_array_new();
 	update->relay = TRUE;
-	do {
-		next = table_update_encode(
-		    update, next, &s->store_sync->secret, data, &len);
-		send_collectors(s, data, len, FALSE);
-	} while (next < update->rows->len);
-	next = 0;
-	do {
-		next = table_update_encode(
-		    &own, next, &s->store_sync->secret, data, &len);
-		send_domain(s, data, len);
-	} while (next < own.rows->len);
+	append_collectors(s->view, to, FALSE);
+	send_update(s, update, to);
+	g_ptr_array_set_size(to, 0);
+	update->relay = FALSE;
+	append_domain(s->view, to);
+	send_update(s, update, to);
+	g_ptr_array_free(to, TRUE);
 }
 
 static void
@@ -529,8 +601,8 @@
 	send_domain(
 	    s, data, suspect_msg_encode(msg, &s->store_sync->secret, data));
 	msg->relay = TRUE;
-	send_collectors(s, data,
-	    suspect_msg_encode(msg, &s->store_sync->secret, data), TRUE);
+	send_collectors(
+	    s, data, suspect_msg_encode(msg, &s->store_sync->secret, data));
 }
 
 static void
@@ -572,6 +644,12 @@
 	    "times that summaries were sent to the hosts of the domain");
 	s->relayed = metrics_add(m, METRIC_COUNTER, "messages_relayed_total",
 	    "table changes and suspects passed on to the hosts of the domain");
+	s->notices = metrics_add(m, METRIC_COUNTER, "table_notices_total",
+	    "changes sent as a notice, as their rows would take too much of "
+	    "the link");
+	s->notices_omitted =
+	    metrics_add(m, METRIC_COUNTER, "table_notices_omitted_total",
+		"changes sent neither as rows nor as a notice");
 	s->rejected = metrics_add(m, METRIC_COUNTER, "datagrams_rejected_total",
 	    "datagrams that are not valid messages");
 	s->acting = metrics_add(m, METRIC_GAUGE, "collector_acting",
@@ -620,6 +698,7 @@
 	control_bytes_init(&s->bytes, view->settings->link_mbps, metrics);
 	fleet_status_init(&s->last_sent);
 	collector_init(&s->collector, &view->fleet);
+	fanout_init(&s->fanout, view->settings->link_mbps, clock_now());
 	s->timer = event_new(base, -1, EV_PERSIST, on_timer, s);
 	event_add(s->timer, &period);
 	s->suspects = suspects;
--- a/src/gateway/status_sync.h
+++ b/src/gateway/status_sync.h
@@ -3,6 +3,7 @@
 
 #include "base/metrics.h"
 #include "coordination/collector.h"
+#include "coordination/fanout.h"
 #include "gateway/control_bytes.h"
 #include "gateway/store_sync.h"
 #include "gateway/suspects.h"
@@ -25,6 +26,7 @@
 	store_sync_t *store_sync;
 	suspects_t *suspects;
 	collector_t collector;
+	fanout_t fanout;
 	datagram_t socket;
 	tokens_t tokens;
 	struct event *timer;
@@ -35,6 +37,7 @@
 	gboolean bundle_urgent;
 	metrics_t *metrics;
 	metric_id_t statuses, summaries, bundles, relayed, rejected;
+	metric_id_t notices, notices_omitted;
 	control_bytes_t bytes;
 	metric_id_t acting, takeovers, domains_fresh, summary_age;
 } status_sync_t;
