--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -162,18 +162,29 @@
 	return b->ramp_rank;
 }
 
+gboolean
+dispatch_ramp(const dispatch_t *d, const manifest_service_t *service,
+    backend_t *server, msec_t now, dispatch_ramp_t *out)
+{
+	if (service->warmup_rate <= 0 || !backend_is_cold(server, now))
+		return FALSE;
+	out->rank = ramp_rank(d, server);
+	out->hosts = fleet_size(d->fleet);
+	out->gap_ms = cold_ramp_gap(
+	    &d->bounds.cold, service->warmup_rate, out->rank, out->hosts);
+	out->since_ms = now - server->sent_at;
+	return TRUE;
+}
+
 /* Whether the cold ramp forbids this host to send to a cold server now. */
 static gboolean
 is_throttled(const dispatch_t *d, const manifest_service_t *service,
     backend_t *b, msec_t now)
 {
-	msec_t gap;
+	dispatch_ramp_t ramp;
 
-	if (service->warmup_rate <= 0 || !backend_is_cold(b, now))
-		return FALSE;
-	gap = cold_ramp_gap(&d->bounds.cold, service->warmup_rate,
-	    ramp_rank(d, b), fleet_size(d->fleet));
-	return gap == 0 || now - b->sent_at < gap;
+	return dispatch_ramp(d, service, b, now, &ramp) &&
+	    (ramp.gap_ms == 0 || ramp.since_ms < ramp.gap_ms);
 }
 
 /* Servers that can take a request, and whether the first in rank of this
--- a/src/coordination/dispatch.h
+++ b/src/coordination/dispatch.h
@@ -102,6 +102,27 @@
 gboolean dispatch_may_send(const dispatch_t *d, const dispatch_job_t *job,
     const backend_t *server, msec_t now);
 
+/* This host's part of the requests to a cold server. */
+typedef struct {
+	guint rank;  /* of this host, from 0 */
+	guint hosts; /* among which the bound is divided */
+	msec_t gap_ms;
+	msec_t since_ms; /* since this host's last request to the server */
+} dispatch_ramp_t;
+
+/**
+ * dispatch_ramp() - This host's part of the requests to a server, for logs.
+ * @d: the state
+ * @service: the service of the request
+ * @server: the server
+ * @now: time
+ * @out: set if the result is TRUE
+ *
+ * Return: whether the server is cold and its service has a bound.
+ */
+gboolean dispatch_ramp(const dispatch_t *d, const manifest_service_t *service,
+    backend_t *server, msec_t now, dispatch_ramp_t *out);
+
 /** dispatch_sent() - Record that the request is sent to a server. */
 void dispatch_sent(
     dispatch_t *d, dispatch_job_t *job, backend_t *server, msec_t now);
--- a/src/gateway/relay_try.c
+++ b/src/gateway/relay_try.c
@@ -150,6 +150,20 @@
 	end_try(r, end);
 }
 
+static void
+log_cold(const relay_t *r, backend_t *server)
+{
+	dispatch_ramp_t ramp;
+
+	if (!dispatch_ramp(&r->relays->view->dispatch, r->admission.service,
+		server, r->sent_at, &ramp))
+		return;
+	log_event(LOG_INFO, "request.to_cold", "id", r->id, "server",
+	    server->id, "rank", log_num(ramp.rank), "hosts",
+	    log_num(ramp.hosts), "gap_ms", log_num(ramp.gap_ms), "since_ms",
+	    log_num(server->sent_at != 0 ? ramp.since_ms : -1), NULL);
+}
+
 static void
 send_try(relay_t *r, backend_t *server, msec_t left_ms)
 {
@@ -181,6 +195,7 @@
 
 	evbuffer_add_buffer_reference(body, http_exchange_body(r->x));
 	wire_request_forward(&headers, http_exchange_headers(r->x), &forward);
+	log_cold(r, server);
 	dispatch_sent(&relays->view->dispatch, &r->job, server, r->sent_at);
 	r->run = suspects_sent(relays->suspects, &r->fingerprint, server);
 	r->call = http_call(relays->http, &request, &handler);
