CONFIG: a host that knows that it is behind refuses nothing for good

Seen by callers: a host that had heard of newer orders for seconds (store.feed_behind known=1110 peer=1111) answered 404 on a route that had been added, said that it was ready and passed requests on by old routes.

Cause: what a host knows of its own lag was used only to ask the store again; the decisions about requests did not see it. Class: an answer that is certain in form is given from a state that is known to be old.

Change: coordination/orders_lag keeps the newest version that a peer has and the version up to which every order is known here. While behind, 401, 404 and 413 become 503 with a Retry-After of 0.1 s. After 1.2 s the host is not ready and passes nothing on, unless over a quarter of the other hosts lack the store too: then its callers have nobody else. A host that starts after an order was removed no longer counts as behind and no longer asks the store each second: what it knows is the version of the answer, not of the newest row in it.

The old code has no such state.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -10,6 +10,9 @@
 /* Retry-After of a host that has no configuration yet: another host may have
  * one by then. */
 #define NOT_READY_RETRY_MS 500
+/* Retry-After of a host whose orders are behind those of other hosts: the
+ * caller goes to another host. */
+#define BEHIND_RETRY_MS 100
 
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
@@ -59,6 +62,21 @@
 	    refusals[verdict].reason);
 }
 
+/* Whether newer orders, which other hosts have, may decide otherwise. */
+static gboolean
+is_uncertain(const relay_t *r)
+{
+	switch (view_orders_state(r->relays->view, r->began_at)) {
+	case ORDERS_CURRENT:
+		return FALSE;
+	case ORDERS_BEHIND:
+		return r->admission.verdict != ADMISSION_OK;
+	case ORDERS_OUTDATED:
+		break;
+	}
+	return TRUE;
+}
+
 static void
 start_timer(relay_t *r)
 {
@@ -185,7 +203,10 @@
 	} else {
 		r->admission =
 		    admission_decide(&relays->view->admission, &request);
-		if (r->admission.verdict == ADMISSION_OK)
+		if (is_uncertain(r))
+			relay_reply_own(r, STATUS_UNAVAILABLE, BEHIND_RETRY_MS,
+			    "orders-behind");
+		else if (r->admission.verdict == ADMISSION_OK)
 			start_attempt(r);
 		else
 			refuse_admission(r);
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -228,10 +228,12 @@
 
 	if (!t->complete)
 		return;
-	if (t->kind == SYNCED_ORDERS)
+	if (t->kind == SYNCED_ORDERS) {
 		v->orders_synced_at = t->called_at;
-	else if (t->kind == SYNCED_SERVERS)
+		orders_lag_known(&v->orders_lag, t->ver);
+	} else if (t->kind == SYNCED_SERVERS) {
 		v->servers_synced_at = t->called_at;
+	}
 }
 
 static msec_t
@@ -403,8 +405,10 @@
 {
 	synced_table_t *t = &s->tables[SYNCED_ORDERS];
 
-	if (orders_ver <= s->view->orders_ver || t->call == NULL ||
-	    clock_now() - t->called_at < FEED_BEHIND_MS ||
+	orders_lag_heard(&s->view->orders_lag, orders_ver, clock_now());
+	if (orders_lag_ms(&s->view->orders_lag, clock_now()) == 0)
+		return;
+	if (t->call == NULL || clock_now() - t->called_at < FEED_BEHIND_MS ||
 	    table_call_is_answering(t->call))
 		return;
 	log_event(LOG_INFO, "store.feed_behind", "known",
@@ -425,6 +429,21 @@
 	return TRUE;
 }
 
+static void
+note_ready(store_sync_t *s, gboolean ready, msec_t now)
+{
+	const orders_lag_t *lag = &s->view->orders_lag;
+
+	if (ready == s->was_ready)
+		return;
+	s->was_ready = ready;
+	log_event(LOG_INFO, ready ? "host.ready" : "host.not_ready",
+	    "orders_known", log_num((long long)lag->known), "orders_heard",
+	    log_num((long long)lag->heard), "behind_ms",
+	    log_num(orders_lag_ms(lag, now)), "leaving",
+	    s->view->leaving ? "1" : "0", NULL);
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -432,6 +451,7 @@
 	view_t *v = s->view;
 	GArray *writes = g_array_new(FALSE, TRUE, sizeof(shift_write_t));
 	msec_t now = clock_now();
+	gboolean ready;
 	guint i;
 
 	(void)fd;
@@ -445,10 +465,12 @@
 		    s->tables[i].complete && s->tables[i].failures == 0)
 			schedule(s->tables[i].timer, call_delay(&s->tables[i]));
 	}
-	v->rates.ready = view_is_ready(v);
+	ready = view_is_ready(v, now);
+	note_ready(s, ready, now);
+	v->rates.ready = ready;
 	rate_lender_tick(&v->rates, v->admission.manifest, now);
-	server_limits_tick(&v->server_limits, view_is_ready(v), now);
-	if (view_is_ready(v))
+	server_limits_tick(&v->server_limits, ready, now);
+	if (ready)
 		shifts_tick(&v->shifts, &v->registry, &v->fleet, now,
 		    view_store_now(v, now), writes);
 	for (i = 0; i < writes->len; i++)
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -62,6 +62,7 @@
 	table_store_t store;
 	struct event_base *base;
 	synced_table_t tables[SYNCED_TABLES];
+	gboolean was_ready;    /* at the last tick */
 	gboolean many_changes; /* the page being applied is logged as a whole */
 	gboolean store_back;   /* a call succeeded after calls had failed */
 	/* A removal that is read by a call from before this time may be a
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -40,10 +40,17 @@
 }
 
 gboolean
-view_is_ready(const view_t *v)
+view_is_ready(const view_t *v, msec_t now)
 {
 	return !v->leaving && v->joined && v->servers_synced_at != 0 &&
-	    v->admission.manifest != NULL;
+	    v->admission.manifest != NULL &&
+	    view_orders_state(v, now) != ORDERS_OUTDATED;
+}
+
+orders_state_t
+view_orders_state(const view_t *v, msec_t now)
+{
+	return orders_lag_state(&v->orders_lag, &v->fleet, now);
 }
 
 msec_t
--- a/src/gateway/view.h
+++ b/src/gateway/view.h
@@ -4,6 +4,7 @@
 #include "coordination/admission.h"
 #include "coordination/dispatch.h"
 #include "coordination/fleet.h"
+#include "coordination/orders_lag.h"
 #include "coordination/server_limits.h"
 #include "coordination/shifts.h"
 #include "gateway/gateway_settings.h"
@@ -24,8 +25,9 @@
 	shifts_t shifts;
 	dispatch_t dispatch;
 
-	uint64_t incarnation;	  /* 0 until the first answer of the store */
-	uint64_t orders_ver;	  /* version of the newest order applied */
+	uint64_t incarnation; /* 0 until the first answer of the store */
+	uint64_t orders_ver;  /* version of the newest order applied */
+	orders_lag_t orders_lag;
 	msec_t orders_synced_at;  /* when the orders were last complete */
 	msec_t servers_synced_at; /* when the servers were last complete */
 	msec_t store_offset;	  /* the store's clock minus this host's, ms */
@@ -40,7 +42,10 @@
 void view_apply_bounds(view_t *v);
 
 /** view_is_ready() - May look-ups answer with this host? */
-gboolean view_is_ready(const view_t *v);
+gboolean view_is_ready(const view_t *v, msec_t now);
+
+/** view_orders_state() - What this host may decide by its orders. */
+orders_state_t view_orders_state(const view_t *v, msec_t now);
 
 /** view_store_now() - The store's clock at @now, as estimated here. */
 msec_t view_store_now(const view_t *v, msec_t now);
