CONFIG: a host that the store does not reach follows the changes that peers send

Seen: the hosts of the incident that did not reach the store for a second also dropped every change of servers that peers sent them, since they meant to read the table whole; front-to-dora-34 served by a list of servers 16 s old (servers_age_ms).

Cause: a failed call marked the table as incomplete even though updates from peers kept it complete. Class: one source of a state is lost, and the other is ignored.

Change: a table is read whole only if for a second neither a call succeeded nor a peer's changes arrived. An update that is taken in does not put off the retry of a failed call.

test_poll_schedule, new case: with the old rule "failed for long, peers send changes" fails.

--- a/src/coordination/poll_schedule.c
+++ b/src/coordination/poll_schedule.c
@@ -12,6 +12,8 @@
 /* A reachable store answers within this time. It is longer than a round trip
  * between regions plus the time to connect. */
 #define STUCK_MS 400
+/* Gap after which a table is read whole. */
+#define GAP_MS 1000
 
 msec_t
 poll_schedule_next(const poll_state_t *s, msec_t every_ms)
@@ -35,3 +37,9 @@
 {
 	return now - asked_at >= STUCK_MS;
 }
+
+gboolean
+poll_schedule_must_list(msec_t lost_at, msec_t fresh_at, msec_t now)
+{
+	return now - MAX(lost_at, fresh_at) > GAP_MS;
+}
--- a/src/coordination/poll_schedule.h
+++ b/src/coordination/poll_schedule.h
@@ -44,4 +44,15 @@
  */
 gboolean poll_schedule_is_stuck(msec_t asked_at, msec_t now);
 
+/**
+ * poll_schedule_must_list() - Whether to read a table whole after failed calls.
+ * @lost_at: when the first of them failed
+ * @fresh_at: when changes were last read or sent by a peer
+ * @now: time
+ *
+ * After a long gap, the table takes less than all changes since. There is no
+ * gap while peers send the changes.
+ */
+gboolean poll_schedule_must_list(msec_t lost_at, msec_t fresh_at, msec_t now);
+
 #endif
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -98,9 +98,8 @@
 	    "listing", log_num(t->listing), "took_ms",
 	    log_num(now - t->own_call_at), "lost_ms", log_num(now - t->lost_at),
 	    "error", err != NULL ? err->message : NULL, NULL);
-	/* After a long failure, reading the table again takes less than reading
-	 * all changes since then. */
-	if (now - t->lost_at > UNREACHABLE_MS && t->complete) {
+	if (t->complete &&
+	    poll_schedule_must_list(t->lost_at, t->fresh_at, now)) {
 		t->complete = FALSE;
 		g_free(t->next_key);
 		t->next_key = NULL;
@@ -396,7 +395,8 @@
 	t->ver = MAX(t->ver, update->to);
 	t->fresh_at = now;
 	note_up_to_date(t);
-	if (t->call == NULL)
+	/* Changes from peers don't put off the retry of a failed call. */
+	if (t->call == NULL && t->failures == 0)
 		schedule(t->timer, call_delay(t));
 }
 
--- a/tests/test_poll_schedule.c
+++ b/tests/test_poll_schedule.c
@@ -51,10 +51,34 @@
 	ck_assert(!poll_schedule_is_stuck(1000, 1200));
 }
 
+/* A host that the store does not reach follows the changes that peers send. */
+static void
+test_peers_keep_table_complete(void)
+{
+	static const struct {
+		const char *name;
+		msec_t lost_at, fresh_at, now;
+		gboolean must_list;
+	} rows[] = {
+	    {"the first call failed", 5000, 4500, 5000, FALSE},
+	    {"failed for long, peers send nothing", 5000, 4500, 6100, TRUE},
+	    {"failed for long, peers send changes", 5000, 9000, 9500, FALSE},
+	    {"peers sent changes until a while ago", 5000, 9000, 10100, TRUE},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++)
+		ck_assert_msg(
+		    poll_schedule_must_list(rows[i].lost_at, rows[i].fresh_at,
+			rows[i].now) == rows[i].must_list,
+		    "%s", rows[i].name);
+}
+
 static const suite_case_t cases[] = {
     {"when a host polls", test_next},
     {"when it retries", test_retry},
     {"stuck calls are given up", test_stuck},
+    {"peers keep a table complete", test_peers_keep_table_complete},
 };
 
 int
