A refusal is believed only if it belongs to the request

From reports of other operators: a faulty server wrote an earlier refusal once more on a kept connection. Here the gateway checked the request id of answers, but not of refusals, so a request that a server was running counted as not run; with the next server refusing too, its caller was told 503. Requests that are not idempotent go over new connections in both compositions and were not affected. src/host compared an id that was echoed, but believed a refusal without one on a kept connection.

coordination/answer_origin decides for both: an answer that names another request, or a refusal without an id on a connection that was used before, belongs to an unknown request; what became of this one is unknown too. Its connection is not used again, since its own answer may still come there.

The soak's servers write every third rejection once more on its connection, and 503 and 429 must be true for all requests, not only for those that are not idempotent.

--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -2,6 +2,7 @@
 #define GATEWAY_RELAY_INTERNAL_H
 
 #include "coordination/attempt.h"
+#include "coordination/answer_origin.h"
 #include "gateway/relay.h"
 #include "platform/wire_http.h"
 
@@ -39,6 +40,7 @@
 
 	/* The try in flight. */
 	http_call_t *call;
+	gboolean first_request; /* no other was sent on its connection */
 	backend_t *server;
 	poison_run_id_t run;
 	gboolean server_has_room; /* according to its last answer */
--- a/src/gateway/relay_try.c
+++ b/src/gateway/relay_try.c
@@ -57,29 +57,34 @@
 	return e;
 }
 
-/* Checks that an answer is unencoded, from the server itself, and to this
- * request. Return: the fault, or NULL. */
+/* Checks that an answer is to this request, unencoded, and from the server
+ * itself. Return: the fault, or NULL. */
 static const char *
 answer_fault(const relay_t *r, int status, const wire_answer_t *a)
 {
-	if (a->id == NULL || g_strcmp0(a->id, r->request.id) != 0)
+	const answer_origin_t origin = {a->id, a->not_run, r->first_request};
+
+	if (!answer_is_own(&origin, r->request.id, ANSWER_ID_REQUIRED))
 		return "answer of another request";
+	if (a->not_run)
+		return NULL;
 	if (a->encoded)
 		return "encoded answer";
-	if (!a->is_signed && !a->not_run && status < 400)
+	if (!a->is_signed && status < 400)
 		return "unsigned answer";
 	return NULL;
 }
 
 static void
-take_answer(relay_t *r, int status, const struct evkeyvalq *headers,
-    struct evbuffer *body)
+take_answer(relay_t *r, http_call_t *call, int status,
+    const struct evkeyvalq *headers, struct evbuffer *body)
 {
 	attempt_event_t e = relay_event(r, ATTEMPT_ANSWERED);
 	backend_t *server = r->server;
 	wire_answer_t a;
 
 	wire_answer_read(status, headers, &a);
+	r->unusable_reason = answer_fault(r, status, &a);
 	if (a.has_load && !a.other_server)
 		backend_report(server, a.running + a.waiting, clock_now());
 	if (!a.other_server)
@@ -87,11 +92,12 @@
 	r->server_has_room = a.has_load && a.running + a.waiting < a.slots;
 	if (a.not_run)
 		r->wait_ms = dispatch_retry_ms(r->server_has_room);
-	r->unusable_reason = a.not_run ? NULL : answer_fault(r, status, &a);
 	r->status = status;
 	r->answer_headers = headers;
 	r->answer_body = body;
 	if (r->unusable_reason != NULL) {
+		/* Its own answer may still come on the connection. */
+		http_call_prevent_reuse(call);
 		log_event(LOG_WARN, "request.answer_unusable", "id", r->id,
 		    "server", server->id, "why", r->unusable_reason, NULL);
 		end_try(r, DISPATCH_BROKEN);
@@ -117,13 +123,14 @@
     const struct evkeyvalq *headers, struct evbuffer *body)
 {
 	relay_t *r = arg;
+	http_call_t *call = r->call;
 	attempt_event_t e;
 
 	r->call = NULL;
 	r->status = 0;
 	switch (outcome) {
 	case HTTP_ANSWERED:
-		take_answer(r, status, headers, body);
+		take_answer(r, call, status, headers, body);
 		return;
 	case HTTP_NOT_SENT:
 		end_try(r, DISPATCH_UNREACHABLE);
@@ -199,6 +206,7 @@
 	dispatch_sent(&relays->view->dispatch, &r->job, server, r->sent_at);
 	r->run = suspects_sent(relays->suspects, &r->fingerprint, server);
 	r->call = http_call(relays->http, &request, &handler);
+	r->first_request = r->call != NULL && http_call_is_first(r->call);
 	evhttp_clear_headers(&headers);
 	evbuffer_free(body);
 	metrics_count(relays->metrics, relays->tries, 1);
--- a/src/host/proxy_send.c
+++ b/src/host/proxy_send.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "coordination/answer_origin.h"
 #include "host/proxy.h"
 #include "host/once_calls.h"
 #include "transport/http_check.h"
@@ -22,17 +23,20 @@
 	evhttp_add_header(headers, REQUEST_ID_HEADER, id);
 }
 
-/* Whether the answer names another request, and so belongs to that one. */
+/* Whether the answer belongs to this try. */
 static gboolean
-names_other_request(const proxy_request_t *pr, const struct evkeyvalq *headers)
+is_own(const proxy_request_t *pr, gboolean not_run,
+    const struct evkeyvalq *headers)
 {
-	const char *echoed = evhttp_find_header(headers, REQUEST_ID_HEADER);
+	const answer_origin_t origin = {
+	    .id = evhttp_find_header(headers, REQUEST_ID_HEADER),
+	    .not_run = not_run,
+	    .first_request = http_call_is_first(pr->call),
+	};
 	char id[128];
 
-	if (echoed == NULL)
-		return FALSE;
 	g_snprintf(id, sizeof(id), "%s.%u", pr->id, pr->attempt.number);
-	return strcmp(echoed, id) != 0;
+	return answer_is_own(&origin, id, ANSWER_ID_OPTIONAL);
 }
 
 static gboolean
@@ -128,11 +132,11 @@
 	attempt_action_t action;
 	http_call_t *call = pr->call;
 
-	if (names_other_request(pr, headers) ||
+	if (!is_own(pr, not_run, headers) ||
 	    (has_body(pr, status) && !has_known_end(headers))) {
 		log_event(LOG_WARN, "answer.unusable", "id", pr->id, "peer",
 		    pr->address, "reason",
-		    names_other_request(pr, headers) ? "crossed" : "no length",
+		    is_own(pr, not_run, headers) ? "no length" : "crossed",
 		    NULL);
 		pr->call = NULL;
 		proxy_release_endpoint(pr, OUTCOME_BROKEN);
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -38,6 +38,7 @@
 	http_call_t *call; /* NULL while idle */
 	msec_t idle_since;
 	gboolean wrote; /* bytes of the current request left the buffer */
+	guint64 calls;	/* requests that were sent on it */
 } conn_t;
 
 struct http_call {
@@ -55,7 +56,8 @@
 	gboolean
 	    cancelled; /* cancelled within on_head; ends without a callback */
 	gboolean timed_out;
-	gboolean got_1xx; /* a 1xx status was received: the call fails */
+	gboolean no_reuse; /* the connection is closed after this call */
+	gboolean got_1xx;  /* a 1xx status was received: the call fails */
 };
 
 struct http_client {
@@ -337,7 +339,7 @@
 	if (outcome == HTTP_ANSWERED) {
 		call->handler.on_done(call->handler.arg, outcome,
 		    req->response_code, req->input_headers, req->input_buffer);
-		if (wants_close(req))
+		if (wants_close(req) || call->no_reuse)
 			conn_free_later(conn);
 		else
 			conn_release(conn);
@@ -475,6 +477,7 @@
 	call->ends_at =
 	    request->total_ms > 0 ? clock_now() + request->total_ms : 0;
 	conn->call = call;
+	conn->calls++;
 	conn->wrote = FALSE;
 	evhttp_connection_set_max_body_size(conn->evcon,
 	    request->max_body > 0 ? (ev_ssize_t)request->max_body : -1);
@@ -522,6 +525,18 @@
 	return call->input_at;
 }
 
+gboolean
+http_call_is_first(const http_call_t *call)
+{
+	return call->conn->calls == 1;
+}
+
+void
+http_call_prevent_reuse(http_call_t *call)
+{
+	call->no_reuse = TRUE;
+}
+
 void
 http_call_pause(http_call_t *call, gboolean paused)
 {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -91,6 +91,12 @@
 /** http_call_input_at() - When a part of the answer last came; 0: never. */
 msec_t http_call_input_at(const http_call_t *call);
 
+/** http_call_is_first() - Is this the first request on its connection? */
+gboolean http_call_is_first(const http_call_t *call);
+
+/** http_call_prevent_reuse() - Close the connection after this call. */
+void http_call_prevent_reuse(http_call_t *call);
+
 /**
  * http_call_pause() - Pause or resume reading the answer.
  * @call: the call
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -76,7 +76,7 @@
 	SERVER_HEALTHY,
 	SERVER_SLOW,
 	SERVER_ERRORS,	      /* 500 for half of the requests */
-	SERVER_SHEDS,	      /* rejects half of the requests */
+	SERVER_SHEDS,	      /* rejects half of the requests, some twice */
 	SERVER_LOSES_ANSWERS, /* runs requests, then closes without an answer */
 	SERVER_TRUNCATES,     /* truncates half of the answers */
 	SERVER_SILENT,	      /* accepts requests and never answers */
@@ -97,6 +97,10 @@
 	guint running;
 	int starts;
 	gboolean crashed;
+	/* The last rejection that is written once more. */
+	const struct bufferevent *rejected_on;
+	char rejected_id[64];
+	guint rejections;
 } soak_server_t;
 
 void soak_server_start(
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -58,7 +58,7 @@
 {
 	gboolean refused = r->status == 503 || r->status == 429;
 
-	if (refused && !r->idempotent && r->runs > 0)
+	if (refused && r->runs > 0)
 		soak_broken(w, "REFUSED request %s got %d but has run", r->id,
 		    r->status);
 	if (r->status == 404 || r->status == 400 || r->status == 413)
--- a/tests/soak/soak_servers.c
+++ b/tests/soak/soak_servers.c
@@ -52,6 +52,40 @@
 	reply(req, status, "");
 }
 
+/* Every third rejection is written once more on its connection, where the
+ * answer to the next request is due. */
+#define REPEAT_EVERY 3
+
+static struct bufferevent *
+connection(struct evhttp_request *req)
+{
+	return evhttp_connection_get_bufferevent(
+	    evhttp_request_get_connection(req));
+}
+
+static void
+note_rejection(soak_server_t *s, struct evhttp_request *req, const char *id)
+{
+	if (id == NULL || ++s->rejections % REPEAT_EVERY != 0)
+		return;
+	s->rejected_on = connection(req);
+	g_strlcpy(s->rejected_id, id, sizeof(s->rejected_id));
+}
+
+static void
+repeat_rejection(soak_server_t *s, struct evhttp_request *req)
+{
+	struct evbuffer *out = bufferevent_get_output(connection(req));
+
+	if (s->rejected_on != connection(req))
+		return;
+	s->rejected_on = NULL;
+	evbuffer_add_printf(out,
+	    "HTTP/1.1 503 -\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    s->rejected_id);
+}
+
 /* ---- checks of a request at a server ---- */
 
 static void
@@ -136,7 +170,7 @@
 	r->runs++;
 	if (!r->idempotent && r->runs > 1)
 		soak_broken(w, "TWICE request %s ran %u times", r->id, r->runs);
-	if (!r->idempotent && (r->status == 503 || r->status == 429))
+	if (r->status == 503 || r->status == 429)
 		soak_broken(
 		    w, "REFUSED request %s ran after it was refused", r->id);
 	if (!r->idempotent && len != strlen(r->id) * 1000)
@@ -325,8 +359,11 @@
 		reject(req, 421);
 		return;
 	}
+	repeat_rejection(s, req);
 	if (s->running >= SLOTS * 3 ||
 	    (s->fault == SERVER_SHEDS && g_rand_boolean(w->rand))) {
+		if (s->fault == SERVER_SHEDS)
+			note_rejection(s, req, id);
 		reject(req, 503);
 		return;
 	}
