Test: an answer that is cut at any byte, in its head too, is not whole

From reports of other operators: an answer that stopped in its head reached clients as a whole 200. Shown not to happen here: heads and bodies with a length, chunks, none and without a body, closed after each byte, are all reported as broken (five answers, 238 cuts). Nothing had to change.

--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -77,6 +77,25 @@
     {"no answer", "", NULL, FALSE, "out-of-time[] answered[second] ", 2},
 };
 
+/* Answers that a server cuts at any byte, by closing its connection. */
+static const struct {
+	const char *name, *answer;
+	size_t body_bytes; /* a body without a length may be cut unnoticed */
+} cut_answers[] = {
+    {"length",
+	"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n"
+	"Content-Length: 5\r\n\r\nfirst",
+	0},
+    {"length first",
+	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX: y\r\n\r\nfirst", 0},
+    {"chunks",
+	"HTTP/1.1 200 OK\r\nX: y\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"5\r\nfirst\r\n0\r\n\r\n",
+	0},
+    {"no length", "HTTP/1.1 200 OK\r\nX: y\r\n\r\nfirst", 5},
+    {"no body", "HTTP/1.1 204 No Content\r\nX: y\r\n\r\n", 0},
+};
+
 static int requests, connections, done;
 static GString *result;
 static GPtrArray *accepted;
@@ -357,9 +376,39 @@
 	g_free(body);
 }
 
+/* No part of a head, and no part of a body with an end, counts as
+ * whole. */
+static void
+cut_answers_are_not_whole(void)
+{
+	static const http_handler_t handler = {.on_done = on_done};
+	size_t i, len;
+
+	for (i = 0; i < G_N_ELEMENTS(cut_answers); i++) {
+		const char *answer = cut_answers[i].answer;
+		size_t end = strlen(answer) - cut_answers[i].body_bytes;
+
+		for (len = 1; len < end; len++) {
+			char *part = g_strndup(answer, len);
+			const struct script s = {
+			    "cut", part, NULL, TRUE, NULL, 1};
+
+			start(&s);
+			ask(ADDRESS, 1000, &handler);
+			wait_done(1);
+			ck_assert_msg(strcmp(result->str, "broken[] ") == 0,
+			    "%s, %zu bytes: %s", cut_answers[i].name, len,
+			    result->str);
+			finish();
+			g_free(part);
+		}
+	}
+}
+
 int
 main(void)
 {
+
 	static const suite_case_t cases[] = {
 	    {"answers match their requests", answers_match_their_requests},
 	    {"stray answer is not given to next request",
@@ -367,6 +416,7 @@
 	    {"refused connection is reported as not sent",
 		refused_connection_is_reported_as_not_sent},
 	    {"paused call receives no more", paused_call_receives_no_more},
+	    {"answers that are cut are not whole", cut_answers_are_not_whole},
 	};
 
 	signal(SIGPIPE, SIG_IGN);
