Requests that come late in a stop are refused, not cut off

Here a request whose body was read whole after callers had stopped coming was passed on however long it might last, and what was still in flight at the end was cut.

coordination/stop_plan decides for both compositions: until shortly before callers stop coming by older look-ups (3 s in the gateway) each request is taken, after that only one whose time budget or time-out ends before the stop does; the others get 503, not run. What is in flight 0.3 s before the end of the grace is answered as if its time were over, in place of a closed connection.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -17,9 +17,6 @@
 /* Callers that looked up this host before the stop began still connect for this
  * time. */
 #define LINGER_MS 3000
-/* The process exits this long before its time for a stop ends, so that it is
- * not killed. */
-#define STOP_MARGIN_MS 300
 #define DRAIN_TICK_MS 50
 /* Period at which the settings file is checked for a change. */
 #define SETTINGS_POLL_SEC 2
@@ -215,13 +212,16 @@
 on_drain_tick(evutil_socket_t fd, short what, void *arg)
 {
 	gateway_t *g = arg;
-	msec_t elapsed = clock_now() - g->stop_began_at;
+	const stop_plan_t *stop = &g->view.stop;
+	msec_t now = clock_now(), elapsed = now - g->stop_began_at;
 
 	(void)fd;
 	(void)what;
 	if (elapsed >= LINGER_MS)
 		http_server_drain(g->caller_server);
-	if (elapsed >= g->settings->drain_ms - STOP_MARGIN_MS ||
+	if (now >= stop->ends_at)
+		g->cut += relays_end(&g->relays);
+	if (now >= stop->exit_at ||
 	    (elapsed >= LINGER_MS && g->relays.in_flight->len == 0 &&
 		http_server_connections(g->caller_server) == 0))
 		event_base_loopbreak(g->base);
@@ -237,6 +237,8 @@
 	if (g->stop_began_at != 0)
 		return;
 	g->stop_began_at = clock_now();
+	stop_plan_begin(
+	    &g->view.stop, g->stop_began_at, g->settings->drain_ms, LINGER_MS);
 	g->view.leaving = TRUE;
 	log_event(LOG_INFO, "host.stopping", "signal", log_num(sig),
 	    "under_way", log_num(g->relays.in_flight->len), NULL);
@@ -407,13 +409,11 @@
 int
 gateway_run(gateway_t *g)
 {
-	unsigned int unfinished;
-
 	log_event(LOG_INFO, "host.started", "host", g->settings->id, "callers",
 	    g->settings->callers, "region", g->settings->region, "version",
 	    GREENGAGELOOM_VERSION, NULL);
 	event_base_dispatch(g->base);
-	unfinished = g->relays.in_flight->len;
-	log_event(LOG_INFO, "host.stopped", "cut", log_num(unfinished), NULL);
-	return unfinished == 0 ? 0 : 1;
+	g->cut += g->relays.in_flight->len;
+	log_event(LOG_INFO, "host.stopped", "cut", log_num(g->cut), NULL);
+	return g->cut == 0 ? 0 : 1;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -34,6 +34,7 @@
 	struct event *settings_timer;
 	struct event *drain_timer;
 	msec_t stop_began_at; /* start of the graceful stop; 0: none */
+	guint cut;	      /* requests that the stop ended */
 } gateway_t;
 
 /**
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -10,6 +10,8 @@
 /* Retry-After of a host that has no configuration yet: another host may have
  * one by then. */
 #define NOT_READY_RETRY_MS 500
+/* Retry-After of a host that stops: the caller goes to another host. */
+#define LEAVING_RETRY_MS 100
 /* Retry-After of a host whose orders are behind those of other hosts: the
  * caller goes to another host. */
 #define BEHIND_RETRY_MS 100
@@ -152,12 +154,23 @@
 	    r->request.budget_ms > 0 ? r->request.budget_ms : DEFAULT_BUDGET_MS;
 	msec_t timeout =
 	    a->route->timeout_ms > 0 ? a->route->timeout_ms : budget;
+	const view_t *v = r->relays->view;
+	msec_t deadline = r->began_at + budget;
 
+	if (v->leaving) {
+		if (!stop_plan_admits(
+			&v->stop, r->began_at, MIN(budget, timeout))) {
+			relay_reply_own(r, STATUS_UNAVAILABLE, LEAVING_RETRY_MS,
+			    "host-leaving");
+			return;
+		}
+		deadline = MIN(deadline, v->stop.ends_at);
+	}
 	r->idempotent = a->route->kind == MANIFEST_IDEMPOTENT;
 	start_job(r);
 	dispatch_begin(&r->relays->view->dispatch, &r->job, budget);
 	r->first_action = attempt_init(&r->attempt, r->relays->last_number,
-	    r->idempotent, r->began_at + budget, timeout,
+	    r->idempotent, deadline, timeout,
 	    dispatch_budget(
 		&r->relays->view->dispatch, a->service->name, r->began_at),
 	    r->began_at);
@@ -271,6 +284,22 @@
 	    "time of a try that a backend server answered, ms");
 }
 
+guint
+relays_end(relays_t *relays)
+{
+	msec_t now = clock_now();
+	guint i, ended = relays->in_flight->len;
+
+	for (i = ended; i > 0; i--) {
+		relay_t *r = g_ptr_array_index(relays->in_flight, i - 1);
+		const attempt_event_t e = relay_event(r, ATTEMPT_TIMED_OUT);
+
+		r->attempt.deadline = MIN(r->attempt.deadline, now);
+		relay_step(r, &e);
+	}
+	return ended;
+}
+
 void
 relays_finish(relays_t *relays)
 {
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -34,6 +34,13 @@
     tokens_t *tokens, suspects_t *suspects, struct event_base *base,
     metrics_t *metrics);
 
+/**
+ * relays_end() - Answer all requests in flight as if their time were over.
+ *
+ * Return: their number.
+ */
+guint relays_end(relays_t *relays);
+
 /** relays_finish() - Give up all requests in flight. */
 void relays_finish(relays_t *relays);
 
--- a/src/gateway/view.h
+++ b/src/gateway/view.h
@@ -7,6 +7,7 @@
 #include "coordination/orders_lag.h"
 #include "coordination/server_limits.h"
 #include "coordination/shifts.h"
+#include "coordination/stop_plan.h"
 #include "gateway/gateway_settings.h"
 #include "state/registry.h"
 
@@ -33,6 +34,7 @@
 	msec_t store_offset;	  /* the store's clock minus this host's, ms */
 	gboolean joined;	  /* this host's row is in the store */
 	gboolean leaving;	  /* a graceful stop has begun */
+	stop_plan_t stop;	  /* while leaving */
 } view_t;
 
 void view_init(view_t *v, const gateway_settings_t *settings);
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -99,6 +99,8 @@
 		return;
 	if (now >= h->linger_until)
 		http_server_drain(h->callers);
+	if (now >= h->stop.ends_at)
+		proxy_end_all(h);
 	if (now >= h->drain_until || is_drained(h, now))
 		event_base_loopbreak(h->base);
 }
@@ -115,6 +117,8 @@
 	h->linger_until = h->superseded
 	    ? now
 	    : now + (msec_t)h->catalog.caps.lookup_ttl_sec * MSEC_PER_SEC;
+	stop_plan_begin(
+	    &h->stop, now, h->settings.drain_ms, h->linger_until - now);
 	if (h->incarnation != 0 && !h->superseded)
 		join_leave(h, FALSE, NULL);
 }
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -10,6 +10,7 @@
 #include "coordination/poison.h"
 #include "coordination/retry_budget.h"
 #include "coordination/roster.h"
+#include "coordination/stop_plan.h"
 #include "host/mirror.h"
 #include "host/settings.h"
 #include "protocol/rows.h"
@@ -108,6 +109,7 @@
 	SSL_CTX *tls;		  /* of the callers' port; NULL: plain HTTP */
 	guint pending_departures; /* sent departures without an answer yet */
 	msec_t linger_until; /* until then callers may use cached look-ups */
+	stop_plan_t stop;    /* while draining */
 	msec_t drain_until;
 } host_t;
 
--- a/src/host/proxy.c
+++ b/src/host/proxy.c
@@ -350,6 +350,37 @@
 	return FALSE;
 }
 
+/* Time within which the request is answered or given up. */
+static msec_t
+time_needed(const proxy_request_t *pr)
+{
+	msec_t budget = pr->request.timeout_ms;
+
+	return budget > 0 ? MIN(budget, pr->timeout_ms) : pr->timeout_ms;
+}
+
+void
+proxy_end_all(host_t *h)
+{
+	msec_t now = clock_now();
+	guint i;
+
+	for (i = h->proxied_requests->len; i > 0; i--) {
+		proxy_request_t *pr =
+		    g_ptr_array_index(h->proxied_requests, i - 1);
+
+		if (pr->answer_started || pr->x == NULL)
+			continue;
+		if (!pr->started) {
+			proxy_refuse(
+			    pr, REFUSAL_LEAVING, RUN_NOT, RETRY_ADVICE_MS);
+			continue;
+		}
+		pr->attempt.deadline = MIN(pr->attempt.deadline, now);
+		proxy_attempt_event(pr, ATTEMPT_TIMED_OUT);
+	}
+}
+
 void
 proxy_begin(host_t *h, http_exchange_t *x)
 {
@@ -387,6 +418,11 @@
 			proxy_refuse(pr, why, RUN_NOT, 0);
 		return;
 	}
+	if (h->phase == HOST_DRAINING &&
+	    !stop_plan_admits(&h->stop, pr->arrived_at, time_needed(pr))) {
+		proxy_refuse(pr, REFUSAL_LEAVING, RUN_NOT, RETRY_ADVICE_MS);
+		return;
+	}
 	poison_sync_fingerprint(pr, &pr->fingerprint);
 	if (pr->workspace == NULL) {
 		proxy_admitted(pr, ADMIT, 0);
--- a/src/host/proxy.h
+++ b/src/host/proxy.h
@@ -86,6 +86,10 @@
  */
 void proxy_run_action(proxy_request_t *pr, const attempt_action_t *action);
 
+/** proxy_end_all() - Answer all requests in flight as if their time were over.
+ */
+void proxy_end_all(host_t *h);
+
 /**
  * proxy_attempt_event() - Pass an event to the attempt and run its action.
  * @pr: the request, which may be freed by this
