FAILBACK: requests that waited for a token keep to the cold ramp

Found while looking for other ways past the ramp: a request that was placed on a cold server which names a limit waits for a token of it, and was sent then without another look at the ramp, so that several that had waited came at once.

dispatch_may_send(), which is asked after the wait, checks the ramp too; what may not be sent is placed anew.

test_dispatch, new case, fails without it: a second request is sent 10 ms after the first.

--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -136,13 +136,6 @@
 	    !g_hash_table_contains(d->drains, b->domain);
 }
 
-gboolean
-dispatch_may_send(const dispatch_t *d, const dispatch_job_t *job,
-    const backend_t *server, msec_t now)
-{
-	return server->listed && is_able(d, job, server, now);
-}
-
 void
 dispatch_tick(dispatch_t *d, msec_t now)
 {
@@ -190,6 +183,14 @@
 	    (ramp.gap_ms == 0 || ramp.since_ms < ramp.gap_ms);
 }
 
+gboolean
+dispatch_may_send(const dispatch_t *d, const dispatch_job_t *job,
+    backend_t *server, msec_t now)
+{
+	return server->listed && is_able(d, job, server, now) &&
+	    !is_throttled(d, job->admission->service, server, now);
+}
+
 /* Servers that can take a request, and whether the first in rank of this
  * host's region is one of them. */
 typedef struct {
--- a/src/coordination/dispatch.h
+++ b/src/coordination/dispatch.h
@@ -108,7 +108,7 @@
  * usable.
  */
 gboolean dispatch_may_send(const dispatch_t *d, const dispatch_job_t *job,
-    const backend_t *server, msec_t now);
+    backend_t *server, msec_t now);
 
 /* This host's part of the requests to a cold server. */
 typedef struct {
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -181,6 +181,48 @@
 	}
 }
 
+/*
+ * Two requests are placed on a cold server and wait for tokens of its limit.
+ * Only as many are sent then as the cold ramp allows.
+ */
+static void
+test_cold_server_after_wait(void)
+{
+	static const dispatch_bounds_t bounds = {.cold = {1.5, 5}};
+	manifest_route_t route = {.name = (char *)"r"};
+	manifest_service_t service = {
+	    .name = (char *)"clips", .warmup_rate = 2.5};
+	const admission_t admission = {.route = &route, .service = &service};
+	const registry_row_t row = {.id = "i-1",
+	    .service = "clips",
+	    .address = "10.0.0.1:80",
+	    .domain = "n1",
+	    .version = "v1",
+	    .slots = 3,
+	    .cold_ms = 20000,
+	    .row_ver = 1};
+	const msec_t now = MEMBERS_JOIN_MS + 2 * MEMBERS_SETTLE_MS;
+	dispatch_job_t first = {.admission = &admission}, second = first;
+	backend_t *b;
+	host_t h;
+
+	host_init(&h);
+	h.dispatch.bounds = bounds;
+	set_others(&h, 7);
+	fleet_join(&h.fleet, 0);
+	fleet_synced(&h.fleet, now);
+	dispatch_tick(&h.dispatch, MEMBERS_JOIN_MS);
+	dispatch_tick(&h.dispatch, now);
+	registry_put(&h.registry, &row, now);
+	b = dispatch_place(&h.dispatch, &first, now, now).server;
+	ck_assert(dispatch_place(&h.dispatch, &second, now, now).server == b);
+	ck_assert(dispatch_may_send(&h.dispatch, &first, b, now + 50));
+	dispatch_sent(&h.dispatch, &first, b, now + 50);
+	ck_assert(!dispatch_may_send(&h.dispatch, &second, b, now + 60));
+	dispatch_job_clear(&first);
+	host_finish(&h);
+}
+
 int
 main(void)
 {
@@ -190,6 +232,8 @@
 		test_departed_budget_parts},
 	    {"lowered bounds apply at once", test_retry_bounds_reloaded},
 	    {"servers that refuse requests", test_refusing_server},
+	    {"a cold server is not flooded by requests that waited",
+		test_cold_server_after_wait},
 	};
 
 	return suite_run("dispatch", cases, G_N_ELEMENTS(cases));
