A host that has just started draws on no retry budget until it knows the others

test_dispatch, new row "just started, seven others not known yet": the old code allows 28 retries there, eight times of which is over the 40 of all hosts.

--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -79,6 +79,9 @@
 {
 	guint known = fleet_size(d->fleet);
 
+	/* A host that has just started does not know the others yet. */
+	if (d->fleet->synced_at == 0)
+		return G_MAXUINT;
 	if (known >= d->retry_hosts || now >= d->retry_hosts_until) {
 		d->retry_hosts = known;
 		d->retry_hosts_until = now + RETRY_SHARE_HOLD_MS;
@@ -90,15 +93,16 @@
 dispatch_budget(dispatch_t *d, const char *service, msec_t now)
 {
 	retry_budget_t *b = g_hash_table_lookup(d->budgets, service);
-	gboolean is_new = b == NULL;
+	gboolean was_empty;
 
-	if (is_new) {
+	if (b == NULL) {
 		b = g_new0(retry_budget_t, 1);
 		g_hash_table_insert(d->budgets, g_strdup(service), b);
 	}
+	was_empty = b->credit_max == 0;
 	retry_budget_set_share(b, d->bounds.retry_ratio, d->bounds.retry_extra,
 	    retry_hosts(d, now));
-	if (is_new)
+	if (was_empty)
 		retry_budget_fill(b);
 	return b;
 }
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -81,6 +81,7 @@
 		guint others;  /* other hosts known to this host */
 		guint sharers; /* hosts that may draw on the budget */
 	} rows[] = {
+	    {"just started, seven others not known yet", -100, 0, 8},
 	    {"alone", 0, 0, 1},
 	    {"seven join after the first use", 1000, 7, 8},
 	    {"cut off from six", 2000, 1, 8},
@@ -93,6 +94,8 @@
 	host_init(&h);
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
 		set_others(&h, rows[i].others);
+		if (rows[i].at >= 0)
+			fleet_synced(&h.fleet, rows[i].at + 1);
 		ck_assert_msg(retries_left(&h, rows[i].at) * rows[i].sharers <=
 			(guint)EXTRA,
 		    "%s", rows[i].name);
@@ -110,6 +113,7 @@
 
 	host_init(&h);
 	set_others(&h, 19);
+	fleet_synced(&h.fleet, 1);
 	left = retries_left(&h, 0);
 	set_others(&h, 1);
 	b = dispatch_budget(&h.dispatch, "clips", 3600000);
@@ -126,6 +130,7 @@
 	host_t h;
 
 	host_init(&h);
+	fleet_synced(&h.fleet, 1);
 	ck_assert_uint_gt(retries_left(&h, 0), 10);
 	h.dispatch.bounds.retry_extra = 10;
 	ck_assert_uint_le(retries_left(&h, 1), 10);
