Keep to what backend servers say of themselves: leaving, and pauses

state/server_word holds both for one start of a server: sticky leaving, a pause that only grows, one request at a time after it. The registry asks it beside ejection and draining, keeps it while the entry lapses, and treats a server as cold for 3 s after its pause, so that the cold ramp bounds its return. Heads are read as they arrive: interim answers, refusals, answers that break off, probes (of the same server only). Bad values change nothing, with a counter and a log line.

If all servers are paused, callers get 503 with the time until the first is back.

Not done: src/host, which speaks another platform's headers; see the issue.

--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -201,8 +201,20 @@
 	placing_candidate_t *servers;
 	guint n;
 	gboolean has_home;
+	msec_t pause_ms; /* until the first of the paused ones is back; 0: none
+			  */
 } candidates_t;
 
+static void
+note_pause(candidates_t *out, const backend_t *b, msec_t now)
+{
+	msec_t left = server_word_pause_left(&b->word, now);
+
+	if (left > 0 && !b->draining && !b->word.leaving &&
+	    (out->pause_ms == 0 || left < out->pause_ms))
+		out->pause_ms = left;
+}
+
 /* @out->servers has room for all servers of the service. */
 static void
 collect(const dispatch_t *d, const registry_service_t *known,
@@ -214,6 +226,7 @@
 
 	out->n = 0;
 	out->has_home = FALSE;
+	out->pause_ms = 0;
 	for (i = 0; i < known->servers->len; i++) {
 		backend_t *b = g_ptr_array_index(known->servers, i);
 		gboolean same_region = strcmp(b->region, d->region) == 0, able;
@@ -228,8 +241,10 @@
 			best = score;
 			out->has_home = able;
 		}
-		if (!able)
+		if (!able) {
+			note_pause(out, b, now);
 			continue;
+		}
 		out->servers[out->n++] = (placing_candidate_t){
 		    .server = b,
 		    .load = backend_load(b, now),
@@ -290,6 +305,8 @@
 	if (p.verdict != PLACING_SEND && cohort == SHIFT_COHORT_NEW)
 		p = place(d, known, job, SHIFT_COHORT_OLD, now, &c);
 	g_free(c.servers);
+	if (p.verdict == PLACING_NONE)
+		p.wait_ms = MAX(p.wait_ms, c.pause_ms);
 	if (p.overloaded)
 		p.wait_ms = MAX(p.wait_ms, caller_retry_wait_ms(job->left_ms));
 	return p;
@@ -329,6 +346,7 @@
 	switch (result->end) {
 	case DISPATCH_ANSWERED:
 		backend_answered(server, result->took_ms, job->sent_load);
+		server_word_answered(&server->word, now);
 		sample.failed = result->failed;
 		sample.slow = is_slow(route, server, result->took_ms, now);
 		break;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -139,12 +139,14 @@
 		g_string_append_printf(out,
 		    "server id=%s service=%s domain=%s version=%s usable=%d "
 		    "cold=%d draining=%d own=%u load=%.1f slots=%u "
-		    "service_ms=%.0f limit=%.3f limit_offloaded=%.3f\n",
+		    "service_ms=%.0f limit=%.3f limit_offloaded=%.3f "
+		    "leaving=%d pause_ms=%" G_GINT64_FORMAT "\n",
 		    b->id, b->service->name, b->domain, b->version,
 		    backend_usable(b, now), backend_is_cold(b, now),
 		    b->draining, b->own, backend_load(b, now), b->slots,
 		    b->service_ms, b->limit_at != 0 ? b->limit_rate : 0,
-		    b->limit_offloaded);
+		    b->limit_offloaded, b->word.leaving,
+		    server_word_pause_left(&b->word, now));
 	}
 	g_hash_table_iter_init(&it, v->registry.services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -243,6 +243,7 @@
 	relays->http = http;
 	relays->tokens = tokens;
 	relays->suspects = suspects;
+	relays->words = &suspects->words;
 	relays->base = base;
 	relays->metrics = m;
 	relays->in_flight = g_ptr_array_new();
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -19,6 +19,7 @@
 	http_client_t *http;
 	tokens_t *tokens;
 	suspects_t *suspects;
+	server_words_t *words;
 	struct event_base *base;
 	GPtrArray *in_flight; /* relay_t */
 	uint64_t last_number; /* number of the last request */
--- a/src/gateway/relay_try.c
+++ b/src/gateway/relay_try.c
@@ -149,6 +149,15 @@
 	relay_step(r, &e);
 }
 
+static void
+on_any_head(void *arg, int status, const struct evkeyvalq *headers)
+{
+	relay_t *r = arg;
+
+	if (r->server != NULL)
+		server_words_read(r->relays->words, r->server, status, headers);
+}
+
 void
 relay_cancel_try(relay_t *r, dispatch_end_t end)
 {
@@ -198,7 +207,8 @@
 	    .new_connection = !r->idempotent,
 	    .max_body = ANSWER_MAX_BYTES,
 	};
-	const http_handler_t handler = {.on_done = on_done, .arg = r};
+	const http_handler_t handler = {
+	    .on_any_head = on_any_head, .on_done = on_done, .arg = r};
 
 	evbuffer_add_buffer_reference(body, http_exchange_body(r->x));
 	wire_request_forward(&headers, http_exchange_headers(r->x), &forward);
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "gateway/suspects.h"
+#include "platform/wire_http.h"
 
 #define TICK_MS 100
 /* A server is probed if, after this time, neither an answer nor its registry
@@ -141,6 +142,17 @@
 	g_ptr_array_remove_fast(s->crash_checks, check);
 }
 
+static void
+on_probe_head(void *arg, int status, const struct evkeyvalq *headers)
+{
+	crash_check_t *check = arg;
+
+	/* Another server may have the address now. */
+	if (wire_names_server(headers, check->server->id))
+		server_words_read(
+		    &check->suspects->words, check->server, status, headers);
+}
+
 static void
 on_probe(void *arg, http_outcome_t outcome, int status,
     const struct evkeyvalq *headers, struct evbuffer *body)
@@ -190,7 +202,8 @@
 	    .new_connection = TRUE,
 	    .max_body = PROBE_BODY_BYTES,
 	};
-	const http_handler_t handler = {.on_done = on_probe, .arg = check};
+	const http_handler_t handler = {
+	    .on_any_head = on_probe_head, .on_done = on_probe, .arg = check};
 
 	check->probes++;
 	check->probed_at = now;
@@ -223,7 +236,8 @@
 			finish_check(check, FALSE);
 		else if (now - check->since > POISON_DETECT_COUNTED_MS)
 			g_ptr_array_remove_index_fast(s->crash_checks, i - 1);
-		else if (is_due(check, now))
+		else if (is_due(check, now) &&
+		    server_word_pause_left(&check->server->word, now) == 0)
 			probe(check, now);
 	}
 	poison_tick(&s->poison, now);
@@ -330,6 +344,7 @@
 	s->view = view;
 	s->http = http;
 	s->metrics = metrics;
+	server_words_init(&s->words, metrics);
 	poison_init_counted(&s->poison, view->fleet.self);
 	s->crash_checks = g_ptr_array_new_with_free_func(crash_check_free);
 	s->resend = g_array_new(FALSE, FALSE, sizeof(poison_event_t));
--- a/src/gateway/suspects.h
+++ b/src/gateway/suspects.h
@@ -3,6 +3,7 @@
 
 #include "base/metrics.h"
 #include "coordination/poison.h"
+#include "gateway/server_words.h"
 #include "gateway/view.h"
 #include "protocol/suspect_msg.h"
 #include "transport/http_client.h"
@@ -26,6 +27,7 @@
 	suspects_send_t send;
 	void *send_arg;
 	metrics_t *metrics;
+	server_words_t words; /* in answers to requests and probes */
 	metric_id_t deaths, probes;
 } suspects_t;
 
--- a/src/host/proxy_send.c
+++ b/src/host/proxy_send.c
@@ -120,7 +120,7 @@
 on_head(void *arg, int status, const struct evkeyvalq *headers)
 {
 	static const http_handler_t dropping = {
-	    NULL, on_dropped_piece, on_dropped_done, NULL};
+	    .on_piece = on_dropped_piece, .on_done = on_dropped_done};
 	proxy_request_t *pr = arg;
 	gboolean not_run = is_shed(status, headers);
 	attempt_event_t e = {
@@ -240,7 +240,7 @@
 proxy_send(proxy_request_t *pr, msec_t timeout_ms)
 {
 	static const http_handler_t handler = {
-	    on_head, on_piece, on_done, NULL};
+	    .on_head = on_head, .on_piece = on_piece, .on_done = on_done};
 	http_handler_t mine = handler;
 	struct evkeyvalq headers;
 	struct evbuffer *body = evbuffer_new();
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -12,10 +12,14 @@
  * EJECT_MAX_MS. */
 #define EJECT_MS 1000
 #define EJECT_MAX_MS 4000
-/* An ejected server may have been restarted. It counts as cold for this time
- * after its ejection. Its next entry arrives within that time and says whether
- * it is cold. */
+/* An ejected server may have been restarted, and one that asked for a pause had
+ * too many requests. It counts as cold for this time afterwards. Its next entry
+ * arrives within that time and says whether it is cold. */
 #define COLD_ASSUMED_MS 3000
+/* The word of a server whose entry was removed is kept for this time: longer
+ * than a store is usually unreachable, after which entries come back. */
+#define WORD_KEEP_MS 60000
+#define WORDS_MAX 1024
 /* An entry that moves the end of the warm-up by more is a change. */
 #define COLD_CHANGE_MS 500
 /* Weight of a new sample in the smoothed service time. */
@@ -80,6 +84,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
 	r->removed =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	r->words = g_array_new(FALSE, FALSE, sizeof(registry_word_t));
 	r->regions = regions;
 }
 
@@ -89,6 +94,7 @@
 	g_hash_table_destroy(r->services);
 	g_hash_table_destroy(r->servers);
 	g_hash_table_destroy(r->removed);
+	g_array_free(r->words, TRUE);
 }
 
 registry_service_t *
@@ -119,8 +125,40 @@
 }
 
 static void
-remove_backend(registry_t *r, backend_t *b)
+keep_word(registry_t *r, const backend_t *b, msec_t now)
 {
+	const registry_word_t kept = {
+	    b->seed, registry_hash(b->address), b->born, b->word, now};
+
+	if (!b->word.leaving && server_word_pause_left(&b->word, now) == 0)
+		return;
+	if (r->words->len == WORDS_MAX)
+		g_array_remove_index(r->words, 0);
+	g_array_append_val(r->words, kept);
+}
+
+/* An entry that comes back without a new start of its server. */
+static void
+restore_word(registry_t *r, backend_t *b)
+{
+	guint i;
+
+	for (i = r->words->len; i > 0; i--) {
+		const registry_word_t *kept =
+		    &g_array_index(r->words, registry_word_t, i - 1);
+
+		if (kept->seed == b->seed && kept->born == b->born &&
+		    kept->address == registry_hash(b->address)) {
+			b->word = kept->word;
+			return;
+		}
+	}
+}
+
+static void
+remove_backend(registry_t *r, backend_t *b, msec_t now)
+{
+	keep_word(r, b, now);
 	g_ptr_array_remove(b->service->servers, b);
 	b->listed = FALSE;
 	g_hash_table_remove(r->servers, b->id);
@@ -195,13 +233,14 @@
 		return row->row_ver < b->row_ver ? REGISTRY_STALE
 						 : REGISTRY_SAME;
 	if (b != NULL && is_restart(b, row)) {
-		remove_backend(r, b);
+		remove_backend(r, b, now);
 		b = NULL;
 		change = REGISTRY_RESTART;
 	}
 	if (b == NULL) {
 		b = add_backend(r, row);
 		b->born = row->born;
+		restore_word(r, b);
 		refresh(b, row, now);
 		return change;
 	}
@@ -235,7 +274,7 @@
 			b->lapsed_at = now;
 		return TRUE;
 	}
-	remove_backend(r, b);
+	remove_backend(r, b, now);
 	return TRUE;
 }
 
@@ -256,8 +295,12 @@
 			g_ptr_array_add(expired, b);
 	}
 	for (i = 0; i < expired->len; i++)
-		remove_backend(r, g_ptr_array_index(expired, i));
+		remove_backend(r, g_ptr_array_index(expired, i), now);
 	g_ptr_array_free(expired, TRUE);
+	while (r->words->len > 0 &&
+	    now - g_array_index(r->words, registry_word_t, 0).kept_at >=
+		WORD_KEEP_MS)
+		g_array_remove_index(r->words, 0);
 }
 
 double
@@ -308,6 +351,16 @@
 	return b->seed ^ ((uint64_t)b->born * UINT64_C(0x9e3779b97f4a7c15));
 }
 
+gboolean
+backend_pause(backend_t *b, msec_t ms, msec_t now)
+{
+	gboolean is_new = server_word_pause(&b->word, ms, now);
+
+	b->cold_assumed_until =
+	    MAX(b->cold_assumed_until, b->word.pause_until + COLD_ASSUMED_MS);
+	return is_new;
+}
+
 void
 backend_failed(backend_t *b, gboolean unreachable, msec_t now)
 {
@@ -349,7 +402,8 @@
 gboolean
 backend_usable(const backend_t *b, msec_t now)
 {
-	if (!b->listed || b->draining || now < b->ejected_until)
+	if (!b->listed || b->draining || now < b->ejected_until ||
+	    !server_word_allows(&b->word, b->own, now))
 		return FALSE;
 	return b->ejected_until == 0 || b->own == 0;
 }
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "state/server_word.h"
 
 /*
  * Backend servers by id, as they register themselves, and what this host knows
@@ -82,6 +83,8 @@
 	msec_t limited_until;	/* no token for it before then */
 	double limit_offloaded; /* part of its objects beyond the limit, 0..1 */
 
+	server_word_t word; /* of this start, in its answers */
+
 	/* Failures. */
 	uint32_t failures; /* in a row */
 	/* end of its ejection; then it gets one request at a time; 0: none */
@@ -96,11 +99,22 @@
 	guint refs;
 };
 
+/* What a server without an entry had said. */
+typedef struct {
+	uint64_t seed;	  /* hash of its id */
+	uint64_t address; /* hash of its address */
+	int64_t born;
+	server_word_t word;
+	msec_t kept_at;
+} registry_word_t;
+
 typedef struct {
 	GHashTable *servers;  /* id to backend_t */
 	GHashTable *services; /* name to registry_service_t */
 	GHashTable *regions;  /* domain to region, owned by the settings */
 	GHashTable *removed;  /* id to the version of its removal, uint64_t */
+	/* Words of servers whose entries were removed; they may be back. */
+	GArray *words; /* registry_word_t */
 } registry_t;
 
 /* What a row changed. */
@@ -196,6 +210,13 @@
 /** backend_limit_id() - Identifies the limits of this start of the server. */
 uint64_t backend_limit_id(const backend_t *b);
 
+/**
+ * backend_pause() - The server asks for a pause; see server_word_pause().
+ *
+ * After it, the server counts as cold for a while.
+ */
+gboolean backend_pause(backend_t *b, msec_t ms, msec_t now);
+
 /** backend_failed() - Count a request without a complete answer; may eject. */
 void backend_failed(backend_t *b, gboolean unreachable, msec_t now);
 
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -356,6 +356,9 @@
 {
 	http_call_t *call = arg;
 
+	if (call->handler.on_any_head != NULL)
+		call->handler.on_any_head(
+		    call->handler.arg, req->response_code, req->input_headers);
 	if (req->response_code < 200) {
 		call->got_1xx = TRUE;
 		return -1;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -29,6 +29,10 @@
 
 /* Callbacks of one call; on_done runs exactly once, unless cancelled. */
 typedef struct {
+	/* A head has been received, possibly an interim one (1xx); must not
+	 * end the call; may be NULL. */
+	void (*on_any_head)(
+	    void *arg, int status, const struct evkeyvalq *headers);
 	/* Status and headers have been received; may be NULL. */
 	void (*on_head)(void *arg, int status, const struct evkeyvalq *headers);
 	/* Takes a piece of the body; NULL: the body is kept for on_done. */
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -83,6 +83,15 @@
 	SERVER_DOWN,	      /* does not listen */
 } server_fault_t;
 
+/* What a server told a host of itself. */
+typedef struct {
+	guint leaving_answers, pause_answers;
+	msec_t leaving_at; /* 0: not told */
+	msec_t asked_at;   /* its last rejection that asked for a pause */
+	msec_t paused_at, paused_until;
+	guint paused_requests; /* that came while it was paused */
+} soak_told_t;
+
 typedef struct {
 	world_t *world;
 	char id[16];
@@ -101,6 +110,7 @@
 	const struct bufferevent *rejected_on;
 	char rejected_id[64];
 	guint rejections;
+	soak_told_t told[HOSTS];
 } soak_server_t;
 
 void soak_server_start(
@@ -109,6 +119,19 @@
 void soak_server_fault(soak_server_t *s, server_fault_t fault);
 void soak_servers_finish(world_t *w);
 
+/**
+ * soak_word_tell() - An answer tells a host about its server.
+ * @s: the server; it says that it leaves if it does
+ * @host: number of the host
+ * @pause: it asks for a pause
+ */
+void soak_word_tell(soak_server_t *s, int host, gboolean pause);
+
+/** soak_word_check() - Check a request that a host sent to a server. */
+void soak_word_check(soak_server_t *s, int host, const char *id);
+
+#define SOAK_PAUSE_SEC "1"
+
 /* ---- requests, as callers and servers see them ---- */
 
 typedef struct {
--- a/tests/soak/soak_servers.c
+++ b/tests/soak/soak_servers.c
@@ -30,8 +30,43 @@
 	return evhttp_find_header(evhttp_request_get_input_headers(req), name);
 }
 
+/* While a request has no answer yet, evhttp does not report that its connection
+ * was closed. */
+static gboolean
+is_closed(struct evhttp_request *req)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(
+	    evhttp_request_get_connection(req));
+	char byte;
+
+	return recv(bufferevent_getfd(bev), &byte, 1,
+		   MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/* Every answer says that its server leaves; a rejection for a fault asks for a
+ * pause. */
+static void
+say_words(soak_server_t *s, struct evhttp_request *req, int status)
+{
+	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
+	const char *id = header(req, "X-Request-Id");
+	const soak_request_t *r =
+	    id != NULL ? g_hash_table_lookup(s->world->requests, id) : NULL;
+	gboolean pause = status == 503 && s->fault == SERVER_SHEDS;
+
+	if (status == 421)
+		return;
+	if (s->leaving_at != 0)
+		evhttp_add_header(out, "Server-Leaving", "1");
+	if (pause)
+		evhttp_add_header(out, "Retry-After", SOAK_PAUSE_SEC);
+	if (r != NULL && !is_closed(req))
+		soak_word_tell(s, r->host, pause);
+}
+
 static void
-reply(struct evhttp_request *req, int status, const char *text)
+reply(
+    soak_server_t *s, struct evhttp_request *req, int status, const char *text)
 {
 	struct evbuffer *body = evbuffer_new();
 	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
@@ -39,17 +74,18 @@
 
 	if (id != NULL)
 		evhttp_add_header(out, "X-Request-Id", id);
+	say_words(s, req, status);
 	evbuffer_add(body, text, strlen(text));
 	evhttp_send_reply(req, status, "-", body);
 	evbuffer_free(body);
 }
 
 static void
-reject(struct evhttp_request *req, int status)
+reject(soak_server_t *s, struct evhttp_request *req, int status)
 {
 	evhttp_add_header(evhttp_request_get_output_headers(req),
 	    status == 421 ? "X-Instance-Id" : "X-Not-Executed", "1");
-	reply(req, status, "");
+	reply(s, req, status, "");
 }
 
 /* Every third rejection is written once more on its connection, where the
@@ -182,19 +218,6 @@
 	check_leaving(s, r->id);
 }
 
-/* While a request has no answer yet, evhttp does not report that its connection
- * was closed. */
-static gboolean
-is_closed(struct evhttp_request *req)
-{
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(
-	    evhttp_request_get_connection(req));
-	char byte;
-
-	return recv(bufferevent_getfd(bev), &byte, 1,
-		   MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 /* An idempotent request must be cancelled when its caller hangs up. */
 static void
 check_hung_up(world_t *w, struct evhttp_request *req, const soak_request_t *r)
@@ -258,7 +281,7 @@
 	    evhttp_request_get_output_headers(req), SIGNATURE, run->id);
 	if (run->request != NULL && !fails)
 		run->request->answered_whole = TRUE;
-	reply(req, fails ? 500 : 200, text);
+	reply(s, req, fails ? 500 : 200, text);
 	g_free(text);
 }
 
@@ -321,6 +344,7 @@
 	(void)what;
 	s->crashed = FALSE;
 	s->starts++;
+	memset(s->told, 0, sizeof(s->told));
 	start(s);
 	if (s->listed)
 		soak_server_write(s, TRUE);
@@ -356,21 +380,23 @@
 	run_t *run;
 
 	if (g_strcmp0(header(req, "X-Expected-Instance"), s->id) != 0) {
-		reject(req, 421);
+		reject(s, req, 421);
 		return;
 	}
 	repeat_rejection(s, req);
+	r = id != NULL ? g_hash_table_lookup(w->requests, id) : NULL;
+	if (r != NULL)
+		soak_word_check(s, r->host, id);
 	if (s->running >= SLOTS * 3 ||
 	    (s->fault == SERVER_SHEDS && g_rand_boolean(w->rand))) {
 		if (s->fault == SERVER_SHEDS)
 			note_rejection(s, req, id);
-		reject(req, 503);
+		reject(s, req, 503);
 		return;
 	}
-	r = id != NULL ? g_hash_table_lookup(w->requests, id) : NULL;
 	if (r == NULL) {
 		soak_broken(w, "UNASKED unknown request %s ran", id);
-		reject(req, 400);
+		reject(s, req, 400);
 		return;
 	}
 	note_run(s, req, r);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -445,6 +445,65 @@
 	g_ptr_array_free(addresses, TRUE);
 }
 
+/* What servers say of themselves; bad values change nothing. */
+static void
+test_server_words(void)
+{
+	static const struct {
+		int status;
+		const char *name, *value, *second;
+		wire_word_t leaving, pause;
+		msec_t pause_ms;
+	} rows[] = {
+	    {200, "Server-Leaving", "1", NULL, WIRE_WORD_SAID, 0, 0},
+	    {200, "server-leaving", "1", NULL, WIRE_WORD_SAID, 0, 0},
+	    {500, "Server-Leaving", "1", NULL, WIRE_WORD_SAID, 0, 0},
+	    {503, "Server-Leaving", "1", NULL, WIRE_WORD_SAID, 0, 0},
+	    {103, "Server-Leaving", "1", NULL, WIRE_WORD_SAID, 0, 0},
+	    {421, "Server-Leaving", "1", NULL, 0, 0, 0},
+	    {200, "Server-Leaving", "0", NULL, WIRE_WORD_INVALID, 0, 0},
+	    {200, "Server-Leaving", "true", NULL, WIRE_WORD_INVALID, 0, 0},
+	    {200, "Server-Leaving", "", NULL, WIRE_WORD_INVALID, 0, 0},
+	    {200, "Server-Leaving", "1", "0", WIRE_WORD_INVALID, 0, 0},
+	    {503, "Retry-After", "3", NULL, 0, WIRE_WORD_SAID, 3000},
+	    {503, "retry-after", "0.5", NULL, 0, WIRE_WORD_SAID, 500},
+	    {503, "Retry-After", "0", NULL, 0, 0, 0},
+	    {503, "Retry-After", "3600", NULL, 0, WIRE_WORD_SAID, 3600000},
+	    {200, "Retry-After", "3", NULL, 0, 0, 0},
+	    {429, "Retry-After", "3", NULL, 0, 0, 0},
+	    {421, "Retry-After", "3", NULL, 0, 0, 0},
+	    {503, "Retry-After", "3601", NULL, 0, WIRE_WORD_INVALID, 0},
+	    {503, "Retry-After", "99999999999999999999", NULL, 0,
+		WIRE_WORD_INVALID, 0},
+	    {503, "Retry-After", "-1", NULL, 0, WIRE_WORD_INVALID, 0},
+	    {503, "Retry-After", "+1", NULL, 0, WIRE_WORD_INVALID, 0},
+	    {503, "Retry-After", "1e3", NULL, 0, WIRE_WORD_INVALID, 0},
+	    {503, "Retry-After", "1.2.3", NULL, 0, WIRE_WORD_INVALID, 0},
+	    {503, "Retry-After", "soon", NULL, 0, WIRE_WORD_INVALID, 0},
+	    {503, "Retry-After", "", NULL, 0, WIRE_WORD_INVALID, 0},
+	    {503, "Retry-After", "Sat, 05 Dec 2026 08:00:00 GMT", NULL, 0,
+		WIRE_WORD_INVALID, 0},
+	    {503, "Retry-After", "3", "9", 0, WIRE_WORD_INVALID, 0},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct evkeyvalq h = TAILQ_HEAD_INITIALIZER(h);
+		wire_server_word_t w;
+
+		evhttp_add_header(&h, rows[i].name, rows[i].value);
+		if (rows[i].second != NULL)
+			evhttp_add_header(&h, rows[i].name, rows[i].second);
+		wire_server_word_read(rows[i].status, &h, &w);
+		ck_assert_msg(w.leaving == rows[i].leaving &&
+			w.pause == rows[i].pause &&
+			(w.pause != WIRE_WORD_SAID ||
+			    w.pause_ms == rows[i].pause_ms),
+		    "%d %s: %s", rows[i].status, rows[i].name, rows[i].value);
+		evhttp_clear_headers(&h);
+	}
+}
+
 static const suite_case_t cases[] = {
     {"orders", test_orders},
     {"server rows", test_servers},
@@ -456,6 +515,7 @@
     {"headers passed on to a server", test_forward},
     {"headers of an answer", test_answers},
     {"limits of servers", test_server_limits},
+    {"words of servers", test_server_words},
     {"look-ups", test_lookups},
 };
 
