--- a/tests/standins/standin_backend.c
+++ b/tests/standins/standin_backend.c
@@ -207,6 +207,8 @@
 	log_line("shed", id);
 	evhttp_add_header(evhttp_request_get_output_headers(req),
 	    "Greengageloom-Shed", "not-run");
+	evhttp_add_header(
+	    evhttp_request_get_output_headers(req), "X-Request-Id", id);
 	evhttp_add_header(
 	    evhttp_request_get_output_headers(req), "Retry-After", "1");
 	evhttp_send_reply(req, 503, "Full", NULL);
