QUOTA: lend nothing before the other hosts are known

Cause: as in the flood of cold servers, a starting host counted only itself until it had listed the others. After the listing each was still its own lender until a summary came, a second later.

Change: before the rows are known nothing is lent and the host is not ready; hosts that nobody has heard yet count as possible lenders for 2.5 s, so that all choose the same.

--- a/src/coordination/rate_lender.c
+++ b/src/coordination/rate_lender.c
@@ -158,11 +158,16 @@
 	return h ^ (h >> 32);
 }
 
+/* While hosts start together, none has been heard yet; all then choose among
+ * the hosts that have rows. */
 static gboolean
 may_lend(const fleet_host_t *h, const char *region, msec_t now)
 {
-	return fleet_is_live(h, now) && h->ready && !h->leaving &&
-	    strcmp(h->region, region) == 0;
+	if (strcmp(h->region, region) != 0)
+		return FALSE;
+	if (h->heard_at == 0)
+		return now - h->known_at < FLEET_SILENT_MS;
+	return fleet_is_live(h, now) && h->ready && !h->leaving;
 }
 
 const fleet_host_t *
@@ -389,6 +394,9 @@
 	regions_t regions;
 	guint i;
 
+	/* Until the hosts are known, all of the rate would seem this host's. */
+	if (l->fleet->synced_at == 0)
+		return;
 	count_hosts(l, &regions, now);
 	for (i = 0; i < n; i++)
 		tick_limit(l, &limits[i], &regions, now);
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -42,8 +42,8 @@
 gboolean
 view_is_ready(const view_t *v, msec_t now)
 {
-	return !v->leaving && v->joined && v->servers_synced_at != 0 &&
-	    v->admission.manifest != NULL &&
+	return !v->leaving && v->joined && v->fleet.synced_at != 0 &&
+	    v->servers_synced_at != 0 && v->admission.manifest != NULL &&
 	    view_orders_state(v, now) != ORDERS_OUTDATED;
 }
 
--- a/tests/test_server_limits.c
+++ b/tests/test_server_limits.c
@@ -71,6 +71,7 @@
 
 		fleet_put(&h->fleet, &row, 0);
 	}
+	fleet_synced(&h->fleet, 1);
 	server_limits_init(&h->limits, &h->fleet, w->regions[i]);
 	h->incarnation = incarnation;
 }
@@ -361,6 +362,7 @@
 		msec_t now;
 
 		fleet_init(&fleet, "host-0");
+		fleet_synced(&fleet, 1);
 		fleet_locate(&fleet, "north", "n1", 1);
 		server_limits_init(&s, &fleet, "north");
 		for (now = STEP_MS; now < END_MS; now += STEP_MS) {
