DRAIN: a lapse ends 2.1 s after the store's return, not after it is learned

Cause: a removal that is read within 2.5 s of the store's return, or that a peer passes on then, may only have been a lapse, so the server was used for 2 s more, and up to a tick.

Change: the lapse ends 2.1 s after the return, by the clock of the host that saw it; table updates name what is left of it, in bits that earlier versions ignore. It ends at use, not at the next tick.

test_registry, new case (left 0.1, 1 and 2.4 s after the return); the old code keeps the second for 2 s.

--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -22,9 +22,6 @@
 /* The store counts as unreachable after calls for a table have failed this
  * long. */
 #define UNREACHABLE_MS 1000
-/* Entries that lapsed are registered again within this time after the store is
- * reachable again. */
-#define REREGISTER_MS 2500
 /* If a peer has newer orders and the answer to the call for changes has not
  * begun to arrive, the call is restarted after this time: half of the shortest
  * time within which a new configuration must take effect. */
@@ -71,8 +68,7 @@
 		s->store_back = TRUE;
 	}
 	if (t->failures > 0 && now - t->lost_at > UNREACHABLE_MS)
-		s->lapse_grace_until =
-		    MAX(s->lapse_grace_until, now + REREGISTER_MS);
+		s->lapse_until = MAX(s->lapse_until, now + REGISTRY_LAPSE_MS);
 	t->failures = 0;
 	t->answered_at = now;
 	if (page == NULL || page->store_ms == 0)
@@ -206,7 +202,7 @@
 	    .table = t->kind,
 	    .from = from,
 	    .to = t->ver,
-	    .after_outage = t->called_at < s->lapse_grace_until,
+	    .lapse_left_ms = MAX(s->lapse_until - clock_now(), 0),
 	    .rows = t->for_peers,
 	};
 
@@ -389,8 +385,7 @@
 		start_call(t);
 		return;
 	}
-	if (update->after_outage)
-		s->lapse_grace_until = MAX(s->lapse_grace_until, now + TICK_MS);
+	s->lapse_until = MAX(s->lapse_until, now + update->lapse_left_ms);
 	t->called_at = now;
 	apply_changes(t, page);
 	forget_all(t);
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -66,10 +66,9 @@
 	gboolean was_ready;    /* at the last tick */
 	gboolean many_changes; /* the page being applied is logged as a whole */
 	gboolean store_back;   /* a call succeeded after calls had failed */
-	/* A removal that is read by a call from before this time may be a
-	 * lapse: the server could not renew its entry while the store was
-	 * unreachable. */
-	msec_t lapse_grace_until;
+	/* Until then, a removed entry may only have lapsed: its server could
+	 * not renew it while the store was unreachable. */
+	msec_t lapse_until;
 	gboolean has_secret;
 	peer_secret_t secret;
 	peer_secret_t offered_secret; /* in the write in flight */
--- a/src/gateway/store_sync_rows.c
+++ b/src/gateway/store_sync_rows.c
@@ -141,7 +141,7 @@
 store_sync_take_server(void *arg, const table_row_t *row)
 {
 	store_sync_t *s = arg;
-	msec_t asked_at = s->tables[SYNCED_SERVERS].called_at;
+	msec_t now = clock_now();
 	wire_server_t *decoded;
 	registry_row_t entry;
 	GError *err = NULL;
@@ -149,11 +149,11 @@
 	if (row->value == NULL) {
 		queue_for_peers(&s->tables[SYNCED_SERVERS], row);
 		if (registry_remove(&s->view->registry, row->key, row->ver,
-			asked_at < s->lapse_grace_until, clock_now()))
+			s->lapse_until, now))
 			log_event(LOG_INFO, "server.gone", "server", row->key,
 			    "row_version", log_num((long long)row->ver),
-			    "store_was_away",
-			    asked_at < s->lapse_grace_until ? "1" : "0", NULL);
+			    "store_was_away", now < s->lapse_until ? "1" : "0",
+			    NULL);
 		return;
 	}
 	if (!wire_server_decode(row, &entry, &decoded, &err)) {
--- a/src/protocol/table_update.c
+++ b/src/protocol/table_update.c
@@ -8,8 +8,11 @@
 #define ROW_OVERHEAD_BYTES 32
 #define HEAD_BYTES 64
 #define ROWS_MAX 512
-#define FLAG_AFTER_OUTAGE 1
+/* Flag 1 belongs to earlier versions. */
 #define FLAG_RELAY 2
+/* The other bits: the time for which entries may have lapsed. */
+#define LAPSE_SHIFT 8
+#define LAPSE_UNIT_MS 10
 
 /* A datagram: rows of an update to encode, or of a page to decode into. */
 typedef struct {
@@ -23,8 +26,9 @@
 xdr_head(XDR *x, table_update_t *update, uint32_t *rows)
 {
 	uint32_t kind = PEER_TABLE;
-	uint32_t flags = (update->after_outage ? FLAG_AFTER_OUTAGE : 0) |
-	    (update->relay ? FLAG_RELAY : 0);
+	msec_t lapse_ms = CLAMP(update->lapse_left_ms, 0, TABLE_LAPSE_MAX_MS);
+	uint32_t flags = (update->relay ? FLAG_RELAY : 0) |
+	    ((uint32_t)(lapse_ms / LAPSE_UNIT_MS) << LAPSE_SHIFT);
 
 	if (!xdr_uint32_t(x, &kind) || kind != PEER_TABLE ||
 	    !xdr_uint32_t(x, &update->table) ||
@@ -32,7 +36,8 @@
 	    !xdr_uint32_t(x, &flags) || !xdr_uint32_t(x, rows) ||
 	    *rows > ROWS_MAX)
 		return FALSE;
-	update->after_outage = (flags & FLAG_AFTER_OUTAGE) != 0;
+	update->lapse_left_ms = MIN(
+	    (msec_t)(flags >> LAPSE_SHIFT) * LAPSE_UNIT_MS, TABLE_LAPSE_MAX_MS);
 	update->relay = (flags & FLAG_RELAY) != 0;
 	return TRUE;
 }
--- a/src/protocol/table_update.h
+++ b/src/protocol/table_update.h
@@ -1,6 +1,7 @@
 #ifndef PROTOCOL_TABLE_UPDATE_H
 #define PROTOCOL_TABLE_UPDATE_H
 
+#include "base/clock.h"
 #include "protocol/peer_msg.h"
 #include "protocol/table_msg.h"
 
@@ -13,13 +14,16 @@
 typedef struct {
 	uint32_t table; /* number of the table, assigned by the hosts */
 	uint64_t from, to;
-	/* Entries may have lapsed while the store was unreachable. */
-	gboolean after_outage;
+	/* For this time, entries may be missing as they lapsed while the store
+	 * was unreachable; at most TABLE_LAPSE_MAX_MS. */
+	msec_t lapse_left_ms;
 	gboolean
 	    relay; /* a collector passes it on to the hosts of its domain */
 	GPtrArray *rows; /* table_row_t */
 } table_update_t;
 
+#define TABLE_LAPSE_MAX_MS 60000
+
 /**
  * table_update_encode() - Encode as many rows as fit in one datagram.
  * @update: the changes; its @from is set to the version to which this
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -216,7 +216,7 @@
 	b->slots = MAX(row->slots, 1);
 	b->draining = row->draining;
 	b->cold_until = cold_until;
-	b->lapsed_at = 0;
+	b->lapsed_until = 0;
 	return was_draining != b->draining || was_cold != (row->cold_ms > 0) ||
 	    moved;
 }
@@ -260,7 +260,7 @@
 
 gboolean
 registry_remove(registry_t *r, const char *id, uint64_t row_ver,
-    gboolean unreachable, msec_t now)
+    msec_t lapse_until, msec_t now)
 {
 	backend_t *b = g_hash_table_lookup(r->servers, id);
 
@@ -269,9 +269,9 @@
 	record_removal(r, id, row_ver);
 	if (b == NULL)
 		return FALSE;
-	if (unreachable && !b->draining) {
-		if (b->lapsed_at == 0)
-			b->lapsed_at = now;
+	if (lapse_until > now && !b->draining) {
+		if (b->lapsed_until == 0)
+			b->lapsed_until = lapse_until;
 		return TRUE;
 	}
 	remove_backend(r, b, now);
@@ -290,8 +290,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		backend_t *b = value;
 
-		if (b->lapsed_at != 0 &&
-		    now - b->lapsed_at >= REGISTRY_LAPSE_MS)
+		if (b->lapsed_until != 0 && now >= b->lapsed_until)
 			g_ptr_array_add(expired, b);
 	}
 	for (i = 0; i < expired->len; i++)
@@ -403,6 +402,7 @@
 backend_usable(const backend_t *b, msec_t now)
 {
 	if (!b->listed || b->draining || now < b->ejected_until ||
+	    (b->lapsed_until != 0 && now >= b->lapsed_until) ||
 	    !server_word_allows(&b->word, b->own, now))
 		return FALSE;
 	return b->ejected_until == 0 || b->own == 0;
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -15,9 +15,9 @@
  * outlive the entry.
  */
 
-/* An entry that expired while the store was unreachable is kept for this time
- * after the store has returned. Live servers register again within 2 s. */
-#define REGISTRY_LAPSE_MS 2000
+/* An entry that expired while the store was unreachable is kept until this time
+ * after the store's return. Live servers register again within 2 s. */
+#define REGISTRY_LAPSE_MS 2100
 
 /* One entry as read from the store. */
 typedef struct {
@@ -61,8 +61,9 @@
 	msec_t cold_until;
 	/* assumed end of its warm-up after an ejection */
 	msec_t cold_assumed_until;
-	/* when its entry expired while the store was unreachable; 0: never */
-	msec_t lapsed_at;
+	/* Its entry may have expired while the store was unreachable: it is
+	 * used until then; 0: it has an entry. */
+	msec_t lapsed_until;
 
 	/* Load. */
 	uint32_t own;	   /* requests of this host in flight to it */
@@ -148,14 +149,14 @@
  * @r: the registry
  * @id: id of the server
  * @row_ver: version of the removal
- * @unreachable: the store was unreachable a moment ago, so the entry may only
- *	have expired
+ * @lapse_until: the store was unreachable a moment ago, and until then the
+ *	entry may only have expired; a time that has passed: it was removed
  * @now: time
  *
  * Return: whether the server was known and the removal is not an old one.
  */
 gboolean registry_remove(registry_t *r, const char *id, uint64_t row_ver,
-    gboolean unreachable, msec_t now);
+    msec_t lapse_until, msec_t now);
 
 /**
  * registry_expire() - Drop entries that expired and were not renewed.
--- a/tests/test_peer_msg.c
+++ b/tests/test_peer_msg.c
@@ -177,7 +177,8 @@
 {
 	uint8_t data[PEER_MSG_MAX_BYTES];
 	table_page_t from, page;
-	table_update_t update = {.table = 1, .from = 10, .to = 400};
+	table_update_t update = {
+	    .table = 1, .from = 10, .to = 400, .lapse_left_ms = 1230};
 	table_update_t decoded;
 	uint64_t expected_from = 10;
 	guint i, next = 0, seen = 0, datagrams = 0;
@@ -201,6 +202,7 @@
 		ck_assert(
 		    table_update_decode(data, len, &secret, &decoded, &page));
 		ck_assert_uint_eq(decoded.table, 1);
+		ck_assert_int_eq(decoded.lapse_left_ms, 1230);
 		ck_assert_uint_eq(decoded.from, expected_from);
 		expected_from = decoded.to;
 		check_rows(&page, &from, seen);
--- a/tests/test_placing.c
+++ b/tests/test_placing.c
@@ -92,7 +92,7 @@
 	fixture_init(&f, SERVERS);
 	for (i = 0; i < OBJECTS; i++)
 		before[i] = g_intern_string(place(&f, i));
-	registry_remove(&f.registry, "server-4", 1000, FALSE, 0);
+	registry_remove(&f.registry, "server-4", 1000, 0, 0);
 	for (i = 0; i < OBJECTS; i++) {
 		const char *now = place(&f, i);
 
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -111,8 +111,9 @@
 		setup(&r);
 		row.draining = rows[i].draining;
 		registry_put(&r, &row, 1000);
-		registry_remove(
-		    &r, "a", rows[i].ver, rows[i].store_unreachable, 2000);
+		registry_remove(&r, "a", rows[i].ver,
+		    rows[i].store_unreachable ? 2000 + REGISTRY_LAPSE_MS : 0,
+		    2000);
 		registry_expire(&r, 2000 + REGISTRY_LAPSE_MS - 1);
 		ck_assert_msg((find(&r, "a") != NULL) == rows[i].listed_at_once,
 		    "%s", rows[i].name);
@@ -136,7 +137,7 @@
 
 	setup(&r);
 	registry_put(&r, &row, 1000);
-	registry_remove(&r, "a", 9, TRUE, 2000);
+	registry_remove(&r, "a", 9, 2000 + REGISTRY_LAPSE_MS, 2000);
 	row.row_ver = 12;
 	registry_put(&r, &row, 3000);
 	registry_expire(&r, 20000);
@@ -214,11 +215,46 @@
 	teardown(&r);
 }
 
+/*
+ * A server leaves some time after the store's return: it is not used for longer
+ * than a lapsed one, counted from the return, even if nothing drops it by then.
+ */
+static void
+test_left_after_return(void)
+{
+	static const struct {
+		msec_t returned_at, left_at, unusable_at;
+	} rows[] = {
+	    {1900, 2000, 1900 + REGISTRY_LAPSE_MS},
+	    {1000, 2000, 1000 + REGISTRY_LAPSE_MS},
+	    {0, 2400, 2400},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		registry_row_t row = row_of("a", 5);
+		registry_t r;
+		backend_t *b;
+
+		setup(&r);
+		registry_put(&r, &row, 1);
+		b = backend_ref(find(&r, "a"));
+		registry_remove(&r, "a", 9,
+		    rows[i].returned_at + REGISTRY_LAPSE_MS, rows[i].left_at);
+		if (rows[i].unusable_at > rows[i].left_at)
+			ck_assert(backend_usable(b, rows[i].unusable_at - 1));
+		ck_assert(!backend_usable(b, rows[i].unusable_at));
+		backend_unref(b);
+		teardown(&r);
+	}
+}
+
 static const suite_case_t cases[] = {
     {"newer rows change a server, older rows don't", test_changes},
     {"a restart resets what is known", test_restart},
     {"removed, lapsed and drained servers", test_removal},
     {"a lapsed server registers again in time", test_registered_again},
+    {"a server that leaves after the store's return", test_left_after_return},
     {"ejection and recovery", test_ejection},
     {"load of all hosts", test_load},
 };
--- a/tests/test_server_word.c
+++ b/tests/test_server_word.c
@@ -109,7 +109,7 @@
 			put(&r, s, i + 1);
 			break;
 		case GONE:
-			registry_remove(&r, "i-1", i + 1, FALSE, s->at);
+			registry_remove(&r, "i-1", i + 1, 0, s->at);
 			break;
 		case IN_FLIGHT:
 			b->own = (guint)s->n;
@@ -161,7 +161,7 @@
 		registry_put(&r, &row, i);
 		server_word_leave(
 		    &((backend_t *)g_hash_table_lookup(r.servers, id))->word);
-		registry_remove(&r, id, 2 * i + 2, FALSE, i);
+		registry_remove(&r, id, 2 * i + 2, 0, i);
 	}
 	ck_assert_uint_le(r.words->len, 1024);
 	registry_expire(&r, 600000);
