--- a/src/gateway/status_sync.c
+++ b/src/gateway/status_sync.c
@@ -1,14 +1,13 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "gateway/status_send.h"
 #include "gateway/status_sync.h"
+#include "gateway/table_sync.h"
 #include "protocol/beacon.h"
 
 /* Period of the check whether something is due. */
 #define TICK_MS 100
-/* Collectors of one's own domain that get this host's status: the acting one,
- * and the first in rank. */
-#define OWN_COLLECTORS 2
 
 static void
 append_loads(const view_t *v, GArray *loads)
@@ -44,107 +43,6 @@
 	shifts_report(&v->shifts, status);
 }
 
-static void
-send_to(
-    status_sync_t *s, const fleet_host_t *h, const uint8_t *data, size_t len)
-{
-	if (len == 0)
-		return;
-	control_bytes_sent(&s->bytes, &s->view->fleet, h, len,
-	    peer_msg_kind(data, len) == PEER_TABLE);
-	datagram_send(&s->socket, h->peer, data, len);
-}
-
-/* Sends to the collectors of this host's domain. */
-static void
-send_own_collectors(status_sync_t *s, const uint8_t *data, size_t len)
-{
-	const fleet_t *f = &s->view->fleet;
-	msec_t now = clock_now();
-	const fleet_host_t *first[OWN_COLLECTORS];
-	const fleet_domain_t *d = fleet_domain(f, f->domain);
-	const fleet_host_t *source =
-	    d != NULL ? fleet_find(f, d->source) : NULL;
-	guint n = fleet_collectors(f, f->domain, first, OWN_COLLECTORS, now), i;
-
-	if (source != NULL)
-		send_to(s, source, data, len);
-	for (i = 0; i < n; i++) {
-		if (first[i] != source)
-			send_to(s, first[i], data, len);
-	}
-}
-
-/*
- * Appends the collectors of the other domains, of this region only or of all:
- * const fleet_host_t pointers.
- */
-static void
-append_collectors(const view_t *v, GPtrArray *out, gboolean all_regions)
-{
-	msec_t now = clock_now();
-	const fleet_host_t *targets[FLEET_TARGETS_MAX];
-	GHashTableIter it;
-	gpointer name, region;
-	uint64_t domain;
-	guint i, n;
-
-	g_hash_table_iter_init(&it, v->settings->regions);
-	while (g_hash_table_iter_next(&it, &name, &region)) {
-		domain = registry_hash(name);
-		if (domain == v->fleet.domain ||
-		    (!all_regions && strcmp(region, v->settings->region) != 0))
-			continue;
-		n = fleet_targets(&v->fleet, domain, targets, now);
-		for (i = 0; i < n; i++)
-			g_ptr_array_add(out, (gpointer)targets[i]);
-	}
-}
-
-static void
-append_domain(const view_t *v, GPtrArray *out)
-{
-	const fleet_t *f = &v->fleet;
-	guint i;
-
-	for (i = 0; i < f->hosts->len; i++) {
-		fleet_host_t *h = g_ptr_array_index(f->hosts, i);
-
-		if (h->domain_seed == f->domain)
-			g_ptr_array_add(out, h);
-	}
-}
-
-static void
-send_all(status_sync_t *s, const GPtrArray *to, const uint8_t *data, size_t len)
-{
-	guint i;
-
-	for (i = 0; i < to->len; i++)
-		send_to(s, g_ptr_array_index(to, i), data, len);
-}
-
-static void
-send_domain(status_sync_t *s, const uint8_t *data, size_t len)
-{
-	GPtrArray *to = g_ptr_array_new();
-
-	append_domain(s->view, to);
-	send_all(s, to, data, len);
-	g_ptr_array_free(to, TRUE);
-}
-
-/* Sends to the collectors of the other domains of all regions. */
-static void
-send_collectors(status_sync_t *s, const uint8_t *data, size_t len)
-{
-	GPtrArray *to = g_ptr_array_new();
-
-	append_collectors(s->view, to, TRUE);
-	send_all(s, to, data, len);
-	g_ptr_array_free(to, TRUE);
-}
-
 static gboolean
 can_send(const status_sync_t *s)
 {
@@ -171,7 +69,7 @@
 	fleet_status_copy(&s->last_sent, &status);
 	s->sent_at = now;
 	len = beacon_encode(&status, &s->store_sync->secret, data);
-	send_own_collectors(s, data, len);
+	status_send_own_collectors(s, data, len);
 	metrics_count(s->metrics, s->statuses, 1);
 	collector_receive(&s->collector, &status, now);
 	fleet_status_finish(&status);
@@ -258,7 +156,7 @@
 		do {
 			next = summary_msg_encode(&msg, parts, next,
 			    &s->store_sync->secret, data, &len);
-			send_to(s, h, data, len);
+			status_send_to(s, h, data, len);
 		} while (next < parts->len);
 	}
 	metrics_count(s->metrics, s->bundles, 1);
@@ -319,7 +217,7 @@
 	with_list = d == NULL || fleet_list_is_due(d);
 	add_part(parts, &summary, with_list);
 	summary_msg_encode(&msg, parts, 0, &s->store_sync->secret, data, &len);
-	send_collectors(s, data, len);
+	status_send_collectors(s, data, len);
 	metrics_count(s->metrics, s->summaries, 1);
 	append_foreign(s, parts);
 	send_bundle(s, parts, stopping);
@@ -475,101 +373,6 @@
 	g_array_free(summaries, TRUE);
 }
 
-static size_t
-encode_notice(
-    const status_sync_t *s, const table_update_t *update, uint8_t *data)
-{
-	GPtrArray *no_rows = g_ptr_array_new();
-	table_update_t notice = *update;
-	size_t len;
-
-	notice.from = notice.to;
-	notice.rows = no_rows;
-	(void)table_update_encode(
-	    &notice, 0, &s->store_sync->secret, data, &len);
-	g_ptr_array_free(no_rows, TRUE);
-	return len;
-}
-
-/* Sends rows, or in place of those that the link has no room for a notice that
- * they have changed. */
-static void
-send_update(status_sync_t *s, const table_update_t *update, const GPtrArray *to)
-{
-	uint8_t data[PEER_MSG_MAX_BYTES], notice[PEER_MSG_MAX_BYTES];
-	size_t len, notice_len = encode_notice(s, update, notice);
-	table_update_t rest = *update;
-	fanout_verdict_t verdict;
-	guint next = 0;
-
-	do {
-		next = table_update_encode(
-		    &rest, next, &s->store_sync->secret, data, &len);
-		verdict = fanout_choose(
-		    &s->fanout, len, notice_len, to->len, clock_now());
-		switch (verdict) {
-		case FANOUT_ROWS:
-			send_all(s, to, data, len);
-			break;
-		case FANOUT_NOTICE:
-			send_all(s, to, notice, notice_len);
-			metrics_count(s->metrics, s->notices, 1);
-			return;
-		case FANOUT_NOTHING:
-			metrics_count(s->metrics, s->notices_omitted, 1);
-			return;
-		}
-	} while (next < update->rows->len);
-}
-
-static void
-receive_table(status_sync_t *s, const uint8_t *data, size_t len)
-{
-	GPtrArray *to;
-	table_update_t update;
-	table_page_t page;
-
-	if (!table_update_decode(
-		data, len, &s->store_sync->secret, &update, &page)) {
-		metrics_count(s->metrics, s->rejected, 1);
-		return;
-	}
-	if (update.relay &&
-	    fanout_advances(&s->fanout, update.table, update.to)) {
-		table_update_t passed = update;
-
-		passed.relay = FALSE;
-		passed.rows = page.rows;
-		to = g_ptr_array_new();
-		append_domain(s->view, to);
-		send_update(s, &passed, to);
-		g_ptr_array_free(to, TRUE);
-		metrics_count(s->metrics, s->relayed, 1);
-	}
-	store_sync_receive(s->store_sync, &update, &page);
-	table_page_finish(&page);
-}
-
-/* Sends changes of a table to the hosts of the region. */
-static void
-send_table(void *arg, table_update_t *update)
-{
-	status_sync_t *s = arg;
-	GPtrArray *to;
-
-	if (!s->store_sync->has_secret)
-		return;
-	to = g_ptr_array_new();
-	update->relay = TRUE;
-	append_collectors(s->view, to, FALSE);
-	send_update(s, update, to);
-	g_ptr_array_set_size(to, 0);
-	update->relay = FALSE;
-	append_domain(s->view, to);
-	send_update(s, update, to);
-	g_ptr_array_free(to, TRUE);
-}
-
 static void
 receive_suspects(status_sync_t *s, const uint8_t *data, size_t len)
 {
@@ -582,7 +385,7 @@
 	}
 	if (msg.relay) {
 		msg.relay = FALSE;
-		send_domain(s, copy,
+		status_send_domain(s, copy,
 		    suspect_msg_encode(&msg, &s->store_sync->secret, copy));
 		metrics_count(s->metrics, s->relayed, 1);
 	}
@@ -598,10 +401,10 @@
 	if (!s->store_sync->has_secret)
 		return;
 	msg->relay = FALSE;
-	send_domain(
+	status_send_domain(
 	    s, data, suspect_msg_encode(msg, &s->store_sync->secret, data));
 	msg->relay = TRUE;
-	send_collectors(
+	status_send_collectors(
 	    s, data, suspect_msg_encode(msg, &s->store_sync->secret, data));
 }
 
@@ -620,7 +423,7 @@
 		receive_summaries(s, data, len);
 		break;
 	case PEER_TABLE:
-		receive_table(s, data, len);
+		table_sync_receive(s, data, len);
 		break;
 	case PEER_SUSPECTS:
 		receive_suspects(s, data, len);
@@ -704,7 +507,7 @@
 	s->suspects = suspects;
 	suspects->send = send_suspects;
 	suspects->send_arg = s;
-	store_sync->send = send_table;
+	store_sync->send = table_sync_send;
 	store_sync->send_arg = s;
 	tokens_init(&s->tokens, view, base, &s->socket, &store_sync->secret);
 	return datagram_init(
