A host that is behind serves what its orders allow

Cause: 103 of 295 hosts are cut off from the store without an answer. An open call for orders does not fail for 20 s, so they still reported that they reach it, and the bound on how many hosts may stand back (a quarter) did not hold. Those that stood back also left the ranking of lenders.

Change: standing back after 1.2 s goes again. A host that is behind still gives 503 in place of 401, 404 and 413.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -46,8 +46,8 @@
 serve_lookup(gateway_t *g, http_exchange_t *x, const wire_lookup_t *lookup)
 {
 	const gateway_settings_t *s = g->settings;
-	const fleet_self_t self = {s->callers, s->region, s->domain,
-	    view_is_ready(&g->view, clock_now())};
+	const fleet_self_t self = {
+	    s->callers, s->region, s->domain, view_is_ready(&g->view)};
 	GPtrArray *addresses = g_ptr_array_new();
 	char *text;
 
@@ -97,7 +97,7 @@
 	const table_store_t *store = &g->store_sync.store;
 	char *text;
 
-	metrics_set(m, g->ready, view_is_ready(&g->view, clock_now()));
+	metrics_set(m, g->ready, view_is_ready(&g->view));
 	metrics_set(m, g->hosts_heard, count_live_hosts(g));
 	metrics_set(
 	    m, g->servers_known, g_hash_table_size(g->view.registry.servers));
@@ -129,7 +129,7 @@
 	g_string_append_printf(out,
 	    "host id=%s ready=%d config=%" G_GUINT64_FORMAT
 	    " servers_age_ms=%" G_GINT64_FORMAT " under_way=%u\n",
-	    v->settings->id, view_is_ready(v, now),
+	    v->settings->id, view_is_ready(v),
 	    v->admission.manifest != NULL ? v->admission.manifest->version : 0,
 	    now - v->servers_synced_at, g->relays.in_flight->len);
 	g_hash_table_iter_init(&it, v->registry.servers);
@@ -173,7 +173,7 @@
 {
 	gateway_t *g = arg;
 	const char *uri = evhttp_request_get_uri(http_exchange_request(x));
-	gboolean ready = view_is_ready(&g->view, clock_now());
+	gboolean ready = view_is_ready(&g->view);
 	char *text;
 
 	if (wire_is_readiness(uri)) {
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -64,21 +64,6 @@
 	    refusals[verdict].reason);
 }
 
-/* Whether newer orders, which other hosts have, may decide otherwise. */
-static gboolean
-is_uncertain(const relay_t *r)
-{
-	switch (view_orders_state(r->relays->view, r->began_at)) {
-	case ORDERS_CURRENT:
-		return FALSE;
-	case ORDERS_BEHIND:
-		return r->admission.verdict != ADMISSION_OK;
-	case ORDERS_OUTDATED:
-		break;
-	}
-	return TRUE;
-}
-
 static void
 start_timer(relay_t *r)
 {
@@ -216,7 +201,9 @@
 	} else {
 		r->admission =
 		    admission_decide(&relays->view->admission, &request);
-		if (is_uncertain(r))
+		/* Orders that other hosts have may allow it. */
+		if (r->admission.verdict != ADMISSION_OK &&
+		    orders_lag_is_behind(&relays->view->orders_lag))
 			relay_reply_own(r, STATUS_UNAVAILABLE, BEHIND_RETRY_MS,
 			    "orders-behind");
 		else if (r->admission.verdict == ADMISSION_OK)
--- a/src/gateway/status_sync.c
+++ b/src/gateway/status_sync.c
@@ -34,7 +34,7 @@
 
 	status->host = v->fleet.self;
 	status->incarnation = v->incarnation;
-	status->ready = view_is_ready(v, clock_now());
+	status->ready = view_is_ready(v);
 	status->leaving = v->leaving;
 	status->reaches_store = store_sync_is_reachable(s->store_sync);
 	status->config =
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -426,21 +426,6 @@
 	return TRUE;
 }
 
-static void
-note_ready(store_sync_t *s, gboolean ready, msec_t now)
-{
-	const orders_lag_t *lag = &s->view->orders_lag;
-
-	if (ready == s->was_ready)
-		return;
-	s->was_ready = ready;
-	log_event(LOG_INFO, ready ? "host.ready" : "host.not_ready",
-	    "orders_known", log_num((long long)lag->known), "orders_heard",
-	    log_num((long long)lag->heard), "behind_ms",
-	    log_num(orders_lag_ms(lag, now)), "leaving",
-	    s->view->leaving ? "1" : "0", NULL);
-}
-
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -463,8 +448,7 @@
 		    s->tables[i].complete && s->tables[i].failures == 0)
 			schedule(s->tables[i].timer, call_delay(&s->tables[i]));
 	}
-	ready = view_is_ready(v, now);
-	note_ready(s, ready, now);
+	ready = view_is_ready(v);
 	v->rates.ready = ready;
 	rate_lender_tick(&v->rates, v->admission.manifest, now);
 	server_limits_tick(&v->server_limits, ready, now);
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -63,7 +63,6 @@
 	table_store_t store;
 	struct event_base *base;
 	synced_table_t tables[SYNCED_TABLES];
-	gboolean was_ready;    /* at the last tick */
 	gboolean many_changes; /* the page being applied is logged as a whole */
 	gboolean store_back;   /* a call succeeded after calls had failed */
 	/* Until then, a removed entry may only have lapsed: its server could
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -40,17 +40,10 @@
 }
 
 gboolean
-view_is_ready(const view_t *v, msec_t now)
+view_is_ready(const view_t *v)
 {
 	return !v->leaving && v->joined && v->fleet.synced_at != 0 &&
-	    v->servers_synced_at != 0 && v->admission.manifest != NULL &&
-	    view_orders_state(v, now) != ORDERS_OUTDATED;
-}
-
-orders_state_t
-view_orders_state(const view_t *v, msec_t now)
-{
-	return orders_lag_state(&v->orders_lag, &v->fleet, now);
+	    v->servers_synced_at != 0 && v->admission.manifest != NULL;
 }
 
 msec_t
--- a/src/gateway/view.h
+++ b/src/gateway/view.h
@@ -44,10 +44,7 @@
 void view_apply_bounds(view_t *v);
 
 /** view_is_ready() - May look-ups answer with this host? */
-gboolean view_is_ready(const view_t *v, msec_t now);
-
-/** view_orders_state() - What this host may decide by its orders. */
-orders_state_t view_orders_state(const view_t *v, msec_t now);
+gboolean view_is_ready(const view_t *v);
 
 /** view_store_now() - The store's clock at @now, as estimated here. */
 msec_t view_store_now(const view_t *v, msec_t now);
