--- a/review/3/case.c
+++ b/review/3/case.c
@@ -4,166 +4,182 @@
 #include "world.h"
 
 /*
- * A machine is stopped and started as planned work. The store loses the answer
- * to the write that the stopping process makes, and performs it some seconds
- * later. Then a tenant sends many times its usual.
+ * A bad version of a quiet service is brought in. Shortly before the end of its
+ * time half of the machines lose power for two seconds.
  */
 
-#define STOPPED 3
-#define LATE_MS 5500 /* the pages: 1 to 6 s */
-/* After the end of the stopped process. */
-#define RESTART_MS 500
-#define RATE 40
-#define BURST 40
-#define WINDOW_MS 5000
-/* (rate x window + burst) x (1 + quota_overage) + quota_slack */
-#define ALLOWED ((RATE * 5 + BURST) * 1.1 + 20)
-/* 8 times 25 a second. */
-#define DEMAND_PER_SEC 200
-#define STEADY_MS 8000
-#define HOT_MS 25000
+#define SERVICE "raccolta"
+#define DURATION_S 16
+#define RATE_PER_SEC 7
+#define WORK_MS 100
+/* After the order: power is lost, and is back. */
+#define POWER_LOST_MS 12000
+#define POWER_BACK_MS 14000
+#define WATCH_MS 50000
+/* The rule's figures. */
+#define ROLLBACK_MS 5000
+#define BAD_ANSWERS 50
+#define EXPOSURE_SHARE 0.1
+#define EXPOSURE_SLACK 50
+#define CONTACT_WINDOW_MS 3000
 #define ADDRESSES_MAX 8
 
-static gboolean lose_next;
-static int addresses[ZONES][ADDRESSES_MAX], naddresses[ZONES];
+static const int powerless[] = {1, 3};
 
-static int
-lose(world_t *w, const char *body)
+static server_t *old_servers[ZONES], *new_servers[ZONES];
+static int64_t powered_at, stopped_at;
+
+static gboolean
+is_powerless(int host)
 {
-	if (!lose_next || strstr(body, "\"host/front-3\"") == NULL)
-		return -1;
-	lose_next = FALSE;
-	record(w, "store: loses the answer to a write of front-%d", STOPPED);
-	return LATE_MS;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(powerless); i++) {
+		if (powerless[i] == host)
+			return TRUE;
+	}
+	return FALSE;
 }
 
-/* The clients of each zone ask the nearest directory that answers. */
+/* The platform follows the status of the rollout. */
 static void
-resolve_all(world_t *w)
+follow_status(world_t *w)
 {
-	static const int order[] = {0, 1, 2};
-	int zone, k, n, ports[ADDRESSES_MAX];
-
-	for (zone = 0; zone < ZONES; zone++) {
-		for (k = 0; k < 3; k++) {
-			int host = zone ^ order[k];
-
-			if (w->hosts[host].pid == 0)
-				continue;
-			n = client_resolve(
-			    w, host, region_of(zone), ports, ADDRESSES_MAX);
-			if (n == 0)
-				continue;
-			memcpy(addresses[zone], ports, sizeof(ports));
-			naddresses[zone] = n;
-			break;
-		}
-	}
+	const char *status = store_get(w, "status", "rollout/" SERVICE);
+	int i;
+
+	if (status == NULL || stopped_at != 0 || strstr(status, "running"))
+		return;
+	stopped_at = msec();
+	record(w, "platform: the status is %s", status);
+	for (i = 0; i < ZONES; i++)
+		server_stop(strstr(status, "completed") != NULL
+			? old_servers[i]
+			: new_servers[i]);
 }
 
 static void
-send_for(world_t *w, int64_t ms)
+send_one(world_t *w, int number)
 {
-	static int number;
-	int64_t until = msec() + ms, began = msec(), resolved = 0;
 	char id[16], path[24], *text;
-	int sent = 0, zone;
-
-	while (msec() < until) {
-		if (msec() - resolved >= 1000) {
-			resolved = msec();
-			resolve_all(w);
-		}
-		for (; sent < (msec() - began) * DEMAND_PER_SEC / 1000;
-		     sent++) {
-			zone = number % ZONES;
-			if (naddresses[zone] == 0)
-				continue;
-			g_snprintf(id, sizeof(id), "id-%d", ++number);
-			g_snprintf(path, sizeof(path), "/pay/%d", number);
-			text = client_request("POST", path, id, "key-shop",
-			    6000, "Connection: close\r\n", "x");
-			client_send(w,
-			    addresses[zone][number / ZONES % naddresses[zone]],
-			    id, text, strlen(text), 0, FALSE);
-			g_free(text);
-		}
-		world_run(w, 10);
-	}
+	int host = number % w->nhosts;
+
+	/* Clients go to another machine while one has no power. */
+	if (w->hosts[host].pid == 0)
+		host = (host + 1) % w->nhosts;
+	g_snprintf(id, sizeof(id), "id-%d", number);
+	g_snprintf(path, sizeof(path), "/upload/%d", number);
+	text = client_request("POST", path, id, "key-school", 5000,
+	    "Connection: close\r\n", "the same recording");
+	client_send(
+	    w, w->hosts[host].callers, id, text, strlen(text), 0, FALSE);
+	g_free(text);
 }
 
-/* Largest number of runs in a window that were sent in it, too. */
-static int
-worst_window(const world_t *w)
+typedef struct {
+	int all, bad_version, bad_answers, after;
+	int64_t fiftieth_at;
+} count_t;
+
+static gboolean
+in_touch(const request_t *q)
 {
-	GHashTable *sent_at = g_hash_table_new(g_str_hash, g_str_equal);
-	int worst = 0, n;
-	guint i, k;
+	return q->host >= 0 &&
+	    (!is_powerless(q->host) || powered_at == 0 ||
+		q->sent_at > powered_at + CONTACT_WINDOW_MS);
+}
 
-	for (i = 0; i < w->requests->len; i++) {
-		request_t *q = g_ptr_array_index(w->requests, i);
+static void
+judge(world_t *w, int64_t ordered_at, count_t *c)
+{
+	guint i;
 
-		g_hash_table_insert(sent_at, q->id, q);
-	}
 	for (i = 0; i < w->runs->len; i++) {
-		const run_t *last = g_ptr_array_index(w->runs, i);
-
-		n = 0;
-		for (k = i + 1; k > 0; k--) {
-			const run_t *r = g_ptr_array_index(w->runs, k - 1);
-			const request_t *q =
-			    g_hash_table_lookup(sent_at, r->id);
-
-			if (r->at <= last->at - WINDOW_MS)
-				break;
-			n += q != NULL && q->sent_at > last->at - WINDOW_MS;
+		const run_t *r = g_ptr_array_index(w->runs, i);
+		const request_t *q = find_request(w, r->id);
+		gboolean is_new = strcmp(r->server->version, "v2") == 0;
+
+		if (r->at < ordered_at || q == NULL)
+			continue;
+		if (r->at < ordered_at + DURATION_S * 1000) {
+			c->all++;
+			c->bad_version += is_new && in_touch(q);
 		}
-		worst = MAX(worst, n);
+		if (!is_new)
+			continue;
+		if (c->fiftieth_at != 0 && in_touch(q) &&
+		    q->sent_at > c->fiftieth_at + ROLLBACK_MS)
+			c->after++;
+		c->bad_answers += r->failed;
+		if (c->bad_answers == BAD_ANSWERS && c->fiftieth_at == 0)
+			c->fiftieth_at = r->ended_at;
 	}
-	g_hash_table_destroy(sent_at);
-	return worst;
 }
 
 int
 main(int argc, char **argv)
 {
-	static const char *const pay[] = {"pay", NULL};
-	int i, worst;
+	static const char *const parts[] = {SERVICE, NULL};
+	count_t c = {0};
+	int64_t ordered_at, began;
+	gboolean lost = FALSE, back = FALSE;
+	int i, sent = 0, allowed;
 	world_t w;
+	guint k;
 
 	world_init(&w, argc, argv);
-	w.store.lose = lose;
-	for (i = 0; i < 4; i++)
-		server_start(&w, "pay", i, 20, 50);
+	for (i = 0; i < ZONES; i++)
+		old_servers[i] = server_start(&w, SERVICE, i, WORK_MS, 3);
 	world_manifest(&w,
 	    json_pack(
-		"[o]", route("r-pay", "/pay/", "non_idempotent", 2500, 2, pay)),
-	    json_pack("[o]", tenant("shop", "key-shop", RATE, BURST)));
+		"[o]", route("r-upload", "/upload/", "upload", 2500, 2, parts)),
+	    json_pack("[o]", tenant("school", "key-school", 0, 0)));
 	for (i = 0; i < 4; i++)
 		host_add(&w, i);
 	world_start_hosts(&w);
-	world_run(&w, STEADY_MS);
-	lose_next = w.trouble;
-	host_signal(&w, STOPPED, SIGTERM);
-	if (!host_wait_end(&w, STOPPED, 7000))
-		world_cant_run(&w, "the stopped host did not end");
-	world_run(&w, RESTART_MS);
-	host_start(&w, STOPPED);
-	if (!host_wait_ready(&w, STOPPED, 10000))
-		world_cant_run(&w, "the restarted host is not ready");
-	/* Past the late write and past contact_window_ms. */
-	world_run(&w, LATE_MS + 4000);
-	send_for(&w, HOT_MS);
+	began = msec();
+	for (; msec() < began + 6000; world_run(&w, 1000 / RATE_PER_SEC))
+		send_one(&w, sent++);
+	for (i = 0; i < ZONES; i++) {
+		new_servers[i] =
+		    server_start_version(&w, SERVICE, "v2", i, WORK_MS, 3);
+		new_servers[i]->fail_one_in = 2;
+	}
+	store_put(&w, "op", "rollout/" SERVICE,
+	    "{\"service\":\"" SERVICE "\",\"to\":\"v2\",\"duration_s\":16}");
+	ordered_at = msec();
+	record(&w, "operator: orders v2, of which half of the answers fail");
+	while (msec() < ordered_at + WATCH_MS) {
+		send_one(&w, sent++);
+		world_run(&w, 1000 / RATE_PER_SEC);
+		follow_status(&w);
+		if (w.trouble && !lost &&
+		    msec() >= ordered_at + POWER_LOST_MS) {
+			lost = TRUE;
+			for (k = 0; k < G_N_ELEMENTS(powerless); k++) {
+				host_signal(&w, powerless[k], SIGKILL);
+				host_wait_end(&w, powerless[k], 1000);
+			}
+		}
+		if (lost && !back && msec() >= ordered_at + POWER_BACK_MS) {
+			back = TRUE;
+			powered_at = msec();
+			for (k = 0; k < G_N_ELEMENTS(powerless); k++)
+				host_start(&w, powerless[k]);
+		}
+	}
 	world_run(&w, 1000);
-	for (i = 0; i < ZONES; i++)
-		record(&w, "clients of zone-%d connect to %d hosts", i,
-		    naddresses[i]);
-	worst = worst_window(&w);
+	judge(&w, ordered_at, &c);
+	allowed = (int)(EXPOSURE_SHARE * c.all) + EXPOSURE_SLACK;
+	record(&w,
+	    "EXPOSURE: v2 got %d of %d requests in the time of its "
+	    "rollout; allowed %d",
+	    c.bad_version, c.all, allowed);
 	record(&w,
-	    "QUOTA: at most %d requests of a tenant ran in %d ms; "
-	    "allowed %.0f",
-	    worst, WINDOW_MS, ALLOWED);
-	if (worst < RATE * 5 / 2)
+	    "EXPOSURE: v2 gave %d bad answers; it got %d requests that "
+	    "were sent later than %d ms after the 50th",
+	    c.bad_answers, c.after, ROLLBACK_MS);
+	if (c.all < DURATION_S * RATE_PER_SEC / 2)
 		world_cant_run(&w, "too few requests were served");
-	world_end(&w, worst > ALLOWED);
+	world_end(&w, c.bad_version > allowed || c.after > 0);
 }
