EXPOSURE: a host that has just started doesn't complete a shift

Cause: "no request seen at the new version" was permission to go on.

Change: a host is informed once it has heard each domain after its start or after a pause, or 3 s later; before, it ends a shift only if it has itself judged the version bad. "No request" counts only at a host that has counted since the shift began and never saw one. A service's rate, by which three good answers may be enough, is that of the time counted. shift.decided names what was seen.

Why it works: silence is no longer taken for an answer; what is completed was seen to be good, or was watched from its start without a request.

--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -10,6 +10,8 @@
 #define LIST_EVERY 4
 /* A changed list is sent this many times in a row. */
 #define LIST_REPEATS 3
+/* A longer time between two ticks is a pause of this process. */
+#define PAUSE_MS 1000
 /* Bandwidth that is as scarce as one core. */
 #define MBPS_PER_CORE 400.0
 
@@ -177,9 +179,38 @@
 void
 fleet_synced(fleet_t *f, msec_t at)
 {
+	/* Summaries of hosts whose rows are unknown are ignored. */
+	if (f->synced_at == 0)
+		f->listening_since = at;
 	f->synced_at = MAX(f->synced_at, at);
 }
 
+void
+fleet_tick(fleet_t *f, msec_t now)
+{
+	if (f->ticked_at != 0 && now - f->ticked_at > PAUSE_MS)
+		f->listening_since = now;
+	f->ticked_at = now;
+}
+
+gboolean
+fleet_is_informed(const fleet_t *f, msec_t now)
+{
+	const fleet_domain_t *d;
+	guint i;
+
+	if (now - f->listening_since >= FLEET_DOMAIN_SILENT_MS)
+		return TRUE;
+	for (i = 0; i < f->hosts->len; i++) {
+		const fleet_host_t *h = g_ptr_array_index(f->hosts, i);
+
+		d = fleet_domain(f, h->domain_seed);
+		if (d == NULL || d->heard_at < f->listening_since)
+			return FALSE;
+	}
+	return TRUE;
+}
+
 void
 fleet_sent(fleet_t *f, const fleet_status_t *status)
 {
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -73,14 +73,16 @@
 	uint64_t domain; /* hash of its domain's name */
 	char *region;	 /* its region */
 	guint strength;
-	gboolean joined;    /* this host's row was written */
-	msec_t joined_at;   /* its first start */
-	msec_t synced_at;   /* the rows were known as of then; 0: never */
-	GPtrArray *hosts;   /* fleet_host_t, without this host */
-	GArray *departed;   /* fleet_departed_t */
-	GHashTable *seeds;  /* seed to fleet_host_t */
-	GPtrArray *domains; /* fleet_domain_t of which a summary came */
-	guint generation;   /* changes when a host is added or removed */
+	gboolean joined;	/* this host's row was written */
+	msec_t joined_at;	/* its first start */
+	msec_t synced_at;	/* the rows were known as of then; 0: never */
+	msec_t ticked_at;	/* last fleet_tick() */
+	msec_t listening_since; /* start, or end of the last pause */
+	GPtrArray *hosts;	/* fleet_host_t, without this host */
+	GArray *departed;	/* fleet_departed_t */
+	GHashTable *seeds;	/* seed to fleet_host_t */
+	GPtrArray *domains;	/* fleet_domain_t of which a summary came */
+	guint generation;	/* changes when a host is added or removed */
 	fleet_status_t sent[FLEET_SENT_MAX];
 	guint sent_next;
 } fleet_t;
@@ -126,6 +128,22 @@
 /** fleet_synced() - All rows of the hosts are known as of @at. */
 void fleet_synced(fleet_t *f, msec_t at);
 
+/**
+ * fleet_tick() - Notice pauses of this process; to be called every few tenths
+ * of a second.
+ */
+void fleet_tick(fleet_t *f, msec_t now);
+
+/**
+ * fleet_is_informed() - Whether all hosts that can be heard have been heard.
+ * @f: the fleet
+ * @now: time
+ *
+ * After a start or a pause of this process, silence of a failure domain says
+ * nothing until its collector had time to be heard.
+ */
+gboolean fleet_is_informed(const fleet_t *f, msec_t now);
+
 /** fleet_find() - A host by its seed; NULL if it is unknown. */
 fleet_host_t *fleet_find(const fleet_t *f, uint64_t seed);
 
--- a/src/coordination/shifts.c
+++ b/src/coordination/shifts.c
@@ -67,6 +67,9 @@
 	shift->own.service = (uint32_t)registry_hash(shift->service);
 	shift->own.to = (uint32_t)registry_hash(to);
 	shift->rejected = FALSE;
+	memset(&shift->seen, 0, sizeof(shift->seen));
+	shift->had_requests = FALSE;
+	shift->counted_from = 0;
 	shift->may_grow = FALSE;
 	shift->due_since = 0;
 	shift->written_at = 0;
--- a/src/coordination/shifts.h
+++ b/src/coordination/shifts.h
@@ -49,6 +49,8 @@
 	shift_row_t row;   /* its strings are owned by the shift */
 	uint64_t expected; /* store version of the row read; 0: absent */
 	judge_verdict_t verdict;
+	judge_count_t seen;  /* requests at the new version */
+	msec_t counted_from; /* store's clock; 0: not yet */
 } shift_write_t;
 
 void shifts_init(shifts_t *s);
--- a/src/coordination/shifts_internal.h
+++ b/src/coordination/shifts_internal.h
@@ -21,8 +21,11 @@
 	judge_feed_t feed;
 	msec_t window_at;
 	fleet_shift_t own;
-	gboolean rejected; /* judged bad here: send it no requests */
-	gboolean may_grow; /* enough good answers for the share to grow */
+	gboolean rejected;     /* judged bad here: send it no requests */
+	judge_count_t seen;    /* requests at the new version, of all hosts */
+	gboolean had_requests; /* some host had a request at the new version */
+	msec_t counted_from;   /* store's clock; 0: not yet */
+	gboolean may_grow;     /* enough good answers for the share to grow */
 
 	msec_t due_since; /* since when a row has to be written; 0: none */
 	msec_t written_at;
--- a/src/coordination/shifts_judge.c
+++ b/src/coordination/shifts_judge.c
@@ -110,6 +110,14 @@
 	add_to_feed(shift, "", FALSE, &shift->own);
 	judge_feed_total(&shift->feed, &seen.total);
 	sum_running(shift, f, now, &old_running, &seen.new_running);
+	if (shift->counted_from == 0)
+		shift->counted_from = store_now;
+	seen.counted_ms =
+	    MIN(store_now - shift->counted_from, now - f->listening_since);
+	shift->had_requests |=
+	    seen.total.new_version.requests > 0 || seen.new_running > 0;
+	seen.had_requests = shift->had_requests;
+	shift->seen = seen.total.new_version;
 	shift->may_grow = version_shift_may_grow(
 	    &seen, store_now - shift->row.began, shift->row.duration_ms);
 	judge_feed_window(&shift->feed, &shift->judge);
@@ -144,6 +152,7 @@
 	    .elapsed_ms = store_now - shift->row.began,
 	    .duration_ms = shift->row.duration_ms,
 	    .verdict = shift->rejected ? JUDGE_BAD : JUDGE_UNDECIDED,
+	    .informed = fleet_is_informed(f, now),
 	    .may_grow = shift->may_grow,
 	};
 	guint new_running;
@@ -213,6 +222,8 @@
 		write.service = shift->service;
 		write.expected = shift->has_row ? shift->row_ver : 0;
 		write.verdict = judge_verdict(&shift->judge);
+		write.seen = shift->seen;
+		write.counted_from = shift->counted_from;
 		g_array_append_val(writes, write);
 	}
 }
--- a/src/coordination/version_shift.c
+++ b/src/coordination/version_shift.c
@@ -19,6 +19,8 @@
  * QUIET_REQUESTS requests in the whole duration. */
 #define QUIET_GOOD_ANSWERS 3
 #define QUIET_REQUESTS 120
+/* The row of a shift reaches the hosts within this time. */
+#define ROW_DELAY_MS 2000
 /* Time that the next host waits before it acts in place of one that hasn't. */
 #define TAKEOVER_MS 700
 
@@ -63,16 +65,27 @@
 }
 
 static gboolean
-is_quiet(const shift_seen_t *seen, msec_t elapsed_ms, msec_t duration_ms)
+is_quiet(const shift_seen_t *seen, msec_t duration_ms)
 {
 	double requests =
 	    seen->total.new_version.requests + seen->total.old_version.requests;
 
-	return elapsed_ms > 0 &&
-	    requests / (double)elapsed_ms * (double)duration_ms <=
+	return seen->counted_ms > 0 &&
+	    requests / (double)seen->counted_ms * (double)duration_ms <=
 	    QUIET_REQUESTS;
 }
 
+/* Whether no request has reached the new version, as far as this can be known:
+ * a host that has counted for a part of the time only lacks the counts of hosts
+ * that have ended before. */
+static gboolean
+is_unused(const shift_seen_t *seen, msec_t elapsed_ms)
+{
+	return !seen->had_requests && seen->total.new_version.requests == 0 &&
+	    seen->new_running == 0 &&
+	    elapsed_ms - seen->counted_ms <= ROW_DELAY_MS;
+}
+
 gboolean
 version_shift_may_grow(
     const shift_seen_t *seen, msec_t elapsed_ms, msec_t duration_ms)
@@ -80,14 +93,13 @@
 	const judge_count_t *seen_new = &seen->total.new_version;
 	uint32_t good = good_of(seen_new);
 
-	if (seen_new->requests == 0 && seen->new_running == 0)
+	if (is_unused(seen, elapsed_ms))
 		return !is_before(elapsed_ms, duration_ms, THIRD_UNTIL_PERCENT);
 	if (bad_part(seen_new) >
 	    bad_part(&seen->total.old_version) + GROW_BAD_RATIO)
 		return FALSE;
 	return good >= GROW_GOOD_ANSWERS ||
-	    (good >= QUIET_GOOD_ANSWERS &&
-		is_quiet(seen, elapsed_ms, duration_ms));
+	    (good >= QUIET_GOOD_ANSWERS && is_quiet(seen, duration_ms));
 }
 
 shift_decision_t
@@ -95,7 +107,8 @@
 {
 	if (in->verdict == JUDGE_BAD)
 		return SHIFT_ROLL_BACK;
-	if (is_before(in->elapsed_ms, in->duration_ms, COMPLETE_FROM_PERCENT))
+	if (!in->informed ||
+	    is_before(in->elapsed_ms, in->duration_ms, COMPLETE_FROM_PERCENT))
 		return SHIFT_CONTINUE;
 	if (in->may_grow && in->new_slots * 2 >= in->old_slots &&
 	    in->new_slots > 0) {
--- a/src/coordination/version_shift.h
+++ b/src/coordination/version_shift.h
@@ -38,8 +38,10 @@
 
 /* What all live hosts have seen of the new version so far. */
 typedef struct {
-	judge_sample_t total; /* ended requests of the shift */
-	guint new_running;    /* at servers of the new version */
+	judge_sample_t total;  /* ended requests of the shift */
+	guint new_running;     /* at servers of the new version */
+	gboolean had_requests; /* at any time, also if the counts are lost */
+	msec_t counted_ms;     /* how long this host has counted */
 } shift_seen_t;
 
 /**
@@ -50,7 +52,8 @@
  *
  * Until then the shift stays at its first share. Missing answers do not count
  * as good: a slow version's answers arrive late, and hosts that restarted have
- * lost their counts. A service without requests goes on by time alone.
+ * lost their counts. A service without requests goes on by time alone, if this
+ * host has counted since the shift began.
  */
 gboolean version_shift_may_grow(
     const shift_seen_t *seen, msec_t elapsed_ms, msec_t duration_ms);
@@ -66,6 +69,7 @@
 	msec_t elapsed_ms;
 	msec_t duration_ms;
 	judge_verdict_t verdict;
+	gboolean informed; /* fleet_is_informed() */
 	gboolean may_grow;
 	guint new_slots;   /* of usable servers of the new version */
 	guint old_slots;   /* of usable servers of other versions */
@@ -77,7 +81,9 @@
  * @in: what is known
  *
  * At the end of the time, the shift is rolled back if the new version was not
- * seen to be good or has too few servers for the load.
+ * seen to be good or has too few servers for the load. A host that has not
+ * heard the others ends a shift only if it has itself seen that the version is
+ * bad.
  */
 shift_decision_t version_shift_decide(const shift_input_t *in);
 
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -439,6 +439,7 @@
 	(void)fd;
 	(void)what;
 	registry_expire(&v->registry, now);
+	fleet_tick(&v->fleet, now);
 	balance_tick(&v->registry, &v->fleet, now);
 	dispatch_tick(&v->dispatch, now);
 	/* If hosts are lost, ranks change: the new first host must read at
--- a/src/gateway/store_sync_write.c
+++ b/src/gateway/store_sync_write.c
@@ -258,7 +258,13 @@
 	table_write_put(&tx, WIRE_TABLE_STATUS, status_key, status);
 	log_event(LOG_INFO, "shift.decided", "service", write->service, "to",
 	    write->row.to, "state", log_num(write->row.state), "verdict",
-	    log_num(write->verdict), NULL);
+	    log_num(write->verdict), "seen", log_num(write->seen.requests),
+	    "errors", log_num(write->seen.bad[JUDGE_ERRORS]), "slow",
+	    log_num(write->seen.bad[JUDGE_SLOW]), "counted_ms",
+	    log_num(write->counted_from != 0
+		    ? view_store_now(s->view, clock_now()) - write->counted_from
+		    : 0),
+	    NULL);
 	g_ptr_array_add(s->shift_writes, w);
 	w->call = table_store_write(&s->store, &tx, on_shift_written, w);
 	g_free(key);
--- a/tests/test_shifts.c
+++ b/tests/test_shifts.c
@@ -66,6 +66,21 @@
 	GArray *pending;     /* pending_t, the oldest first */
 } world_t;
 
+static void
+fleet_fill(fleet_t *f)
+{
+	char other[16];
+	guint i;
+
+	for (i = 0; i < HOSTS; i++) {
+		const fleet_row_t row = {other, "1.1.1.1:1", "1.1.1.1:2",
+		    "north", other, 1, i + 1, 0, 0};
+
+		g_snprintf(other, sizeof(other), "host-%u", i);
+		fleet_put(f, &row, 0);
+	}
+}
+
 static void
 world_init(world_t *w, const scenario_t *scenario)
 {
@@ -86,14 +101,7 @@
 		fleet_init(&p->fleet, name);
 		shifts_init(&p->shifts);
 		p->incarnation = 1;
-		for (i = 0; i < HOSTS; i++) {
-			char other[16];
-			const fleet_row_t row = {other, "1.1.1.1:1",
-			    "1.1.1.1:2", "north", other, 1, i + 1, 0, 0};
-
-			g_snprintf(other, sizeof(other), "host-%u", i);
-			fleet_put(&p->fleet, &row, 0);
-		}
+		fleet_fill(&p->fleet);
 		for (i = 0; i < OLD_SERVERS + NEW_SERVERS; i++) {
 			registry_row_t row = {.id = id,
 			    .service = "clips",
@@ -253,18 +261,25 @@
 		w->bad_at = now;
 }
 
-/* Restarts all hosts but the first; their counts and judgements are lost. */
+/* Restarts all hosts but the first; their counts and judgements are lost, and
+ * they have not heard the others. */
 static void
 restart_hosts(world_t *w, msec_t now)
 {
 	GHashTableIter it;
 	gpointer server;
+	char name[16];
 	guint h;
 
 	g_array_set_size(w->pending, 0);
 	for (h = 1; h < HOSTS; h++) {
 		sim_host_t *p = &w->sim_hosts[h];
 
+		g_snprintf(name, sizeof(name), "host-%u", h);
+		fleet_finish(&p->fleet);
+		fleet_init(&p->fleet, name);
+		fleet_fill(&p->fleet);
+		fleet_synced(&p->fleet, now);
 		shifts_finish(&p->shifts);
 		shifts_init(&p->shifts);
 		p->incarnation++;
@@ -364,6 +379,15 @@
     {"half slow", 9000, 25, 0.45, 0, -1, 2500, 0.001, -1, SHIFT_ROLLED_BACK, 0},
     {"bad, most hosts restart", 16000, 60, 0.5, 0, -1, 0, 0.001, -1,
 	SHIFT_ROLLED_BACK, 1000},
+    /* EXPOSURE: a host that had just started completed a bad version. */
+    {"bad, most hosts restart at the end", 16000, 60, 0.5, 0, -1, 0, 0.001, -1,
+	SHIFT_ROLLED_BACK, 14300},
+    {"bad, few requests, most hosts restart at the end", 16000, 25, 0.5, 0, -1,
+	0, 0.001, -1, SHIFT_ROLLED_BACK, 14300},
+    {"bad, most hosts restart before the share grows", 16000, 25, 0.5, 0, -1, 0,
+	0.001, -1, SHIFT_ROLLED_BACK, 9500},
+    {"good, most hosts restart at the end", 16000, 60, 0, 0, -1, 0, 0.001, -1,
+	SHIFT_COMPLETED, 14300},
     {"good, hardly any requests", 16000, 7, 0, 0, -1, 0, 0.001, -1,
 	SHIFT_COMPLETED, 0},
 };
