GONE: a caller that leaves by a reset is noticed

Cause: a reset is reported by epoll as an error, which libevent passes on as EV_READ and EV_WRITE. The watch on a caller whose request is handled asked for EV_CLOSED only, so nobody was called, and the pending error woke the loop again at once.

Ruled out: the cancelling (test_http misses the reset without any server), and timing (all resets were missed, no close was).

Change: transport/hangup_watch, an epoll instance of its own for hang-ups, edge triggered, read by the loop as one descriptor. Not taken: EV_READ beside EV_CLOSED (reported without end while a pipelined request is unread), a duplicate of each descriptor.

Why it works: errors and hang-ups are always reported to that instance, once, and the callers' descriptors have no event in the loop meanwhile.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -1,6 +1,7 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,7 +12,9 @@
 #include <openssl/ssl.h>
 
 #include "base/error.h"
+#include "base/log.h"
 #include "transport/body_memory.h"
+#include "transport/hangup_watch.h"
 #include "transport/http_check.h"
 #include "transport/http_server.h"
 
@@ -43,7 +46,7 @@
 	conn_t *conn;
 	struct evhttp_connection *evcon;
 	struct evhttp_request *req;
-	struct event *closed; /* the caller disconnected */
+	gboolean watched; /* by the server's hangups */
 	void (*gone)(void *arg);
 	void *gone_arg;
 	void (*drained)(void *arg);
@@ -62,6 +65,7 @@
 	GHashTable *conns; /* bufferevent to conn_t */
 	struct event *sweeper;
 	body_memory_t bodies;
+	hangup_watch_t hangups; /* of callers whose request is handled */
 	unsigned int exchanges;
 	gboolean draining;
 	gboolean closing; /* each connection is closed after its next reply */
@@ -74,8 +78,9 @@
 	x->conn->server->exchanges--;
 	body_memory_release(&x->conn->server->bodies, &x->conn->body);
 	evhttp_connection_set_closecb(x->evcon, NULL, NULL);
-	if (x->closed != NULL)
-		event_free(x->closed);
+	if (x->watched)
+		hangup_watch_remove(
+		    &x->conn->server->hangups, bufferevent_getfd(x->conn->bev));
 	g_free(x);
 }
 
@@ -276,12 +281,10 @@
 }
 
 static void
-on_closed(evutil_socket_t fd, short what, void *arg)
+on_hangup(void *arg)
 {
 	http_exchange_t *x = arg;
 
-	(void)fd;
-	(void)what;
 	evhttp_connection_free(x->evcon);
 }
 
@@ -370,7 +373,8 @@
 	evhttp_set_bevcb(server->http, new_bufferevent, server);
 	if (conf->tls != NULL)
 		http_server_set_tls(server, conf->tls);
-	if (listen_on(server, conf->address, err))
+	if (hangup_watch_init(&server->hangups, base, on_hangup, err) &&
+	    listen_on(server, conf->address, err))
 		return server;
 	http_server_free(server);
 	return NULL;
@@ -380,6 +384,7 @@
 http_server_free(http_server_t *server)
 {
 	evhttp_free(server->http);
+	hangup_watch_finish(&server->hangups);
 	event_free(server->sweeper);
 	g_hash_table_destroy(server->conns);
 	body_memory_finish(&server->bodies);
@@ -445,16 +450,16 @@
 void
 http_exchange_watch(http_exchange_t *x, void (*gone)(void *arg), void *arg)
 {
-	struct bufferevent *bev = x->conn->bev;
-
 	x->gone = gone;
 	x->gone_arg = arg;
-	if (x->closed != NULL)
+	if (x->watched)
 		return;
 	/* evhttp does not detect a disconnect while a request is handled. */
-	x->closed = event_new(x->conn->server->base, bufferevent_getfd(bev),
-	    EV_CLOSED, on_closed, x);
-	event_add(x->closed, NULL);
+	x->watched = hangup_watch_add(
+	    &x->conn->server->hangups, bufferevent_getfd(x->conn->bev), x);
+	if (!x->watched)
+		log_event(LOG_WARN, "caller.not_watched", "error",
+		    g_strerror(errno), NULL);
 }
 
 static void
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -512,22 +512,91 @@
 	finish();
 }
 
+#define HOLD "GET /hold HTTP/1.1\r\n\r\n"
+#define BEHIND "GET /b HTTP/1.1\r\n\r\n"
+
+/* GONE: a caller that left by a reset was not noticed. */
+static const struct {
+	const char *name, *input;
+	enum {
+		CLOSES,
+		HALF_CLOSES,
+		RESETS
+	} how;
+} leaving[] = {
+    {"closes", HOLD, CLOSES},
+    {"closes for sending", HOLD, HALF_CLOSES},
+    {"resets", HOLD, RESETS},
+    {"closes, another request behind", HOLD BEHIND, CLOSES},
+    {"resets, another request behind", HOLD BEHIND, RESETS},
+    {"resets, half a request behind", HOLD "GET /b HT", RESETS},
+};
+
+static void
+leave(raw_t *raw, int how)
+{
+	const struct linger none = {.l_onoff = 1, .l_linger = 0};
+	evutil_socket_t fd = bufferevent_getfd(raw->bev);
+
+	if (how == HALF_CLOSES) {
+		shutdown(fd, SHUT_WR);
+		return;
+	}
+	if (how == RESETS)
+		ck_assert(setsockopt(fd, SOL_SOCKET, SO_LINGER, &none,
+			      sizeof(none)) == 0);
+	raw_close(raw);
+}
+
 static void
 hang_up_is_seen_while_a_request_runs(void)
 {
 	raw_t raw;
-	int i;
+	size_t i;
+	int k;
+
+	for (i = 0; i < G_N_ELEMENTS(leaving); i++) {
+		start(10);
+		raw_open(&raw);
+		bufferevent_write(
+		    raw.bev, leaving[i].input, strlen(leaving[i].input));
+		for (k = 0; k < 100 && served->len == 0; k++)
+			run_loop(10);
+		leave(&raw, leaving[i].how);
+		run_loop(HOLD_MS);
+		ck_assert_msg(hung_up == 1, "%s: seen %d times",
+		    leaving[i].name, hung_up);
+		ck_assert_str_eq(served->str, "1 /hold 0;");
+		ck_assert_uint_eq(http_server_exchanges(server), 0);
+		check_alive(leaving[i].name);
+		if (leaving[i].how == HALF_CLOSES)
+			raw_close(&raw);
+		finish();
+	}
+}
+
+static void
+hang_ups_at_once_are_all_seen(void)
+{
+	raw_t raw[8];
+	size_t i;
+	int k;
 
 	start(10);
-	raw_open(&raw);
-	bufferevent_write(raw.bev, "GET /hold HTTP/1.1\r\n\r\n", 22);
-	for (i = 0; i < 100 && served->len == 0; i++)
-		run_loop(10);
-	raw_close(&raw);
+	for (i = 0; i < G_N_ELEMENTS(raw); i++) {
+		raw_open(&raw[i]);
+		bufferevent_write(raw[i].bev, HOLD, strlen(HOLD));
+	}
+	for (k = 0;
+	     k < 100 && http_server_exchanges(server) < G_N_ELEMENTS(raw); k++)
+		run_loop(1);
+	ck_assert_uint_eq(http_server_exchanges(server), G_N_ELEMENTS(raw));
+	for (i = 0; i < G_N_ELEMENTS(raw); i++)
+		leave(&raw[i], i % 2 == 0 ? RESETS : CLOSES);
 	run_loop(HOLD_MS);
-	ck_assert_int_eq(hung_up, 1);
+	ck_assert_int_eq(hung_up, G_N_ELEMENTS(raw));
 	ck_assert_uint_eq(http_server_exchanges(server), 0);
-	check_alive("hang-up");
+	check_alive("hang-ups at once");
 	finish();
 }
 
@@ -543,6 +612,7 @@
 	    {"connections are bounded", connections_are_bounded},
 	    {"hang-up is seen while a request runs",
 		hang_up_is_seen_while_a_request_runs},
+	    {"hang-ups at once are all seen", hang_ups_at_once_are_all_seen},
 	};
 
 	signal(SIGPIPE, SIG_IGN);
