QUOTA: a late write doesn't replace the row of a host's next start

What callers saw: more requests of a workspace ran than its rate allows (324 in 5 s, 284 allowed), until the next restart of a host.

Cause: the write by which a stopping host says that it leaves was under no condition. The store may perform a write seconds after its answer was lost, so it replaced the row of the host's next start. The others forgot the host and divided the whole rate among themselves; the host ignored its own row and lent its part.

Ruled out: the restart itself (kept without the lost answer), and wrong times in a row that still counts (the row says that the host left).

Change: coordination/own_row decides when the row is written and which version the write replaces. A host that reads that its row was overwritten or removed writes it again, unless a newer start of it did. Other writes to the store were looked at: all are conditional.

Why it works: a leave performed late finds the version of the next start.

--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -2,6 +2,7 @@
 #define GATEWAY_STORE_SYNC_H
 
 #include "base/metrics.h"
+#include "coordination/own_row.h"
 #include "gateway/view.h"
 #include "platform/table_store.h"
 #include "protocol/beacon.h"
@@ -73,7 +74,8 @@
 	peer_secret_t offered_secret; /* in the write in flight */
 	uint64_t secret_ver;
 	fleet_host_times_t times; /* in this host's row */
-	uint64_t row_ver;	  /* version that its row must have; 0: none */
+	own_row_t own_row;
+	gboolean row_due;	  /* a write of it has not been confirmed */
 	table_call_t *join_write; /* of this host's row or of the secret */
 	struct event *join_timer;
 	struct event *tick_timer;
--- a/src/gateway/store_sync_rows.c
+++ b/src/gateway/store_sync_rows.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "gateway/store_sync_rows.h"
+#include "gateway/store_sync_write.h"
 #include "platform/wire_entries.h"
 #include "protocol/fleet_rows.h"
 
@@ -190,6 +191,10 @@
 			       : "host.listed",
 		    "host", r->name, "joined_ms", log_num(r->times.joined_ms),
 		    "row_version", log_num((long long)row_ver), NULL);
+	if (strcmp(r->name, v->settings->id) == 0) {
+		store_sync_take_own_row(s, r, row_ver);
+		return;
+	}
 	r->u.host.joined_at = local_time(v, r->times.joined_ms);
 	if (r->removed)
 		fleet_remove(&v->fleet, r->name);
--- a/src/gateway/store_sync_write.c
+++ b/src/gateway/store_sync_write.c
@@ -82,30 +82,92 @@
 	g_free(value);
 }
 
-static void write_host_row(store_sync_t *s, gboolean leave);
+static void write_host_row(store_sync_t *s);
+
+static own_row_verdict_t
+see_own_row(store_sync_t *s, const fleet_rows_t *r, uint64_t ver)
+{
+	const own_row_seen_t seen = {
+	    .removed = r->removed,
+	    .left = !r->removed && r->times.left_ms != 0,
+	    .incarnation = r->removed ? 0 : r->u.host.incarnation,
+	    .ver = ver,
+	};
+
+	return own_row_seen(&s->own_row, &seen);
+}
 
 /* The row of this host's last start says whether it is still a member. */
 static void
-take_last_row(store_sync_t *s, const table_page_t *page)
+take_last_row(store_sync_t *s, const fleet_rows_t *r)
 {
-	const view_t *v = s->view;
-	int64_t now_ms = view_store_now(v, clock_now());
-	fleet_rows_t r;
-	guint i;
+	int64_t now_ms = view_store_now(s->view, clock_now());
 
-	s->row_ver = 0;
-	for (i = 0; page != NULL && i < page->rows->len; i++) {
-		const table_row_t *row = g_ptr_array_index(page->rows, i);
+	if (!r->removed &&
+	    (r->times.left_ms == 0 ||
+		fleet_members_keeps(now_ms - r->times.left_ms)))
+		s->times.joined_ms = r->times.joined_ms;
+}
+
+/* The row has another version than the write expected. */
+static void
+on_row_conflict(store_sync_t *s, const table_page_t *page)
+{
+	gboolean first = s->own_row.expected == 0, join = !s->view->joined;
+	const own_row_seen_t absent = {.removed = TRUE, .ver = page->ver};
+	const table_row_t *row =
+	    page->rows->len > 0 ? g_ptr_array_index(page->rows, 0) : NULL;
+	own_row_verdict_t verdict;
+	fleet_rows_t r;
 
-		if (!fleet_rows_decode(row, &r, NULL))
-			continue;
-		if (r.kind == FLEET_ROW_HOST && !r.removed &&
-		    (r.times.left_ms == 0 ||
-			fleet_members_keeps(now_ms - r.times.left_ms)))
-			s->times.joined_ms = r.times.joined_ms;
-		s->row_ver = row->ver;
+	if (row == NULL) {
+		verdict = own_row_seen(&s->own_row, &absent);
+	} else if (fleet_rows_decode(row, &r, NULL)) {
+		if (join)
+			take_last_row(s, &r);
+		verdict = see_own_row(s, &r, row->ver);
 		fleet_rows_clear(&r);
+	} else {
+		/* What can't be read is replaced. */
+		s->own_row.expected = row->ver;
+		verdict = OWN_ROW_WRITE;
 	}
+	log_event(LOG_INFO, "host.row_conflict", "leaving",
+	    s->view->leaving ? "1" : "0", "joined", join ? "0" : "1", "verdict",
+	    log_num(verdict), "row_version",
+	    log_num((long long)s->own_row.expected), NULL);
+	/* A start always takes the row over. */
+	if (verdict != OWN_ROW_WRITE && (!join || s->view->leaving)) {
+		s->row_due = FALSE;
+		return;
+	}
+	if (first || s->view->leaving)
+		write_host_row(s);
+	else
+		schedule(s->join_timer, JOIN_RETRY_MS);
+}
+
+void
+store_sync_take_own_row(store_sync_t *s, const fleet_rows_t *r, uint64_t ver)
+{
+	/* The start is decided by the answers to its writes. */
+	if (!s->view->joined)
+		return;
+	switch (see_own_row(s, r, ver)) {
+	case OWN_ROW_STANDS:
+		return;
+	case OWN_ROW_SUPERSEDED:
+		log_event(LOG_WARN, "host.superseded", "row_version",
+		    log_num((long long)ver), NULL);
+		return;
+	case OWN_ROW_WRITE:
+		break;
+	}
+	log_event(LOG_WARN, "host.row_overwritten", "row_version",
+	    log_num((long long)ver), "removed", r->removed ? "1" : "0",
+	    "leaving", s->view->leaving ? "1" : "0", NULL);
+	if (s->join_write == NULL)
+		write_host_row(s);
 }
 
 static void
@@ -115,14 +177,8 @@
 	store_sync_t *s = arg;
 
 	s->join_write = NULL;
-	if (outcome == TABLE_CONFLICT && !s->view->leaving) {
-		gboolean first = s->row_ver == 0;
-
-		take_last_row(s, page);
-		if (first)
-			write_host_row(s, FALSE);
-		else
-			schedule(s->join_timer, JOIN_RETRY_MS);
+	if (outcome == TABLE_CONFLICT) {
+		on_row_conflict(s, page);
 		return;
 	}
 	if (outcome != TABLE_DONE) {
@@ -132,11 +188,13 @@
 			schedule(s->join_timer, JOIN_RETRY_MS);
 		return;
 	}
+	own_row_written(&s->own_row, page->ver);
+	s->row_due = FALSE;
 	log_event(LOG_INFO,
 	    s->view->leaving ? "host.left_written" : "host.joined",
 	    "incarnation", log_num((long long)s->view->incarnation),
 	    "joined_ms", log_num(s->times.joined_ms), NULL);
-	if (s->view->leaving)
+	if (s->view->leaving || s->view->joined)
 		return;
 	s->view->joined = TRUE;
 	fleet_join(&s->view->fleet, s->times.joined_ms - s->view->store_offset);
@@ -149,8 +207,9 @@
 		(msec_t)(s->view->fleet.self % SECRET_STEPS) * SECRET_STEP_MS);
 }
 
+/* Writes that this host runs or leaves, in place of the row that is known. */
 static void
-write_host_row(store_sync_t *s, gboolean leave)
+write_host_row(store_sync_t *s)
 {
 	const gateway_settings_t *set = s->view->settings;
 	const fleet_row_t row = {.callers = set->callers,
@@ -162,15 +221,16 @@
 	char *key = g_strconcat(FLEET_KEY_HOST, set->id, NULL), *value;
 	table_write_t w = {.n = 0};
 
-	if (leave)
+	s->row_due = TRUE;
+	s->own_row.incarnation = s->view->incarnation;
+	s->own_row.leaving = s->view->leaving;
+	if (s->view->leaving && s->times.left_ms == 0)
 		s->times.left_ms = view_store_now(s->view, clock_now());
 	if (s->times.joined_ms == 0)
 		s->times.joined_ms = (int64_t)s->view->incarnation;
 	value = fleet_rows_host(&row, &s->times);
-	if (leave)
-		table_write_put(&w, FLEET_TABLE, key, value);
-	else
-		table_write_put_if(&w, FLEET_TABLE, key, value, s->row_ver);
+	/* The write may be performed late, when this host has started again. */
+	table_write_put_if(&w, FLEET_TABLE, key, value, s->own_row.expected);
 	s->join_write = table_store_write(&s->store, &w, on_joined, s);
 	g_free(key);
 	g_free(value);
@@ -188,8 +248,8 @@
 	if (s->view->incarnation == 0 ||
 	    (s->view->joined && !s->tables[SYNCED_FLEET].complete))
 		schedule(s->join_timer, JOIN_POLL_MS);
-	else if (!s->view->joined)
-		write_host_row(s, FALSE);
+	else if (!s->view->joined || s->row_due)
+		write_host_row(s);
 	else if (!s->has_secret)
 		write_secret(s);
 }
@@ -203,7 +263,7 @@
 	if (s->join_write != NULL)
 		table_call_cancel(s->join_write);
 	s->join_write = NULL;
-	write_host_row(s, TRUE);
+	write_host_row(s);
 }
 
 typedef struct {
--- a/src/gateway/store_sync_write.h
+++ b/src/gateway/store_sync_write.h
@@ -11,6 +11,16 @@
  */
 void store_sync_on_join_timer(evutil_socket_t fd, short what, void *arg);
 
+/**
+ * store_sync_take_own_row() - Write this host's row again if it was
+ * overwritten.
+ * @s: the sync
+ * @r: the row as it was read
+ * @ver: its version
+ */
+void store_sync_take_own_row(
+    store_sync_t *s, const fleet_rows_t *r, uint64_t ver);
+
 /** store_sync_write_shift() - Write a shift's row and its status. */
 void store_sync_write_shift(store_sync_t *s, const shift_write_t *write);
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -45,8 +45,11 @@
 	STORE_RESET,	     /* closes the connection, without effect */
 	STORE_LOSES_ANSWERS, /* writes take effect, their answers are lost */
 	STORE_SLOW,
+	STORE_LATE, /* writes take effect STORE_LATE_MS later, unanswered */
 } store_fault_t;
 
+#define STORE_LATE_MS 600
+
 typedef struct {
 	world_t *world;
 	struct evhttp *http;
--- a/tests/soak/soak_store.c
+++ b/tests/soak/soak_store.c
@@ -313,6 +313,39 @@
 	return status;
 }
 
+typedef struct {
+	soak_store_t *store;
+	struct evbuffer *body;
+} late_write_t;
+
+static void
+write_late(evutil_socket_t fd, short what, void *arg)
+{
+	late_write_t *late = arg;
+	json_t *current = json_array();
+
+	(void)fd;
+	(void)what;
+	write_rows(late->store, late->body, current);
+	wake_feeds(late->store);
+	json_decref(current);
+	evbuffer_free(late->body);
+	g_free(late);
+}
+
+static void
+hold_write(soak_store_t *s, struct evhttp_request *req)
+{
+	struct timeval tv = {STORE_LATE_MS / 1000, STORE_LATE_MS % 1000 * 1000};
+	late_write_t *late = g_new0(late_write_t, 1);
+
+	late->store = s;
+	late->body = evbuffer_new();
+	evbuffer_add_buffer(late->body, evhttp_request_get_input_buffer(req));
+	event_base_once(s->world->base, -1, EV_TIMEOUT, write_late, late, &tv);
+	evhttp_connection_free(evhttp_request_get_connection(req));
+}
+
 static int
 host_of(const soak_store_t *s, struct evhttp_request *req)
 {
@@ -344,6 +377,10 @@
 		evhttp_connection_free(evhttp_request_get_connection(req));
 		return;
 	}
+	if (fault == STORE_LATE && strcmp(path, "/rows-tx") == 0) {
+		hold_write(s, req);
+		return;
+	}
 	if (fault == STORE_BUSY) {
 		answer(s, req, 503, json_object(), 0);
 		return;
