LOST: answers without end don't fill the memory

Cause: evhttp bounds the head and the body of an answer, but not the line of a chunk size; and each answer has a bound of its own, all together have none.

Ruled out: heads, headers and trailers (cut at 64 KB before).

Change: lines of an answer are bounded, and the answers that a client holds in memory are bounded together: over 64 MB the calls that hold most fail.

Why it works: bytes are counted as they arrive, whatever evhttp does with them; what is over the bound is closed at once.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -268,7 +268,7 @@
 		"was reached");
 	relays->answers_invalid =
 	    metrics_add(m, METRIC_COUNTER, "answers_invalid_total",
-		"answers of servers that break the protocol");
+		"answers of servers that break the protocol or a bound");
 	relays->request_ms = metrics_add(m, METRIC_HISTOGRAM, "request_ms",
 	    "time from a request to its answer, ms");
 	relays->server_ms = metrics_add(m, METRIC_HISTOGRAM, "server_ms",
--- a/src/host/host_metrics.c
+++ b/src/host/host_metrics.c
@@ -29,7 +29,8 @@
 	    {&h->m.probes_failed, METRIC_COUNTER, "probes_failed_total",
 		"Health probes without a usable answer."},
 	    {&h->m.answers_invalid, METRIC_COUNTER, "answers_invalid_total",
-		"Answers of backend servers that break the protocol."},
+		"Answers of backend servers that break the protocol or a "
+		"bound."},
 	    {&h->m.in_flight, METRIC_GAUGE, "requests_in_flight",
 		"Requests taken and not yet ended."},
 	    {&h->m.config_version, METRIC_GAUGE, "config_version",
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -15,7 +15,6 @@
 
 /* Connections that were idle for longer are not reused. */
 #define IDLE_MAX_MS 10000
-#define HEADERS_MAX_BYTES 65536
 /* TCP keep-alive for connections that may wait long for an answer: a dead
  * peer is detected within about three seconds. */
 #define KEEPALIVE_IDLE_SEC 1
@@ -40,6 +39,7 @@
 	msec_t idle_since;
 	gboolean wrote; /* bytes of the current request left the buffer */
 	guint64 calls;	/* requests that were sent on it */
+	size_t held;	/* bytes of the answer that are in memory */
 } conn_t;
 
 struct http_call {
@@ -60,6 +60,7 @@
 	gboolean no_reuse; /* the connection is closed after this call */
 	gboolean got_1xx;  /* a 1xx status was received: the call fails */
 	http_framing_t framing;
+	const char *fault; /* why the answer can't be used, or NULL */
 };
 
 struct http_client {
@@ -68,9 +69,17 @@
 	GHashTable *targets; /* address to target_t */
 	GPtrArray *to_free;  /* conn_t, to be freed by the reaper */
 	GPtrArray *busy;     /* conn_t with a call */
+	size_t held;	     /* bytes of all answers that are in memory */
 	struct event *reaper;
 };
 
+static void
+set_held(conn_t *conn, size_t held)
+{
+	conn->client->held = conn->client->held - conn->held + held;
+	conn->held = held;
+}
+
 static void
 conn_free(conn_t *conn)
 {
@@ -88,6 +97,7 @@
 	struct timeval now = {0, 0};
 
 	conn->call = NULL;
+	set_held(conn, 0);
 	g_ptr_array_add(conn->client->to_free, conn);
 	event_add(conn->client->reaper, &now);
 }
@@ -214,6 +224,8 @@
 	const char *fault = NULL;
 	size_t len;
 
+	if (http_framing_skip(framing, n))
+		return NULL;
 	evbuffer_ptr_set(
 	    buffer, &at, evbuffer_get_length(buffer) - n, EVBUFFER_PTR_SET);
 	while (n > 0 && fault == NULL &&
@@ -227,6 +239,50 @@
 	return fault;
 }
 
+/* Ends a call from the loop: evhttp may wait for more of an answer. */
+static void
+fail_later(http_call_t *call, const char *fault)
+{
+	struct timeval now = {0, 0};
+
+	call->fault = fault;
+	event_add(call->timer, &now);
+}
+
+static size_t
+held_bytes(const conn_t *conn, const struct evbuffer *input)
+{
+	const http_call_t *call = conn->call;
+	size_t n = evbuffer_get_length(input);
+
+	if (call->req != NULL && call->handler.on_piece == NULL)
+		n += evbuffer_get_length(
+		    evhttp_request_get_input_buffer(call->req));
+	return n;
+}
+
+/* Fails the calls whose answers hold most until the others have room. */
+static void
+enforce_memory(http_client_t *client)
+{
+	conn_t *conn, *largest;
+	guint i;
+
+	while (client->held > HTTP_ANSWER_MEMORY_BYTES) {
+		largest = NULL;
+		for (i = 0; i < client->busy->len; i++) {
+			conn = g_ptr_array_index(client->busy, i);
+			if (largest == NULL || conn->held > largest->held)
+				largest = conn;
+		}
+		if (largest == NULL || largest->held == 0)
+			return;
+		set_held(largest, 0);
+		fail_later(
+		    largest->call, "answers hold too much memory together");
+	}
+}
+
 /* A part of an answer has arrived. */
 static void
 on_input(
@@ -234,18 +290,21 @@
 {
 	conn_t *conn = arg;
 	http_call_t *call = conn->call;
-	struct timeval tv = {0, 0};
+	const char *fault;
 	msec_t left;
+	struct timeval tv;
 
-	if (info->n_added == 0 || call == NULL || call->framing.fault != NULL)
+	if (info->n_added == 0 || call == NULL || call->fault != NULL)
 		return;
 	call->input_at = clock_now();
-	/* evhttp may wait for more of an invalid answer: the timer ends it. */
-	if (check_framing(&call->framing, buffer, info->n_added) != NULL) {
-		event_add(call->timer, &tv);
+	fault = check_framing(&call->framing, buffer, info->n_added);
+	if (fault != NULL) {
+		fail_later(call, fault);
 		return;
 	}
-	if (call->ends_at == 0)
+	set_held(conn, held_bytes(conn, buffer));
+	enforce_memory(conn->client);
+	if (call->ends_at == 0 || call->fault != NULL)
 		return;
 	left = CLAMP(call->ends_at - call->input_at, 0, call->timeout_ms);
 	tv.tv_sec = (time_t)(left / MSEC_PER_SEC);
@@ -274,7 +333,8 @@
 	conn->target = target;
 	conn->evcon = evhttp_connection_base_new(
 	    client->base, NULL, target->ip, target->port);
-	evhttp_connection_set_max_headers_size(conn->evcon, HEADERS_MAX_BYTES);
+	evhttp_connection_set_max_headers_size(
+	    conn->evcon, HTTP_FRAMING_HEAD_MAX_BYTES);
 	evhttp_connection_set_closecb(conn->evcon, on_close, conn);
 	bev = evhttp_connection_get_bufferevent(conn->evcon);
 	evbuffer_add_cb(bufferevent_get_output(bev), on_output, conn);
@@ -313,6 +373,7 @@
 	target_t *target = conn->target;
 
 	conn->call = NULL;
+	set_held(conn, 0);
 	if (target->idle->len >= conn->client->max_idle ||
 	    target->open > target->max ||
 	    evbuffer_get_length(bufferevent_get_input(bev)) > 0) {
@@ -336,7 +397,8 @@
 static http_outcome_t
 outcome_of(const http_call_t *call, gboolean answered)
 {
-	if (answered && !call->got_1xx && http_framing_may_end(&call->framing))
+	if (answered && !call->got_1xx && call->fault == NULL &&
+	    http_framing_may_end(&call->framing))
 		return HTTP_ANSWERED;
 	if (!call->conn->wrote)
 		return HTTP_NOT_SENT;
@@ -385,7 +447,7 @@
 {
 	http_call_t *call = arg;
 
-	if (call->framing.fault != NULL)
+	if (call->fault != NULL)
 		return -1;
 	if (call->handler.on_any_head != NULL)
 		call->handler.on_any_head(
@@ -408,11 +470,11 @@
 {
 	http_call_t *call = arg;
 
-	if (call->framing.fault == NULL)
+	if (call->fault == NULL)
 		call->handler.on_piece(call->handler.arg, req->input_buffer);
 }
 
-/* The time is over, or the answer is invalid. Ends the call here:
+/* The time is over, or the answer can't be used. Ends the call here:
  * evhttp_cancel_request() runs no callback. */
 static void
 on_timeout(evutil_socket_t fd, short what, void *arg)
@@ -423,7 +485,7 @@
 
 	(void)fd;
 	(void)what;
-	call->timed_out = call->framing.fault == NULL;
+	call->timed_out = call->fault == NULL;
 	outcome = outcome_of(call, FALSE);
 	http_call_cancel(call);
 	handler.on_done(handler.arg, outcome, 0, NULL, NULL);
@@ -559,7 +621,7 @@
 const char *
 http_call_fault(const http_call_t *call)
 {
-	return call->framing.fault;
+	return call->fault;
 }
 
 msec_t
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -17,6 +17,10 @@
  * HTTP_BROKEN.
  */
 
+/* Memory of the answers of a client that are not yet passed on. Over it, the
+ * calls whose answers hold most fail. */
+#define HTTP_ANSWER_MEMORY_BYTES (64 * 1024 * 1024)
+
 typedef struct http_client http_client_t;
 typedef struct http_call http_call_t;
 
@@ -94,10 +98,11 @@
 void http_call_cancel(http_call_t *call);
 
 /**
- * http_call_fault() - Why the answer is no answer in the protocol.
+ * http_call_fault() - Why the answer can't be used.
  * @call: the call; may be in on_done
  *
- * Return: a static text; NULL if the answer is valid as far as it has come.
+ * Return: a static text; NULL if the answer is valid as far as it has come and
+ * there is memory for it.
  */
 const char *http_call_fault(const http_call_t *call);
 
--- a/src/transport/http_framing.c
+++ b/src/transport/http_framing.c
@@ -11,6 +11,7 @@
 /* Digits of the largest body or chunk that is accepted, below 2^63 bytes. */
 #define LENGTH_DIGITS_MAX 18
 #define CHUNK_DIGITS_MAX 15
+#define CHUNK_LINE_MAX_BYTES (CHUNK_DIGITS_MAX + 2)
 
 void
 http_framing_init(http_framing_t *f, gboolean to_head)
@@ -202,6 +203,17 @@
 	return NULL;
 }
 
+/* Whether a line may go on for @n bytes. Counts them. */
+static gboolean
+fits(http_framing_t *f, size_t n)
+{
+	if (f->state == HTTP_FRAMING_CHUNK_SIZE ||
+	    f->state == HTTP_FRAMING_CHUNK_END)
+		return f->line->len + n <= CHUNK_LINE_MAX_BYTES;
+	f->head += n;
+	return f->head <= HTTP_FRAMING_HEAD_MAX_BYTES;
+}
+
 /* Takes bytes up to the end of a line. Return: their number. */
 static size_t
 read_line(http_framing_t *f, const char *bytes, size_t n)
@@ -210,6 +222,10 @@
 	size_t used = end != NULL ? (size_t)(end - bytes) + 1 : n;
 	GString *line = f->line;
 
+	if (!fits(f, used)) {
+		f->fault = "a line is too long";
+		return used;
+	}
 	g_string_append_len(line, bytes, (gssize)used);
 	if (end == NULL)
 		return used;
@@ -234,6 +250,24 @@
 	return used;
 }
 
+gboolean
+http_framing_skip(http_framing_t *f, size_t n)
+{
+	switch (f->state) {
+	case HTTP_FRAMING_BODY:
+	case HTTP_FRAMING_CHUNK:
+		if (n > f->left)
+			return FALSE;
+		skip_data(f, n);
+		return TRUE;
+	case HTTP_FRAMING_UNTIL_CLOSE:
+	case HTTP_FRAMING_WHOLE:
+		return TRUE;
+	default:
+		return FALSE;
+	}
+}
+
 const char *
 http_framing_take(http_framing_t *f, const char *bytes, size_t n)
 {
--- a/src/transport/http_framing.h
+++ b/src/transport/http_framing.h
@@ -13,6 +13,9 @@
  * used.
  */
 
+/* Limit of the lines of a head and of its trailers together, bytes. */
+#define HTTP_FRAMING_HEAD_MAX_BYTES 65536
+
 typedef enum {
 	HTTP_FRAMING_STATUS_LINE,
 	HTTP_FRAMING_FIELD,
@@ -31,6 +34,7 @@
 	http_framing_state_t state;
 	gboolean to_head; /* the answer to a HEAD request */
 	GString *line;	  /* the incomplete line at the end */
+	size_t head;	  /* bytes of the lines of head and trailers */
 	uint64_t left;	  /* bytes of the body or chunk that are to come */
 	int status;
 	int minor; /* of the version HTTP/1.x */
@@ -58,6 +62,15 @@
  */
 const char *http_framing_take(http_framing_t *f, const char *bytes, size_t n);
 
+/**
+ * http_framing_skip() - Pass over bytes of which only the number matters.
+ * @f: the framing
+ * @n: their number
+ *
+ * Return: FALSE if http_framing_take() has to read them.
+ */
+gboolean http_framing_skip(http_framing_t *f, size_t n);
+
 /**
  * http_framing_may_end() - Whether the answer is whole if nothing follows.
  * @f: the framing
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -18,6 +18,11 @@
 #define RESETS 2
 #define SETTLE_MS 200
 #define LARGE_BYTES (8 * 1024 * 1024)
+/* What a server sends at a time, and what a client may take of an endless head:
+ * the bytes between both sockets are not in its memory. */
+#define ENDLESS_BLOCK_BYTES (256 * 1024)
+#define ENDLESS_HEAD_BYTES (8 * 1024 * 1024)
+#define ENDLESS_SLACK_BYTES (16 * 1024 * 1024)
 
 static struct event_base *base;
 static http_client_t *client;
@@ -35,6 +40,9 @@
 #define OK(length, body) \
 	"HTTP/1.1 200 OK\r\nContent-Length: " length "\r\n\r\n" body
 #define SECOND OK("6", "second")
+#define BYTES_16 "0123456789abcdef"
+#define BYTES_64 BYTES_16 BYTES_16 BYTES_16 BYTES_16
+#define BYTES_256 BYTES_64 BYTES_64 BYTES_64 BYTES_64
 /* MIXED: an answer with a spoiled byte is not passed on as a success. */
 #define SPOILED "broken[] answered[second] "
 #define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -405,6 +413,121 @@
 	g_free(body);
 }
 
+/*
+ * LOST: a server sends without end, and the bytes are kept until the process is
+ * out of memory. Each answer starts with @start and goes on with @more; the
+ * client closes before it has taken @max_bytes.
+ */
+static const struct {
+	const char *name, *start, *more;
+	size_t max_bytes;
+	guint calls; /* at once */
+} endless[] = {
+    {"no line at all", "", "x", ENDLESS_HEAD_BYTES, 1},
+    {"a header", "HTTP/1.1 200 OK\r\nX: ", "x", ENDLESS_HEAD_BYTES, 1},
+    {"headers", "HTTP/1.1 200 OK\r\n", "X-Filler: y\r\n", ENDLESS_HEAD_BYTES,
+	1},
+    {"a chunk size", CHUNKED, "0", ENDLESS_HEAD_BYTES, 1},
+    {"blank chunk sizes", CHUNKED, "\r\n", ENDLESS_HEAD_BYTES, 1},
+    {"behind a chunk", CHUNKED "5\r\nfirst", "y", ENDLESS_HEAD_BYTES, 1},
+    {"a trailer", CHUNKED "0\r\nX: ", "y", ENDLESS_HEAD_BYTES, 1},
+    {"trailers", CHUNKED "0\r\n", "X-Filler: y\r\n", ENDLESS_HEAD_BYTES, 1},
+    {"a body until close", "HTTP/1.1 200 OK\r\n\r\n", "first",
+	HTTP_ANSWER_MEMORY_BYTES + ENDLESS_SLACK_BYTES, 1},
+    {"chunks", CHUNKED, "100\r\n" BYTES_256 "\r\n",
+	HTTP_ANSWER_MEMORY_BYTES + ENDLESS_SLACK_BYTES, 1},
+    {"one chunk", CHUNKED "fffffffffff\r\n", "y",
+	HTTP_ANSWER_MEMORY_BYTES + ENDLESS_SLACK_BYTES, 1},
+    {"several bodies until close", "HTTP/1.1 200 OK\r\n\r\n", "first",
+	HTTP_ANSWER_MEMORY_BYTES + ENDLESS_SLACK_BYTES, 8},
+};
+
+static struct {
+	const char *start;
+	char *block;
+	size_t len, taken, max_taken; /* bytes that the client has taken */
+} flood;
+
+static void
+flood_on(struct bufferevent *bev, void *arg)
+{
+	(void)arg;
+	flood.taken += flood.len;
+	if (flood.taken <= flood.max_taken)
+		bufferevent_write(bev, flood.block, flood.len);
+}
+
+static void
+flood_asked(struct bufferevent *bev, void *arg)
+{
+	(void)arg;
+	evbuffer_drain(bufferevent_get_input(bev),
+	    evbuffer_get_length(bufferevent_get_input(bev)));
+	bufferevent_setcb(bev, NULL, flood_on, NULL, NULL);
+	bufferevent_write(bev, flood.start, strlen(flood.start));
+	bufferevent_write(bev, flood.block, flood.len);
+}
+
+static void
+on_flood_accept(struct evconnlistener *l, evutil_socket_t fd,
+    struct sockaddr *from, int len, void *arg)
+{
+	struct bufferevent *bev =
+	    bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+	(void)l;
+	(void)from;
+	(void)len;
+	(void)arg;
+	bufferevent_setcb(bev, flood_asked, NULL, NULL, NULL);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	g_ptr_array_add(accepted, bev);
+}
+
+static char *
+repeat(const char *text, size_t len)
+{
+	GString *s = g_string_sized_new(len);
+
+	while (s->len + strlen(text) <= len)
+		g_string_append(s, text);
+	return g_string_free(s, FALSE);
+}
+
+static void
+answers_without_end_are_cut(void)
+{
+	static const http_handler_t handler = {.on_done = on_done};
+	size_t i, k;
+
+	for (i = 0; i < G_N_ELEMENTS(endless); i++) {
+		start(&scripts[0]);
+		evconnlistener_set_cb(listener, on_flood_accept, NULL);
+		flood.start = endless[i].start;
+		flood.block = repeat(endless[i].more, ENDLESS_BLOCK_BYTES);
+		flood.len = strlen(flood.block);
+		flood.taken = 0;
+		/* A client that takes more waits for an answer in vain. */
+		flood.max_taken = 2 * endless[i].max_bytes * endless[i].calls;
+		for (k = 0; k < endless[i].calls; k++)
+			ask(ADDRESS, 20000, &handler);
+		for (k = 0; k < BOUND_MS / 20 && done < (int)endless[i].calls;
+		     k++)
+			run_loop(20);
+		ck_assert_msg(done == (int)endless[i].calls,
+		    "%s: took %zu bytes without an end", endless[i].name,
+		    flood.taken);
+		ck_assert_msg(strstr(result->str, "answered") == NULL &&
+			strstr(result->str, "out-of-time") == NULL,
+		    "%s: %s", endless[i].name, result->str);
+		ck_assert_msg(
+		    flood.taken <= endless[i].max_bytes * endless[i].calls,
+		    "%s: took %zu bytes", endless[i].name, flood.taken);
+		g_free(flood.block);
+		finish();
+	}
+}
+
 /* No part of a head, and no part of a body with an end, counts as
  * whole. */
 static void
@@ -446,6 +569,7 @@
 		refused_connection_is_reported_as_not_sent},
 	    {"paused call receives no more", paused_call_receives_no_more},
 	    {"answers that are cut are not whole", cut_answers_are_not_whole},
+	    {"answers without end are cut", answers_without_end_are_cut},
 	};
 
 	signal(SIGPIPE, SIG_IGN);
