--- a/src/protocol/fleet_rows.c
+++ b/src/protocol/fleet_rows.c
@@ -4,8 +4,14 @@
 #include <sodium.h>
 
 #include "base/error.h"
+#include "protocol/config_text.h"
 #include "protocol/fleet_rows.h"
 
+/* Upper bounds on what a row says. */
+#define STORE_TIME_MAX_MS (INT64_C(1) << 53)
+#define SHIFT_MAX_MS (INT64_C(30) * 24 * 3600 * MSEC_PER_SEC)
+#define STRENGTH_MAX 64
+
 static char *
 dump(json_t *root)
 {
@@ -44,6 +50,12 @@
 	return dump(json_pack("{s:s}", "secret", hex));
 }
 
+static gboolean
+is_store_time(json_int_t ms)
+{
+	return ms >= 0 && ms <= STORE_TIME_MAX_MS;
+}
+
 static gboolean
 read_host(json_t *root, fleet_rows_t *out)
 {
@@ -56,7 +68,10 @@
 		"callers", &h->callers, "peer", &h->peer, "region", &h->region,
 		"domain", &h->domain, "incarnation", &incarnation, "strength",
 		&strength, "joined_ms", &joined, "left_ms", &left) != 0 ||
-	    strength < 0 || joined < 0 || left < 0)
+	    !address_is_valid(h->callers) || !address_is_valid(h->peer) ||
+	    strength < 0 || strength > STRENGTH_MAX ||
+	    !is_store_time(incarnation) || !is_store_time(joined) ||
+	    !is_store_time(left))
 		return FALSE;
 	/* A host of an older build has joined at its last start. */
 	out->times.joined_ms = joined > 0 ? joined : incarnation;
@@ -75,7 +90,8 @@
 
 	if (json_unpack(root, "{s:s, s:I, s:I, s:i}", "to", &to, "began",
 		&began, "duration_ms", &duration, "state", &state) != 0 ||
-	    state < SHIFT_RUNNING || state > SHIFT_ROLLED_BACK || duration <= 0)
+	    state < SHIFT_RUNNING || state > SHIFT_ROLLED_BACK ||
+	    !is_store_time(began) || duration <= 0 || duration > SHIFT_MAX_MS)
 		return FALSE;
 	out->u.shift = (shift_row_t){.to = (char *)to,
 	    .began = began,
--- a/src/protocol/table_update.c
+++ b/src/protocol/table_update.c
@@ -76,6 +76,17 @@
 	return ok;
 }
 
+/* Bytes of a row, or more than any datagram holds if it can't be sent. */
+static size_t
+row_size(const table_row_t *row)
+{
+	size_t key = strlen(row->key);
+
+	if (key > KEY_MAX_BYTES || row->len > ROW_MAX_BYTES)
+		return PEER_MSG_MAX_BYTES;
+	return key + row->len + ROW_OVERHEAD_BYTES;
+}
+
 static guint
 fitting_rows_end(const GPtrArray *rows, guint first)
 {
@@ -84,7 +95,7 @@
 
 	for (i = first; i < rows->len && i - first < ROWS_MAX; i++) {
 		const table_row_t *row = g_ptr_array_index(rows, i);
-		size_t need = strlen(row->key) + row->len + ROW_OVERHEAD_BYTES;
+		size_t need = row_size(row);
 
 		if (need > room)
 			break;
