UNASKED: the body of a request is not taken for another request

Cause: evhttp sends the body of any request, but its length for POST, PUT and PATCH only; it does not read the body of a HEAD.

Ruled out: that the host reads GET, DELETE and OPTIONS wrongly (test_http: one request each).

Change: the client sends the length with every body; the server refuses a HEAD with a body and closes the connection.

Why it works: what follows a head on a connection is now always framed by it.

--- a/src/transport/http_check.c
+++ b/src/transport/http_check.c
@@ -110,6 +110,19 @@
 	return NULL;
 }
 
+const char *
+http_check_body(enum evhttp_cmd_type method, const struct evkeyvalq *headers)
+{
+	const char *length = evhttp_find_header(headers, "Content-Length");
+
+	if (method != EVHTTP_REQ_HEAD)
+		return NULL;
+	if (evhttp_find_header(headers, "Transfer-Encoding") != NULL ||
+	    (length != NULL && length[strspn(length, "0")] != '\0'))
+		return "a HEAD request with a body";
+	return NULL;
+}
+
 /* Whether the Connection header lists this header as hop-by-hop. */
 static gboolean
 is_hop_by_hop(const char *connection, const char *name)
--- a/src/transport/http_check.h
+++ b/src/transport/http_check.h
@@ -25,6 +25,18 @@
  */
 const char *http_check_headers(const struct evkeyvalq *headers);
 
+/**
+ * http_check_body() - Check that a request's body is read as such.
+ * @method: evhttp's constant
+ * @headers: as evhttp parsed them
+ *
+ * evhttp doesn't read the body of a HEAD, and takes it for the next request.
+ *
+ * Return: NULL if it is, else a static text that says what is wrong.
+ */
+const char *http_check_body(
+    enum evhttp_cmd_type method, const struct evkeyvalq *headers);
+
 /**
  * http_method_name() - Name of an HTTP method.
  * @method: evhttp's constant
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -502,6 +502,19 @@
 	evhttp_add_header(to, h->key, h->value);
 }
 
+/* evhttp adds the length for some methods only, but sends the body of each. */
+static void
+add_body(struct evhttp_request *req, struct evbuffer *body)
+{
+	char length[24];
+
+	if (evbuffer_get_length(body) == 0)
+		return;
+	g_snprintf(length, sizeof(length), "%zu", evbuffer_get_length(body));
+	evhttp_add_header(req->output_headers, "Content-Length", length);
+	evbuffer_add_buffer(req->output_buffer, body);
+}
+
 static void
 fill_request(struct evhttp_request *req, const http_request_t *request)
 {
@@ -510,7 +523,7 @@
 		evhttp_add_header(
 		    req->output_headers, "Host", request->address);
 	if (request->body != NULL)
-		evbuffer_add_buffer(req->output_buffer, request->body);
+		add_body(req, request->body);
 }
 
 static void
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -55,9 +55,10 @@
 typedef struct {
 	const char *address; /* "IP:PORT" */
 	enum evhttp_cmd_type method;
-	const char *path;		 /* with the query */
-	const struct evkeyvalq *headers; /* copied; may be NULL */
-	struct evbuffer *body;		 /* drained; may be NULL */
+	const char *path; /* with the query */
+	/* Copied; may be NULL; without Content-Length and Transfer-Encoding. */
+	const struct evkeyvalq *headers;
+	struct evbuffer *body; /* drained; may be NULL */
 	msec_t timeout_ms;
 	/* timeout_ms starts again with each part of the answer that arrives,
 	 * until this time since the start; 0: it does not */
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -309,6 +309,9 @@
 	http_exchange_t *x = g_new0(http_exchange_t, 1);
 	const char *wrong = http_check_headers(req->input_headers);
 
+	if (wrong == NULL)
+		wrong = http_check_body(
+		    evhttp_request_get_command(req), req->input_headers);
 	x->req = req;
 	x->evcon = evhttp_request_get_connection(req);
 	x->conn = g_hash_table_lookup(
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -257,6 +257,10 @@
 #define POST "POST /a HTTP/1.1\r\nHost: h\r\n"
 #define GET "GET /a HTTP/1.1\r\nHost: h\r\n"
 #define NEXT "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+#define LAST "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+#define CHUNKED_NEXT \
+	"Transfer-Encoding: chunked\r\n\r\n23\r\n" NEXT "\r\n0\r\n\r\n"
+#define HEAD_REFUSED "400<a HEAD request with a body> closed"
 #define REFUSED "400<a header that may stand once is repeated> closed"
 
 /* Input; expected answers; requests that the handler gets. */
@@ -269,6 +273,32 @@
 	"200</a> ", "256 /a 2;"},
     {"chunked", POST "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
 	"200</a> ", "2 /a 3;"},
+    /* UNASKED: the body of one request was taken for another one. */
+    {"body of a GET, length",
+	"GET /a HTTP/1.1\r\nContent-Length: 35\r\n\r\n" NEXT LAST,
+	"200</a> 200</b> ", "1 /a 35;1 /b 0;"},
+    {"body of a DELETE, length",
+	"DELETE /a HTTP/1.1\r\nContent-Length: 35\r\n\r\n" NEXT LAST,
+	"200</a> 200</b> ", "16 /a 35;1 /b 0;"},
+    {"body of an OPTIONS, length",
+	"OPTIONS /a HTTP/1.1\r\nContent-Length: 35\r\n\r\n" NEXT LAST,
+	"200</a> 200</b> ", "32 /a 35;1 /b 0;"},
+    {"body of a GET, chunks", "GET /a HTTP/1.1\r\n" CHUNKED_NEXT LAST,
+	"200</a> 200</b> ", "1 /a 35;1 /b 0;"},
+    {"body of a DELETE, chunks", "DELETE /a HTTP/1.1\r\n" CHUNKED_NEXT LAST,
+	"200</a> 200</b> ", "16 /a 35;1 /b 0;"},
+    {"body of an OPTIONS, chunks", "OPTIONS /a HTTP/1.1\r\n" CHUNKED_NEXT LAST,
+	"200</a> 200</b> ", "32 /a 35;1 /b 0;"},
+    {"length 0", "GET /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n" LAST,
+	"200</a> 200</b> ", "1 /a 0;1 /b 0;"},
+    {"body of a HEAD, length",
+	"HEAD /a HTTP/1.1\r\nContent-Length: 35\r\n\r\n" NEXT, HEAD_REFUSED,
+	""},
+    {"body of a HEAD, chunks", "HEAD /a HTTP/1.1\r\n" CHUNKED_NEXT,
+	HEAD_REFUSED, ""},
+    {"body of a HEAD behind another request",
+	GET "\r\nHEAD /a HTTP/1.1\r\nContent-Length: 35\r\n\r\n" NEXT,
+	"200</a> " HEAD_REFUSED, "1 /a 0;"},
     {"pipelined", GET "\r\nGET /b HTTP/1.1\r\n\r\nGET /c HTTP/1.1\r\n\r\n",
 	"200</a> 200</b> 200</c> ", "1 /a 0;1 /b 0;1 /c 0;"},
     {"pipelined behind one that is watched",
@@ -318,6 +348,16 @@
     {"unfinished body", POST "Content-Length: 10\r\n\r\nabc", 408},
 };
 
+static int
+count(const char *text, char c)
+{
+	int n = 0;
+
+	for (; *text != '\0'; text++)
+		n += *text == c;
+	return n;
+}
+
 static void
 input_is_answered_as_expected(void)
 {
@@ -333,8 +373,7 @@
 		if (g_str_has_suffix(rows[i].answers, "closed"))
 			wait_closed(&raw);
 		else
-			wait_answers(
-			    &raw, strstr(rows[i].answers, "c>") ? 3 : 1);
+			wait_answers(&raw, count(rows[i].answers, '>'));
 		run_loop(SETTLE_MS);
 		got = raw_summary(&raw);
 		ck_assert_msg(strcmp(got, rows[i].answers) == 0, "%s: got %s",
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -528,6 +528,90 @@
 	}
 }
 
+/* UNASKED: the body of a request went on without its length, so that the server
+ * took it for another request. */
+static const struct {
+	const char *name;
+	enum evhttp_cmd_type method;
+	const char *body;
+} framed[] = {
+    {"GET", EVHTTP_REQ_GET, ""},
+    {"GET", EVHTTP_REQ_GET, "abc"},
+    {"GET", EVHTTP_REQ_GET, "POST /b HTTP/1.1\r\n\r\n"},
+    {"HEAD", EVHTTP_REQ_HEAD, ""},
+    {"DELETE", EVHTTP_REQ_DELETE, ""},
+    {"DELETE", EVHTTP_REQ_DELETE, "abc"},
+    {"OPTIONS", EVHTTP_REQ_OPTIONS, ""},
+    {"OPTIONS", EVHTTP_REQ_OPTIONS, "abc"},
+    {"POST", EVHTTP_REQ_POST, ""},
+    {"POST", EVHTTP_REQ_POST, "abc"},
+    {"PUT", EVHTTP_REQ_PUT, "abc"},
+    {"PATCH", EVHTTP_REQ_PATCH, "abc"},
+};
+
+static GString *asked;
+
+static void
+keep_asked(struct bufferevent *bev, void *arg)
+{
+	struct evbuffer *in = bufferevent_get_input(bev);
+	size_t len = evbuffer_get_length(in);
+
+	(void)arg;
+	g_string_append_len(
+	    asked, (const char *)evbuffer_pullup(in, -1), (gssize)len);
+	evbuffer_drain(in, len);
+}
+
+static void
+on_keeping_accept(struct evconnlistener *l, evutil_socket_t fd,
+    struct sockaddr *from, int len, void *arg)
+{
+	on_accept(l, fd, from, len, arg);
+	bufferevent_setcb(g_ptr_array_index(accepted, accepted->len - 1),
+	    keep_asked, NULL, NULL, NULL);
+}
+
+static void
+requests_are_framed(void)
+{
+	static const http_handler_t handler = {.on_done = on_done};
+	http_request_t request = {
+	    .address = ADDRESS,
+	    .path = "/a",
+	    .timeout_ms = SETTLE_MS,
+	};
+	const char *end, *length;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(framed); i++) {
+		size_t len = strlen(framed[i].body);
+
+		start(&scripts[0]);
+		evconnlistener_set_cb(listener, on_keeping_accept, NULL);
+		asked = g_string_new(NULL);
+		request.method = framed[i].method;
+		request.body = evbuffer_new();
+		evbuffer_add(request.body, framed[i].body, len);
+		http_call(client, &request, &handler);
+		wait_done(1);
+		end = strstr(asked->str, "\r\n\r\n");
+		length = strstr(asked->str, "\r\nContent-Length: ");
+		ck_assert(end != NULL);
+		ck_assert_msg(g_str_has_prefix(asked->str, framed[i].name),
+		    "%s", asked->str);
+		ck_assert_str_eq(end + 4, framed[i].body);
+		ck_assert_msg(length == NULL ? len == 0
+					     : length < end &&
+			    strtoul(length + 18, NULL, 10) == len &&
+			    strstr(length + 1, "\r\nContent-Length: ") == NULL,
+		    "%s", asked->str);
+		evbuffer_free(request.body);
+		g_string_free(asked, TRUE);
+		finish();
+	}
+}
+
 /* No part of a head, and no part of a body with an end, counts as
  * whole. */
 static void
@@ -570,6 +654,7 @@
 	    {"paused call receives no more", paused_call_receives_no_more},
 	    {"answers that are cut are not whole", cut_answers_are_not_whole},
 	    {"answers without end are cut", answers_without_end_are_cut},
+	    {"requests are framed", requests_are_framed},
 	};
 
 	signal(SIGPIPE, SIG_IGN);
