--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -496,11 +496,29 @@
 	return req;
 }
 
+/* evhttp would send the body of an answer to a HEAD, too. */
+static void
+name_length(http_exchange_t *x, size_t length)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%zu", length);
+	if (evhttp_find_header(x->req->output_headers, "Content-Length") ==
+	    NULL)
+		evhttp_add_header(
+		    x->req->output_headers, "Content-Length", text);
+}
+
 void
 http_reply(http_exchange_t *x, int status, const struct evkeyvalq *headers,
     struct evbuffer *body)
 {
 	add_headers(x, headers);
+	if (evhttp_request_get_command(x->req) == EVHTTP_REQ_HEAD &&
+	    body != NULL) {
+		name_length(x, evbuffer_get_length(body));
+		body = NULL;
+	}
 	evhttp_send_reply(detach(x), status, reason_of(status), body);
 }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -95,7 +95,7 @@
  * @x: the exchange
  * @status: HTTP status
  * @headers: copied; may be NULL
- * @body: drained; may be NULL
+ * @body: drained; may be NULL; of an answer to a HEAD only its length is sent
  */
 void http_reply(http_exchange_t *x, int status, const struct evkeyvalq *headers,
     struct evbuffer *body);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -260,7 +260,7 @@
 #define LAST "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
 #define CHUNKED_NEXT \
 	"Transfer-Encoding: chunked\r\n\r\n23\r\n" NEXT "\r\n0\r\n\r\n"
-#define HEAD_REFUSED "400<a HEAD request with a body> closed"
+#define HEAD_REFUSED "400 closed"
 #define REFUSED "400<a header that may stand once is repeated> closed"
 
 /* Input; expected answers; requests that the handler gets. */
@@ -299,6 +299,11 @@
     {"body of a HEAD behind another request",
 	GET "\r\nHEAD /a HTTP/1.1\r\nContent-Length: 35\r\n\r\n" NEXT,
 	"200</a> " HEAD_REFUSED, "1 /a 0;"},
+    /* MIXED: the body of an answer to a HEAD was sent, in front of the next
+     * answer. */
+    {"HEAD", "HEAD /a HTTP/1.1\r\n\r\n" LAST, "200 200</b> ", "4 /a 0;1 /b 0;"},
+    {"length 0 of a HEAD", "HEAD /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n" LAST,
+	"200 200</b> ", "4 /a 0;1 /b 0;"},
     {"pipelined", GET "\r\nGET /b HTTP/1.1\r\n\r\nGET /c HTTP/1.1\r\n\r\n",
 	"200</a> 200</b> 200</c> ", "1 /a 0;1 /b 0;1 /c 0;"},
     {"pipelined behind one that is watched",
