QUOTA: an overwritten row is written again after a write in flight

Found by reading: a row that was overwritten while the fleet's secret was being written was not written again, as both share one call. The write is now due until it is confirmed. test_own_row passes as before; the case has no test of its own.

--- a/src/gateway/store_sync_write.c
+++ b/src/gateway/store_sync_write.c
@@ -166,8 +166,11 @@
 	log_event(LOG_WARN, "host.row_overwritten", "row_version",
 	    log_num((long long)ver), "removed", r->removed ? "1" : "0",
 	    "leaving", s->view->leaving ? "1" : "0", NULL);
+	s->row_due = TRUE;
 	if (s->join_write == NULL)
 		write_host_row(s);
+	else
+		schedule(s->join_timer, JOIN_POLL_MS);
 }
 
 static void
@@ -243,9 +246,9 @@
 
 	(void)fd;
 	(void)what;
-	if (s->join_write != NULL || s->view->leaving)
+	if (s->view->leaving)
 		return;
-	if (s->view->incarnation == 0 ||
+	if (s->join_write != NULL || s->view->incarnation == 0 ||
 	    (s->view->joined && !s->tables[SYNCED_FLEET].complete))
 		schedule(s->join_timer, JOIN_POLL_MS);
 	else if (!s->view->joined || s->row_due)
