--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -3,12 +3,9 @@
 #include <signal.h>
 #include <string.h>
 
-#include <event2/event.h>
-
-#include "gateway/store_sync.h"
 #include "platform/wire_entries.h"
 #include "platform/wire_rows.h"
-#include "soak.h"
+#include "store_world.h"
 #include "suite.h"
 
 /*
@@ -17,10 +14,9 @@
  */
 
 #define PORT 22013
-#define BOUND_MS 5000 /* limit of a wait for something that must happen */
-#define QUIET_MS 700  /* some ticks of the host */
-#define DEPTH 15000   /* of nested values, within the store's 64 KB a row */
-#define LONG 40000    /* characters of a long text */
+#define QUIET_MS 700 /* some ticks of the host */
+#define DEPTH 15000  /* of nested values, within the store's 64 KB a row */
+#define LONG 40000   /* characters of a long text */
 
 #define SERVER(slots, warmup, address, more) \
 	"{\"service\":\"clips\",\"address\":\"" address "\",\"zone\":\"n1\"," \
@@ -98,72 +94,11 @@
     {"op", "evacuate/nested", "%", "[", DEPTH},
 };
 
-void
-soak_broken(world_t *w, const char *fmt, ...)
-{
-	(void)w;
-	ck_abort_msg("%s", fmt);
-}
-
-typedef struct {
-	world_t world;
-	gateway_settings_t settings;
-	view_t view;
-	http_client_t *http;
-	store_sync_t sync;
-	char address[32];
-} fixture_t;
-
-static void
-run_loop(fixture_t *f, msec_t ms)
-{
-	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
-
-	event_base_loopexit(f->world.base, &tv);
-	event_base_dispatch(f->world.base);
-}
-
-static void
-world_begin(fixture_t *f)
-{
-	memset(f, 0, sizeof(*f));
-	f->world.base = event_base_new();
-	f->world.port = PORT;
-	soak_store_init(&f->world.store, &f->world);
-}
-
-static void
-host_begin(fixture_t *f)
-{
-	g_snprintf(
-	    f->address, sizeof(f->address), "127.0.0.1:%d", PORT + PORT_STORE);
-	f->settings.id = (char *)"host-0";
-	f->settings.region = (char *)"north";
-	f->settings.domain = (char *)"n1";
-	f->settings.callers = f->settings.peers = (char *)"127.0.0.1:9";
-	f->settings.store = f->address;
-	f->settings.link_mbps = 100;
-	f->settings.cpu_share = 1;
-	f->settings.regions = g_hash_table_new(g_str_hash, g_str_equal);
-	g_hash_table_insert(f->settings.regions, (char *)"n1", (char *)"north");
-	view_init(&f->view, &f->settings);
-	f->http = http_client_new(f->world.base, 4);
-	store_sync_init(&f->sync, &f->view, f->world.base, f->http);
-}
+static world_t world;
+static store_host_t host;
 
 static void
-finish(fixture_t *f)
-{
-	store_sync_finish(&f->sync);
-	http_client_free(f->http);
-	view_finish(&f->view);
-	g_hash_table_destroy(f->settings.regions);
-	soak_store_finish(&f->world.store);
-	event_base_free(f->world.base);
-}
-
-static void
-put_odd(fixture_t *f, size_t i)
+put_odd(size_t i)
 {
 	GString *value = g_string_new(NULL);
 	const char *c;
@@ -175,34 +110,35 @@
 		for (n = 0; *c == '%' && n < odd[i].times; n++)
 			g_string_append(value, odd[i].filler);
 	}
-	soak_store_put(&f->world.store, odd[i].table, odd[i].key, value->str);
+	soak_store_put(&world.store, odd[i].table, odd[i].key, value->str);
 	g_string_free(value, TRUE);
 }
 
 /* A good entry is read, and the host reads each table. */
 static void
-check_follows(fixture_t *f, const char *id, const char *after)
+check_follows(const char *id, const char *after)
 {
-	msec_t until = clock_now() + BOUND_MS;
+	msec_t until = clock_now() + STORE_WORLD_BOUND_MS;
 
-	soak_store_put(&f->world.store, WIRE_TABLE_SERVERS, id, GOOD);
-	while (g_hash_table_lookup(f->view.registry.servers, id) == NULL &&
+	soak_store_put(&world.store, WIRE_TABLE_SERVERS, id, GOOD);
+	while (g_hash_table_lookup(host.view.registry.servers, id) == NULL &&
 	    clock_now() < until)
-		run_loop(f, 20);
-	ck_assert_msg(g_hash_table_lookup(f->view.registry.servers, id) != NULL,
+		store_world_run(&world, 20);
+	ck_assert_msg(
+	    g_hash_table_lookup(host.view.registry.servers, id) != NULL,
 	    "does not follow the servers after %s", after);
 	ck_assert_msg(
-	    store_sync_is_reachable(&f->sync), "calls fail after %s", after);
+	    store_sync_is_reachable(&host.sync), "calls fail after %s", after);
 }
 
 static void
-check_unused(fixture_t *f)
+check_unused(void)
 {
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
 		const backend_t *b =
-		    g_hash_table_lookup(f->view.registry.servers, odd[i].key);
+		    g_hash_table_lookup(host.view.registry.servers, odd[i].key);
 
 		ck_assert_msg(strcmp(odd[i].table, "servers") != 0 || b == NULL,
 		    "%s is used", odd[i].key);
@@ -212,41 +148,42 @@
 static void
 odd_entries_are_passed_over(void)
 {
-	fixture_t f;
+	char id[24];
 	size_t i;
 
-	world_begin(&f);
-	host_begin(&f);
-	check_follows(&f, "first", "nothing");
-	run_loop(&f, QUIET_MS); /* the hosts are listed */
+	store_world_begin(&world, PORT);
+	store_host_begin(&host, &world);
+	check_follows("first", "nothing");
+	store_world_run(&world, QUIET_MS); /* the hosts are listed */
 	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
-		put_odd(&f, i);
-		check_follows(
-		    &f, odd[i].key + strlen(odd[i].key) / 2, odd[i].key);
-		run_loop(&f, 20);
+		put_odd(i);
+		g_snprintf(id, sizeof(id), "good-%zu", i);
+		check_follows(id, odd[i].key);
+		store_world_run(&world, 20);
 	}
-	run_loop(&f, QUIET_MS);
-	check_follows(&f, "last", "all of them");
-	check_unused(&f);
-	finish(&f);
+	store_world_run(&world, QUIET_MS);
+	check_follows("last", "all of them");
+	check_unused();
+	store_host_end(&host);
+	store_world_end(&world);
 }
 
 /* They are there when a host starts. */
 static void
 odd_entries_in_a_listing_are_passed_over(void)
 {
-	fixture_t f;
 	size_t i;
 
-	world_begin(&f);
+	store_world_begin(&world, PORT);
 	for (i = 0; i < G_N_ELEMENTS(odd); i++)
-		put_odd(&f, i);
-	host_begin(&f);
-	check_follows(&f, "first", "all of them");
-	run_loop(&f, QUIET_MS);
-	check_unused(&f);
-	ck_assert(f.view.joined);
-	finish(&f);
+		put_odd(i);
+	store_host_begin(&host, &world);
+	check_follows("first", "all of them");
+	store_world_run(&world, QUIET_MS);
+	check_unused();
+	ck_assert(host.view.joined);
+	store_host_end(&host);
+	store_world_end(&world);
 }
 
 /* Rows of an answer of the store; the one that is not odd has to be read. */
--- a/tests/test_own_row.c
+++ b/tests/test_own_row.c
@@ -3,11 +3,8 @@
 #include <signal.h>
 #include <string.h>
 
-#include <event2/event.h>
-
 #include "coordination/own_row.h"
-#include "gateway/store_sync.h"
-#include "soak.h"
+#include "store_world.h"
 #include "suite.h"
 
 /*
@@ -16,9 +13,7 @@
  */
 
 #define PORT 22011
-#define BOUND_MS 5000 /* limit of a wait for something that must happen */
-#define ID "host-0"
-#define KEY FLEET_KEY_HOST ID
+#define KEY FLEET_KEY_HOST STORE_WORLD_ID
 
 /* ---- the decision ---- */
 
@@ -69,63 +64,10 @@
 
 /* ---- a host and its store ---- */
 
-void
-soak_broken(world_t *w, const char *fmt, ...)
-{
-	(void)w;
-	ck_abort_msg("%s", fmt);
-}
-
-/* One start of the host. */
-typedef struct {
-	gateway_settings_t settings;
-	view_t view;
-	http_client_t *http;
-	store_sync_t sync;
-	char address[32];
-} start_t;
-
 static world_t world;
 
-static void
-run_loop(msec_t ms)
-{
-	struct timeval tv = {ms / 1000, (ms % 1000) * 1000};
-
-	event_base_loopexit(world.base, &tv);
-	event_base_dispatch(world.base);
-}
-
-static void
-start_begin(start_t *p)
-{
-	memset(p, 0, sizeof(*p));
-	g_snprintf(
-	    p->address, sizeof(p->address), "127.0.0.1:%d", PORT + PORT_STORE);
-	p->settings.id = (char *)ID;
-	p->settings.region = (char *)"north";
-	p->settings.domain = (char *)"n1";
-	p->settings.callers = p->settings.peers = (char *)"127.0.0.1:9";
-	p->settings.store = p->address;
-	p->settings.link_mbps = 100;
-	p->settings.cpu_share = 1;
-	p->settings.regions = g_hash_table_new(g_str_hash, g_str_equal);
-	view_init(&p->view, &p->settings);
-	p->http = http_client_new(world.base, 4);
-	store_sync_init(&p->sync, &p->view, world.base, p->http);
-}
-
-static void
-start_end(start_t *p)
-{
-	store_sync_finish(&p->sync);
-	http_client_free(p->http);
-	view_finish(&p->view);
-	g_hash_table_destroy(p->settings.regions);
-}
-
 static gboolean
-is_joined(const start_t *p)
+is_joined(const store_host_t *p)
 {
 	char *text = g_strdup_printf(
 	    "\"incarnation\":%" G_GUINT64_FORMAT, p->view.incarnation);
@@ -138,34 +80,18 @@
 }
 
 static void
-wait_joined(const start_t *p, const char *when)
+wait_joined(const store_host_t *p, const char *when)
 {
-	msec_t until = clock_now() + BOUND_MS;
+	msec_t until = clock_now() + STORE_WORLD_BOUND_MS;
 
 	while (!is_joined(p) && clock_now() < until)
-		run_loop(20);
+		store_world_run(&world, 20);
 	ck_assert_msg(is_joined(p), "%s: the row is %s", when,
 	    soak_store_get(&world.store, FLEET_TABLE, KEY));
 }
 
 static void
-world_begin(void)
-{
-	memset(&world, 0, sizeof(world));
-	world.base = event_base_new();
-	world.port = PORT;
-	soak_store_init(&world.store, &world);
-}
-
-static void
-world_end(void)
-{
-	soak_store_finish(&world.store);
-	event_base_free(world.base);
-}
-
-static void
-leave(start_t *p)
+leave(store_host_t *p)
 {
 	p->view.leaving = TRUE;
 	store_sync_leave(&p->sync);
@@ -174,49 +100,49 @@
 static void
 late_leave_spares_the_next_start(void)
 {
-	start_t first, second;
+	store_host_t first, second;
 
-	world_begin();
-	start_begin(&first);
+	store_world_begin(&world, PORT);
+	store_host_begin(&first, &world);
 	wait_joined(&first, "first start");
 	world.store.fault[0] = STORE_LATE;
 	leave(&first);
-	run_loop(50);
-	start_end(&first);
+	store_world_run(&world, 50);
+	store_host_end(&first);
 	world.store.fault[0] = STORE_HEALTHY;
-	start_begin(&second);
+	store_host_begin(&second, &world);
 	wait_joined(&second, "second start");
-	run_loop(STORE_LATE_MS + 100);
+	store_world_run(&world, STORE_LATE_MS + 100);
 	ck_assert_msg(is_joined(&second), "overwritten by %s",
 	    soak_store_get(&world.store, FLEET_TABLE, KEY));
-	start_end(&second);
-	world_end();
+	store_host_end(&second);
+	store_world_end(&world);
 }
 
 /* The next start stops as well before the late write is performed. */
 static void
 late_leave_spares_the_start_after_next(void)
 {
-	start_t starts[3];
+	store_host_t starts[3];
 	int i;
 
-	world_begin();
+	store_world_begin(&world, PORT);
 	for (i = 0; i < 3; i++) {
-		start_begin(&starts[i]);
+		store_host_begin(&starts[i], &world);
 		wait_joined(&starts[i], "start");
 		if (i == 0)
 			world.store.fault[0] = STORE_LATE;
 		if (i < 2)
 			leave(&starts[i]);
-		run_loop(50);
+		store_world_run(&world, 50);
 		world.store.fault[0] = STORE_HEALTHY;
 		if (i < 2)
-			start_end(&starts[i]);
+			store_host_end(&starts[i]);
 	}
-	run_loop(STORE_LATE_MS + 100);
+	store_world_run(&world, STORE_LATE_MS + 100);
 	ck_assert(is_joined(&starts[2]));
-	start_end(&starts[2]);
-	world_end();
+	store_host_end(&starts[2]);
+	store_world_end(&world);
 }
 
 /* A write of the row is under way when the host begins to stop. */
@@ -224,20 +150,20 @@
 leave_follows_a_join_under_way(void)
 {
 	const char *row;
-	start_t p;
+	store_host_t p;
 
-	world_begin();
-	start_begin(&p);
+	store_world_begin(&world, PORT);
+	store_host_begin(&p, &world);
 	while (p.sync.join_write == NULL)
-		run_loop(1);
+		store_world_run(&world, 1);
 	/* The join is performed; its answer is not read. */
 	leave(&p);
-	run_loop(200);
+	store_world_run(&world, 200);
 	row = soak_store_get(&world.store, FLEET_TABLE, KEY);
 	ck_assert_msg(row != NULL && strstr(row, "\"left_ms\":0") == NULL,
 	    "the row is %s", row);
-	start_end(&p);
-	world_end();
+	store_host_end(&p);
+	store_world_end(&world);
 }
 
 /* Another writer, for instance a host of an older build, replaces the row. */
@@ -248,19 +174,19 @@
 	    "{\"callers\":\"1.1.1.1:1\",\"peer\":\"1.1.1.1:2\","
 	    "\"region\":\"north\",\"domain\":\"n1\",\"incarnation\":1,"
 	    "\"strength\":1,\"joined_ms\":1,\"left_ms\":2}"};
-	start_t p;
+	store_host_t p;
 	size_t i;
 
-	world_begin();
-	start_begin(&p);
+	store_world_begin(&world, PORT);
+	store_host_begin(&p, &world);
 	wait_joined(&p, "start");
 	for (i = 0; i < G_N_ELEMENTS(values); i++) {
-		run_loop(500); /* the table is listed */
+		store_world_run(&world, 500); /* the table is listed */
 		soak_store_put(&world.store, FLEET_TABLE, KEY, values[i]);
 		wait_joined(&p, values[i] != NULL ? values[i] : "removed");
 	}
-	start_end(&p);
-	world_end();
+	store_host_end(&p);
+	store_world_end(&world);
 }
 
 int
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -164,15 +164,6 @@
 	    "\"now_ms\":51230}";
 	static const char *const bad[] = {
 	    "", "[]", "{}", "{\"rows\":[],\"ver\":\"1\"}"};
-	/* One unreadable row does not hide the others. */
-	static const struct {
-		const char *text;
-		guint rows; /* the first has an empty value */
-	} odd[] = {
-	    {"{\"rows\":[{}],\"ver\":1}", 0},
-	    {"{\"rows\":[{\"key\":\"k\",\"ver\":1}],\"ver\":1}", 1},
-	    {"{\"rows\":[{\"key\":5,\"ver\":1,\"value\":\"\"}],\"ver\":1}", 0},
-	};
 	const table_row_t *row;
 	table_page_t page;
 	size_t i;
@@ -196,6 +187,24 @@
 		    "%s", bad[i]);
 		g_error_free(err);
 	}
+}
+
+/* One unreadable row does not hide the others. */
+static void
+test_odd_rows(void)
+{
+	static const struct {
+		const char *text;
+		guint rows; /* the first has an empty value */
+	} odd[] = {
+	    {"{\"rows\":[{}],\"ver\":1}", 0},
+	    {"{\"rows\":[{\"key\":\"k\",\"ver\":1}],\"ver\":1}", 1},
+	    {"{\"rows\":[{\"key\":5,\"ver\":1,\"value\":\"\"}],\"ver\":1}", 0},
+	};
+	const table_row_t *row;
+	table_page_t page;
+	size_t i;
+
 	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
 		ck_assert_msg(wire_rows_decode(odd[i].text, strlen(odd[i].text),
 				  &page, NULL),
@@ -526,6 +535,7 @@
     {"orders", test_orders},
     {"server rows", test_servers},
     {"pages of rows", test_page},
+    {"odd rows of a page", test_odd_rows},
     {"paths of store calls", test_paths},
     {"bodies of store writes", test_writes},
     {"statuses of the store", test_status},
