--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -472,16 +472,9 @@
 on_flood_accept(struct evconnlistener *l, evutil_socket_t fd,
     struct sockaddr *from, int len, void *arg)
 {
-	struct bufferevent *bev =
-	    bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
-
-	(void)l;
-	(void)from;
-	(void)len;
-	(void)arg;
-	bufferevent_setcb(bev, flood_asked, NULL, NULL, NULL);
-	bufferevent_enable(bev, EV_READ | EV_WRITE);
-	g_ptr_array_add(accepted, bev);
+	on_accept(l, fd, from, len, arg);
+	bufferevent_setcb(g_ptr_array_index(accepted, accepted->len - 1),
+	    flood_asked, NULL, NULL, NULL);
 }
 
 static char *
