--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -1,3 +1,4 @@
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <fcntl.h>
@@ -52,6 +53,8 @@
 	int fd;
 
 	if (pid == 0) {
+		/* A test that fails leaves no host behind. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
