--- a/src/cmd/greengageloomd.c
+++ b/src/cmd/greengageloomd.c
@@ -1,8 +1,10 @@
 #include <stdio.h>
+#include <unistd.h>
 
 #include <popt.h>
 #include <sodium.h>
 
+#include "base/fatal_signal.h"
 #include "base/log.h"
 #include "gateway/gateway.h"
 #include "host/host.h"
@@ -63,6 +65,7 @@
 	int status;
 
 	log_open(stderr, s->log_level);
+	fatal_signal_report(STDERR_FILENO);
 	if (!host_init(&host, s, &err)) {
 		log_event(LOG_ERROR, "host.start.failed", "error", err->message,
 		    NULL);
@@ -83,6 +86,7 @@
 	int status = 1;
 
 	log_open(stdout, s->log_level);
+	fatal_signal_report(STDOUT_FILENO);
 	log_set_rate_limit((unsigned int)s->log_lines);
 	if (gateway_init(&g, s, config_path, &err)) {
 		status = gateway_run(&g);
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -1,8 +1,13 @@
+#include <sys/wait.h>
+
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/error.h"
+#include "base/fatal_signal.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "suite.h"
@@ -67,6 +72,48 @@
 	g_error_free(err);
 }
 
+/* FAULT: a process that ended by a signal left no line in its log. */
+static void
+fatal_signals_are_reported(void)
+{
+	static const struct {
+		int number;
+		const char *expected;
+	} rows[] = {
+	    {SIGSEGV, "level=error event=host.crashed signal=SIGSEGV "},
+	    {SIGBUS, "level=error event=host.crashed signal=SIGBUS "},
+	    {SIGABRT, "level=error event=host.crashed signal=SIGABRT "},
+	    {SIGFPE, "level=error event=host.crashed signal=SIGFPE "},
+	    {SIGILL, "level=error event=host.crashed signal=SIGILL "},
+	};
+	char text[4096];
+	int out[2], status;
+	size_t i;
+	ssize_t len;
+	pid_t pid;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		ck_assert_int_eq(pipe(out), 0);
+		pid = fork();
+		if (pid == 0) {
+			signal(rows[i].number, SIG_DFL);
+			fatal_signal_report(out[1]);
+			raise(rows[i].number);
+			_exit(0);
+		}
+		close(out[1]);
+		ck_assert_int_eq(waitpid(pid, &status, 0), pid);
+		ck_assert(WIFSIGNALED(status));
+		ck_assert_int_eq(WTERMSIG(status), rows[i].number);
+		len = read(out[0], text, sizeof(text) - 1);
+		close(out[0]);
+		ck_assert_int_gt(len, 0);
+		text[len] = '\0';
+		ck_assert_msg(
+		    strstr(text, rows[i].expected) == text, "%s", text);
+	}
+}
+
 int
 main(void)
 {
@@ -74,6 +121,7 @@
 	    {"log escapes values", log_escapes_values},
 	    {"metrics are found by name", metrics_are_found_by_name},
 	    {"errors contain step and peer", errors_contain_step_and_peer},
+	    {"fatal signals are reported", fatal_signals_are_reported},
 	};
 
 	return suite_run("base", cases, sizeof(cases) / sizeof(cases[0]));
