FAULT, LOST: a call that times out or is refused is freed after its callback

What callers saw: a host ended by a signal, and every request under way on it ended without an answer, when a backend server sent an answer without end or one that breaks the protocol in a way that evhttp waits on.

Evidence: test_gateway_faults failed before at "headers without end", with heap-use-after-free in http_call_fault() under the address sanitizer; it passes now, 13 kinds of answers, 12 callers each.

Why it works: the exchange with the server ends first, then on_done runs, then the call is freed: one order for all three ends of a call. http_call_cancel() uses the same first step. on_done can't run twice: the call is no longer among the busy ones and evhttp has given up its request.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -474,21 +474,33 @@
 		call->handler.on_piece(call->handler.arg, req->input_buffer);
 }
 
-/* The time is over, or the answer can't be used. Ends the call here:
- * evhttp_cancel_request() runs no callback. */
+/* Closes a call's connection; evhttp runs no callback of it after this. */
+static void
+end_exchange(http_call_t *call)
+{
+	conn_t *conn = call->conn;
+
+	g_ptr_array_remove_fast(conn->client->busy, conn);
+	if (call->req != NULL)
+		evhttp_cancel_request(call->req);
+	conn_free_later(conn);
+}
+
+/* The time is over, or the answer can't be used. on_done may still use the
+ * call. */
 static void
 on_timeout(evutil_socket_t fd, short what, void *arg)
 {
 	http_call_t *call = arg;
-	http_handler_t handler = call->handler;
 	http_outcome_t outcome;
 
 	(void)fd;
 	(void)what;
 	call->timed_out = call->fault == NULL;
 	outcome = outcome_of(call, FALSE);
-	http_call_cancel(call);
-	handler.on_done(handler.arg, outcome, 0, NULL, NULL);
+	end_exchange(call);
+	call->handler.on_done(call->handler.arg, outcome, 0, NULL, NULL);
+	call_free(call);
 }
 
 static void
@@ -617,17 +629,11 @@
 void
 http_call_cancel(http_call_t *call)
 {
-	conn_t *conn = call->conn;
-
 	if (call->in_head) {
 		call->cancelled = TRUE;
 		return;
 	}
-	g_ptr_array_remove_fast(conn->client->busy, conn);
-	/* The connection is freed later; no callback may use the call. */
-	if (call->req != NULL)
-		evhttp_cancel_request(call->req);
-	conn_free_later(conn);
+	end_exchange(call);
 	call_free(call);
 }
 
