FAULT: a log line is bounded and is not waited for

What callers saw: a request whose id is longer than what a pipe holds stops the host, with all its other requests, for as long as nobody reads its log. Hosts of src/host waited for each line.

Cause: a pipe that is ready takes 4096 bytes; a line could have any length, as ids and header values are the caller's. Without a limit on lines, the pipe was not asked at all.

Evidence: test_base ("long values do not block", 100 kB) was ended by its alarm before, with 200 lines a second (the gateway) and without a limit (src/host); both pass now.

Why it works: values are cut at 512 bytes and a line at 2048, so that a line and the one that counts dropped lines fit into what a ready pipe takes; a pipe that isn't ready loses the line, which is counted, for both kinds of hosts.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,3 +1,5 @@
+#include <sys/param.h>
+
 #include <poll.h>
 #include <stdarg.h>
 #include <string.h>
@@ -10,6 +12,10 @@
 #define NUM_SIZE 24
 /* A pipe that is ready for writing takes this much without blocking. */
 #define PIPE_WRITE_BYTES 4096
+/* Longest line, so that two of them fit into one such write. */
+#define LINE_BYTES (PIPE_WRITE_BYTES / 2)
+/* Longest value, before it is escaped. */
+#define VALUE_BYTES 512
 
 static FILE *log_out;
 static log_level_t log_min = LOG_INFO;
@@ -19,6 +25,9 @@
 static msec_t current_second;
 static unsigned long long dropped;
 
+static char line[LINE_BYTES];
+static size_t line_len;
+
 static const char *const level_names[] = {"debug", "info", "warn", "error"};
 
 void
@@ -36,22 +45,29 @@
 		setvbuf(log_out, NULL, _IOFBF, PIPE_WRITE_BYTES);
 }
 
+static int
+can_write(void)
+{
+	struct pollfd out = {.fd = fileno(log_out), .events = POLLOUT};
+
+	/* A stream in memory has no descriptor. */
+	return out.fd < 0 ||
+	    (poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0);
+}
+
 static int
 may_write(log_level_t level)
 {
-	struct pollfd out = {.events = POLLOUT};
 	msec_t now = clock_now() / MSEC_PER_SEC;
 
-	if (line_limit == 0)
-		return 1;
 	if (now != current_second)
 		lines_this_second = 0;
 	current_second = now;
-	if (level < LOG_ERROR && lines_this_second >= line_limit)
+	if (line_limit != 0 && level < LOG_ERROR &&
+	    lines_this_second >= line_limit)
 		return 0;
 	lines_this_second++;
-	out.fd = fileno(log_out);
-	return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+	return can_write();
 }
 
 int
@@ -81,39 +97,81 @@
 	return 1;
 }
 
+/* Appends as much of @s as fits; the end of the line stays free. */
+static void
+put(const char *s, size_t len)
+{
+	len = MIN(len, LINE_BYTES - 1 - line_len);
+	memcpy(line + line_len, s, len);
+	line_len += len;
+}
+
+static void
+put_text(const char *s)
+{
+	put(s, strlen(s));
+}
+
 static void
 put_value(const char *s)
 {
-	unsigned char c;
+	size_t len = strnlen(s, VALUE_BYTES + 1), i;
+	char escaped[8];
 
-	if (is_plain(s)) {
-		fputs(s, log_out);
+	if (is_plain(s) && len <= VALUE_BYTES) {
+		put(s, len);
 		return;
 	}
-	fputc('"', log_out);
-	for (; *s != '\0'; s++) {
-		c = (unsigned char)*s;
+	put_text("\"");
+	for (i = 0; i < MIN(len, VALUE_BYTES); i++) {
+		unsigned char c = (unsigned char)s[i];
+
 		if (c == '"' || c == '\\')
-			fprintf(log_out, "\\%c", c);
+			snprintf(escaped, sizeof(escaped), "\\%c", c);
 		else if (c < ' ' || c >= 0x7f)
-			fprintf(log_out, "\\x%02x", c);
+			snprintf(escaped, sizeof(escaped), "\\x%02x", c);
 		else
-			fputc(c, log_out);
+			snprintf(escaped, sizeof(escaped), "%c", c);
+		put_text(escaped);
 	}
-	fputc('"', log_out);
+	put_text(len > VALUE_BYTES ? "...\"" : "\"");
 }
 
 static void
-put_time(void)
+begin_line(void)
 {
 	struct timespec ts;
 	struct tm tm;
-	char text[32];
+	char text[32], ms[8];
 
+	line_len = 0;
 	clock_gettime(CLOCK_REALTIME, &ts);
 	gmtime_r(&ts.tv_sec, &tm);
-	strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &tm);
-	fprintf(log_out, "time=%s.%03ldZ", text, ts.tv_nsec / 1000000);
+	strftime(text, sizeof(text), "time=%Y-%m-%dT%H:%M:%S", &tm);
+	snprintf(ms, sizeof(ms), ".%03ldZ", ts.tv_nsec / 1000000);
+	put_text(text);
+	put_text(ms);
+}
+
+static void
+end_line(void)
+{
+	line[line_len++] = '\n';
+	fwrite(line, 1, line_len, log_out);
+}
+
+/* The caller's values may be in each slot of log_num(). */
+static void
+write_dropped(void)
+{
+	char number[NUM_SIZE];
+
+	snprintf(number, sizeof(number), "%llu", dropped);
+	begin_line();
+	put_text(" level=warn event=log.left_out lines=");
+	put_text(number);
+	end_line();
+	dropped = 0;
 }
 
 void
@@ -128,22 +186,23 @@
 		dropped++;
 		return;
 	}
-	if (dropped > 0) {
-		put_time();
-		fprintf(log_out, " level=warn event=log.left_out lines=%llu\n",
-		    dropped);
-		dropped = 0;
-	}
-	put_time();
-	fprintf(log_out, " level=%s event=%s", level_names[level], event);
+	if (dropped > 0)
+		write_dropped();
+	begin_line();
+	put_text(" level=");
+	put_text(level_names[level]);
+	put_text(" event=");
+	put_text(event);
 	va_start(ap, event);
 	while ((key = va_arg(ap, const char *)) != NULL) {
 		value = va_arg(ap, const char *);
-		fprintf(log_out, " %s=", key);
+		put_text(" ");
+		put_text(key);
+		put_text("=");
 		put_value(value != NULL ? value : "-");
 	}
 	va_end(ap);
-	fputc('\n', log_out);
+	end_line();
 	fflush(log_out);
 }
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -5,7 +5,9 @@
 
 /*
  * Writes one line of key=value pairs for each event. Values are quoted and
- * escaped, so that a caller's input can't forge a line.
+ * escaped, so that a caller's input can't forge a line, and cut if they are
+ * long. Writing never blocks: a line that a full pipe can't take is dropped and
+ * counted.
  */
 
 typedef enum {
@@ -23,12 +25,11 @@
 void log_open(FILE *out, log_level_t min);
 
 /**
- * log_set_rate_limit() - Limit the number of lines, and never block.
- * @lines_per_sec: most lines in a second; 0: no limit, and writes may block
+ * log_set_rate_limit() - Limit the number of lines.
+ * @lines_per_sec: most lines in a second; 0: no limit
  *
- * Lines above the limit and lines that a full pipe can't take are dropped and
- * counted. The next line that is written is preceded by their number. Lines of
- * level error are dropped only if the pipe is full.
+ * Lines above the limit are dropped and counted. The next line that is written
+ * is preceded by their number. Lines of level error are not limited.
  */
 void log_set_rate_limit(unsigned int lines_per_sec);
 
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -6,12 +6,16 @@
 #include <string.h>
 #include <unistd.h>
 
+#include <glib.h>
+
 #include "base/error.h"
 #include "base/fatal_signal.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "suite.h"
 
+#define BLOCKED_SEC 5
+
 static void
 log_escapes_values(void)
 {
@@ -72,6 +76,51 @@
 	g_error_free(err);
 }
 
+static void
+log_long_values(int fd, unsigned int lines_per_sec)
+{
+	char *id = g_strnfill(100000, 'x');
+	int i;
+
+	signal(SIGALRM, SIG_DFL);
+	alarm(BLOCKED_SEC);
+	log_open(fdopen(fd, "w"), LOG_INFO);
+	log_set_rate_limit(lines_per_sec);
+	for (i = 0; i < 100; i++)
+		log_event(LOG_INFO, "test", "id", id, "k", "v", NULL);
+	_exit(0);
+}
+
+/* FAULT: a long id in a request stopped a host whose log nobody read. */
+static void
+long_values_do_not_block(void)
+{
+	static const unsigned int limits[] = {200, 0};
+	char text[8192];
+	int out[2], status;
+	size_t i;
+	ssize_t len;
+	pid_t pid;
+
+	for (i = 0; i < G_N_ELEMENTS(limits); i++) {
+		ck_assert_int_eq(pipe(out), 0);
+		pid = fork();
+		if (pid == 0)
+			log_long_values(out[1], limits[i]);
+		close(out[1]);
+		ck_assert_int_eq(waitpid(pid, &status, 0), pid);
+		ck_assert_msg(
+		    WIFEXITED(status), "ended by signal %d", WTERMSIG(status));
+		len = read(out[0], text, sizeof(text) - 1);
+		close(out[0]);
+		ck_assert_int_gt(len, 0);
+		text[len] = '\0';
+		*(strchr(text, '\n') + 1) = '\0';
+		ck_assert_msg(
+		    g_str_has_suffix(text, "xxx...\" k=v\n"), "%s", text);
+	}
+}
+
 /* FAULT: a process that ended by a signal left no line in its log. */
 static void
 fatal_signals_are_reported(void)
@@ -121,6 +170,7 @@
 	    {"log escapes values", log_escapes_values},
 	    {"metrics are found by name", metrics_are_found_by_name},
 	    {"errors contain step and peer", errors_contain_step_and_peer},
+	    {"long values do not block", long_values_do_not_block},
 	    {"fatal signals are reported", fatal_signals_are_reported},
 	};
 
