REFUSED, LOST: a request on a closed connection is not passed on

What callers saw: over the limit on connections a request got 503, which promises that it doesn't run, and ran; while a host stopped, a request on a kept connection ran and its connection ended without an answer.

Cause: both close the connection by shutting the socket down. evhttp still reads what had arrived before, and the request went to the handler.

Evidence: test_http, before: "refused requests do not run": served is "1 /a 0;1 /a 0;"; "requests on closed connections do not run": "served without an answer".

Why it works: the connection remembers that it was shut down, the one place through which all requests go asks for it, and evhttp's answer goes nowhere.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -40,6 +40,7 @@
 	gboolean receiving;
 	gboolean refused; /* over the limit on connections */
 	gboolean shed;	  /* refused for its memory; further input is ignored */
+	gboolean shut;	  /* no answer can be sent any more */
 } conn_t;
 
 struct http_exchange {
@@ -111,6 +112,7 @@
 static void
 shut_down(conn_t *conn)
 {
+	conn->shut = TRUE;
 	shutdown(bufferevent_getfd(conn->bev), SHUT_RDWR);
 }
 
@@ -321,7 +323,10 @@
 	event_del(x->conn->deadline);
 	evhttp_connection_set_closecb(x->evcon, on_conn_close, x);
 	server->exchanges++;
-	if (wrong != NULL)
+	/* evhttp still reads what had arrived. */
+	if (x->conn->shut)
+		http_reply(x, 503, NULL, NULL);
+	else if (wrong != NULL)
 		refuse_headers(x, wrong);
 	else
 		server->serve(server->arg, x);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -556,6 +556,53 @@
 	finish();
 }
 
+/* REFUSED: a request was answered 503 and ran. */
+static void
+refused_requests_do_not_run(void)
+{
+	raw_t a, b;
+
+	start(1);
+	raw_open(&a);
+	bufferevent_write(a.bev, GET "\r\n", strlen(GET "\r\n"));
+	ck_assert(wait_answers(&a, 1));
+	raw_open(&b);
+	bufferevent_write(b.bev, GET "\r\n", strlen(GET "\r\n"));
+	ck_assert(wait_closed(&b));
+	run_loop(SETTLE_MS);
+	ck_assert(strstr(b.in->str, "<too-many-connections>") != NULL);
+	ck_assert_str_eq(served->str, "1 /a 0;");
+	ck_assert_uint_eq(http_server_exchanges(server), 0);
+	raw_close(&a);
+	raw_close(&b);
+	finish();
+}
+
+/* LOST: a stopping host passed a request on whose connection it had closed. */
+static void
+requests_on_closed_connections_do_not_run(void)
+{
+	raw_t raw;
+
+	start(10);
+	raw_open(&raw);
+	bufferevent_write(raw.bev, GET "\r\n", strlen(GET "\r\n"));
+	ck_assert(wait_answers(&raw, 1));
+	/* The bytes arrive before the server reads its sockets again. */
+	ck_assert_int_gt(
+	    send(bufferevent_getfd(raw.bev), GET "\r\n", strlen(GET "\r\n"), 0),
+	    0);
+	http_server_drain(server);
+	ck_assert(wait_closed(&raw));
+	run_loop(SETTLE_MS);
+	if (strcmp(served->str, "1 /a 0;1 /a 0;") == 0)
+		ck_assert_msg(
+		    strstr(strstr(raw.in->str, "</a>") + 1, "</a>") != NULL,
+		    "served without an answer: %s", raw.in->str);
+	raw_close(&raw);
+	finish();
+}
+
 #define HOLD "GET /hold HTTP/1.1\r\n\r\n"
 #define BEHIND "GET /b HTTP/1.1\r\n\r\n"
 
@@ -654,9 +701,12 @@
 	    {"memory for bodies is bounded", memory_for_bodies_is_bounded},
 	    {"memory for bodies is shared", memory_for_bodies_is_shared},
 	    {"connections are bounded", connections_are_bounded},
+	    {"requests on closed connections do not run",
+		requests_on_closed_connections_do_not_run},
 	    {"hang-up is seen while a request runs",
 		hang_up_is_seen_while_a_request_runs},
 	    {"hang-ups at once are all seen", hang_ups_at_once_are_all_seen},
+	    {"refused requests do not run", refused_requests_do_not_run},
 	};
 
 	signal(SIGPIPE, SIG_IGN);
