LOST: a drain reads what has arrived before it closes a connection

Cause: the drain takes a connection without a request for idle; bytes that wait in its socket were not looked at.

Evidence: test_http, "arrived requests are answered by a drain", before: served is "1 /a 0;", the second request got no answer.

A request that crosses the close by less than the time between two system calls can still be refused by a reset; it is not passed on.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -1,3 +1,4 @@
+#include <sys/ioctl.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 
@@ -235,6 +236,16 @@
 	    evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0;
 }
 
+/* A request that has arrived, at least in part, is read first. */
+static gboolean
+has_unread(const conn_t *conn)
+{
+	int bytes = 0;
+
+	return ioctl(bufferevent_getfd(conn->bev), FIONREAD, &bytes) == 0 &&
+	    bytes > 0;
+}
+
 static gboolean
 sweep_conn(gpointer key, gpointer value, gpointer arg)
 {
@@ -244,7 +255,8 @@
 	(void)key;
 	if (is_released_by_evhttp(conn))
 		return conn->x == NULL;
-	if (conn->refused || (server->draining && is_idle(conn)))
+	if (conn->refused ||
+	    (server->draining && is_idle(conn) && !has_unread(conn)))
 		shut_down(conn);
 	return FALSE;
 }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -578,9 +578,9 @@
 	finish();
 }
 
-/* LOST: a stopping host passed a request on whose connection it had closed. */
+/* LOST: a stopping host closed a connection whose request it had not read. */
 static void
-requests_on_closed_connections_do_not_run(void)
+arrived_requests_are_answered_by_a_drain(void)
 {
 	raw_t raw;
 
@@ -595,10 +595,9 @@
 	http_server_drain(server);
 	ck_assert(wait_closed(&raw));
 	run_loop(SETTLE_MS);
-	if (strcmp(served->str, "1 /a 0;1 /a 0;") == 0)
-		ck_assert_msg(
-		    strstr(strstr(raw.in->str, "</a>") + 1, "</a>") != NULL,
-		    "served without an answer: %s", raw.in->str);
+	ck_assert_str_eq(served->str, "1 /a 0;1 /a 0;");
+	ck_assert_msg(strstr(strstr(raw.in->str, "</a>") + 1, "</a>") != NULL,
+	    "served without an answer: %s", raw.in->str);
 	raw_close(&raw);
 	finish();
 }
@@ -701,8 +700,8 @@
 	    {"memory for bodies is bounded", memory_for_bodies_is_bounded},
 	    {"memory for bodies is shared", memory_for_bodies_is_shared},
 	    {"connections are bounded", connections_are_bounded},
-	    {"requests on closed connections do not run",
-		requests_on_closed_connections_do_not_run},
+	    {"arrived requests are answered by a drain",
+		arrived_requests_are_answered_by_a_drain},
 	    {"hang-up is seen while a request runs",
 		hang_up_is_seen_while_a_request_runs},
 	    {"hang-ups at once are all seen", hang_ups_at_once_are_all_seen},
