BUDGET: crashes of servers are counted by route, not by service

What callers saw: a request that crashes every server that runs it went on to crash servers of the other services of its route.

Cause: the fingerprint that counts crashes held the service, which the host itself chooses by weight on a route with several services.

Why it works: method, target, body, workspace and route are what the caller sends; whatever service a try goes to, the fingerprint is the same. Hosts that run the code before compute other fingerprints, so during an upgrade crashes are counted apart. Hosts that tests start no longer inherit the test's sockets: a port of a crashed server stayed open in them.

--- a/src/coordination/poison.c
+++ b/src/coordination/poison.c
@@ -44,12 +44,13 @@
 }
 
 void
-poison_fingerprint(const char *workspace, const char *service,
+poison_fingerprint(const char *workspace, const char *destination,
     const char *method, const char *target, const char *body,
     fingerprint_t *out)
 {
 	char *text = g_strdup_printf("%s\n%s\n%s\n%s\n%s",
-	    workspace != NULL ? workspace : "", service, method, target, body);
+	    workspace != NULL ? workspace : "", destination, method, target,
+	    body);
 	digest_t digest;
 
 	digest_of(text, strlen(text), &digest);
--- a/src/coordination/poison.h
+++ b/src/coordination/poison.h
@@ -49,7 +49,7 @@
 	POISON_COUNTED,	 /* suspects run among others */
 } poison_policy_t;
 
-/* Digest of workspace, service, method, target and the body's digest. */
+/* Digest of workspace, destination, method, target and the body's digest. */
 typedef struct {
 	uint8_t bytes[POISON_DIGEST_SIZE];
 } fingerprint_t;
@@ -181,13 +181,14 @@
 /**
  * poison_fingerprint() - Compute the fingerprint of a request.
  * @workspace: of the caller, or NULL
- * @service: requested service
+ * @destination: name of what callers ask for: a service, or a route that may
+ *	lead to several services
  * @method: of the request
  * @target: path and query
  * @body: hexadecimal digest of the body
  * @out: set
  */
-void poison_fingerprint(const char *workspace, const char *service,
+void poison_fingerprint(const char *workspace, const char *destination,
     const char *method, const char *target, const char *body,
     fingerprint_t *out);
 
--- a/src/gateway/relay_try.c
+++ b/src/gateway/relay_try.c
@@ -256,7 +256,7 @@
 	g_snprintf(
 	    text, sizeof(text), "%s %zu", hex, evbuffer_get_length(body));
 	poison_fingerprint(a->workspace != NULL ? a->workspace->name : NULL,
-	    a->service->name, http_method_name(evhttp_request_get_command(req)),
+	    a->route->name, http_method_name(evhttp_request_get_command(req)),
 	    evhttp_request_get_uri(req), text, &r->fingerprint);
 }
 
--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -2,6 +2,7 @@
 #include <sys/wait.h>
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <signal.h>
 #include <string.h>
 
@@ -157,27 +158,58 @@
 }
 
 static void
-start_server(gateway_world_t *g, int i)
+listen_on(gateway_world_t *g, int i)
 {
 	int port = g->world.port + PORT_SERVERS + i;
 	struct sockaddr_in at = loopback(port);
+
+	g->servers[i] = evconnlistener_new_bind(g->world.base, on_accept, g,
+	    LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, BACKLOG,
+	    (struct sockaddr *)&at, sizeof(at));
+	ck_assert_msg(
+	    g->servers[i] != NULL, "port %d: %s", port, g_strerror(errno));
+}
+
+static void
+start_server(gateway_world_t *g, int i)
+{
 	char *key = g_strdup_printf("i-%d", i);
 	char *row = g_strdup_printf(
 	    "{\"service\":\"service-0\",\"address\":\"127.0.0.1:%d\","
 	    "\"zone\":\"zone-%d\",\"version\":\"v1\",\"slots\":%d,"
 	    "\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":1,"
 	    "\"born\":1}",
-	    port, i % HOSTS, GATEWAY_WORLD_SLOTS);
+	    g->world.port + PORT_SERVERS + i, i % HOSTS, GATEWAY_WORLD_SLOTS);
 
-	g->servers[i] = evconnlistener_new_bind(g->world.base, on_accept, g,
-	    LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, BACKLOG,
-	    (struct sockaddr *)&at, sizeof(at));
-	ck_assert_msg(g->servers[i] != NULL, "no port %d", port);
+	listen_on(g, i);
 	soak_store_put(&g->world.store, "servers", key, row);
 	g_free(row);
 	g_free(key);
 }
 
+void
+gateway_world_crash(gateway_world_t *g, int server)
+{
+	guint i;
+
+	if (g->servers[server] != NULL)
+		evconnlistener_free(g->servers[server]);
+	g->servers[server] = NULL;
+	for (i = 0; i < g->conns->len; i++) {
+		raw_conn_t *conn = g_ptr_array_index(g->conns, i);
+
+		if (conn->server == server && !conn->closed)
+			raw_reset(conn);
+	}
+}
+
+void
+gateway_world_restart(gateway_world_t *g, int server)
+{
+	if (g->servers[server] == NULL)
+		listen_on(g, server);
+}
+
 #define ROUTE(name, kind) \
 	"{\"name\":\"" name "\",\"host\":\"soak.example\"," \
 	"\"prefix\":\"/" name "/\",\"kind\":\"" kind "\"," \
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -56,6 +56,12 @@
 /** gateway_world_start() - Start a host (0 to HOSTS - 1), wait until ready. */
 void gateway_world_start(gateway_world_t *g, int host);
 
+/** gateway_world_crash() - End a server with all its connections. */
+void gateway_world_crash(gateway_world_t *g, int server);
+
+/** gateway_world_restart() - Let a server that crashed listen again. */
+void gateway_world_restart(gateway_world_t *g, int server);
+
 /** gateway_world_run() - Run the event loop for a time. */
 void gateway_world_run(gateway_world_t *g, msec_t ms);
 
--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -58,6 +58,7 @@
 		fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
+		closefrom(STDERR_FILENO + 1);
 		execl(w->program, w->program, "-c", settings, (char *)NULL);
 		_exit(127);
 	}
