CONFIG: orders are asked for again after connections to the store fell silent

What callers saw: keys that had been withdrawn stayed in force up to 8.3 s while the open connections to the store were silent and new ones worked (review).

Cause: the call for orders waits up to 21 s. That another call of the host had got no answer was not taken as a sign for it, and calls were repeated on idle connections, which were silent as well.

--- a/src/coordination/poll_schedule.c
+++ b/src/coordination/poll_schedule.c
@@ -38,6 +38,12 @@
 	return now - asked_at >= STUCK_MS;
 }
 
+gboolean
+poll_schedule_may_be_silent(msec_t asked_at, msec_t lost_at)
+{
+	return asked_at <= lost_at;
+}
+
 gboolean
 poll_schedule_must_list(msec_t lost_at, msec_t fresh_at, msec_t now)
 {
--- a/src/coordination/poll_schedule.h
+++ b/src/coordination/poll_schedule.h
@@ -44,6 +44,15 @@
  */
 gboolean poll_schedule_is_stuck(msec_t asked_at, msec_t now);
 
+/**
+ * poll_schedule_may_be_silent() - Whether to ask again, without having failed.
+ * @asked_at: start of a call that waits for changes
+ * @lost_at: when another call of this host got no answer
+ *
+ * Open connections may have fallen silent together, while new ones work.
+ */
+gboolean poll_schedule_may_be_silent(msec_t asked_at, msec_t lost_at);
+
 /**
  * poll_schedule_must_list() - Whether to read a table whole after failed calls.
  * @lost_at: when the first of them failed
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -87,7 +87,7 @@
 	gboolean first = t->failures++ == 0;
 
 	if (first)
-		t->lost_at = now;
+		t->lost_at = t->sync->lost_at = now;
 	log_event(first ? LOG_WARN : LOG_INFO,
 	    first ? "store.lost" : "store.call_failed", "table",
 	    table_defs[t->kind].name, "failures", log_num(t->failures),
@@ -319,8 +319,10 @@
 		t->call =
 		    table_store_read(&s->store, name, t->next_key, on_page, t);
 	} else {
+		/* After a failure, an answer is more urgent than a change. */
 		t->call = table_store_feed(&s->store, name, t->ver,
-		    table_defs[t->kind].wait_ms, on_page, t);
+		    t->failures > 0 ? 0 : table_defs[t->kind].wait_ms, on_page,
+		    t);
 	}
 }
 
@@ -345,6 +347,16 @@
 		start_call(t);
 }
 
+static gboolean
+is_to_repeat(const synced_table_t *t, msec_t now)
+{
+	if (t->call != NULL && !poll_schedule_is_stuck(t->own_call_at, now))
+		return FALSE;
+	return t->failures > 0 ||
+	    (t->call != NULL && !table_call_is_answering(t->call) &&
+		poll_schedule_may_be_silent(t->own_call_at, t->sync->lost_at));
+}
+
 void
 store_sync_retry_failed(store_sync_t *s)
 {
@@ -355,11 +367,8 @@
 	for (i = 0; i < SYNCED_TABLES; i++) {
 		synced_table_t *t = &s->tables[i];
 
-		if (t->failures == 0 ||
-		    (t->call != NULL &&
-			!poll_schedule_is_stuck(t->own_call_at, now)))
-			continue;
-		restart_call(t);
+		if (is_to_repeat(t, now))
+			restart_call(t);
 	}
 }
 
@@ -411,6 +420,7 @@
 	log_event(LOG_INFO, "store.feed_behind", "known",
 	    log_num((long long)s->view->orders_ver), "peer",
 	    log_num((long long)orders_ver), NULL);
+	table_store_reconnect(&s->store);
 	restart_call(t);
 }
 
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -66,6 +66,7 @@
 	synced_table_t tables[SYNCED_TABLES];
 	gboolean many_changes; /* the page being applied is logged as a whole */
 	gboolean store_back;   /* a call succeeded after calls had failed */
+	msec_t lost_at;	       /* when calls last began to fail; 0: never */
 	/* Until then, a removed entry may only have lapsed: its server could
 	 * not renew it while the store was unreachable. */
 	msec_t lapse_until;
@@ -95,7 +96,8 @@
  * store_sync_retry_failed() - Retry each table whose last call failed.
  * @s: the sync
  *
- * Call this when the network has recovered; the calls start at once.
+ * Call this when the network has recovered; the calls start at once. Calls that
+ * have waited for changes since before the failures are repeated, too.
  */
 void store_sync_retry_failed(store_sync_t *s);
 
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -679,6 +679,19 @@
 	call->handler = *handler;
 }
 
+void
+http_client_close_idle(http_client_t *client, const char *address)
+{
+	target_t *target = g_hash_table_lookup(client->targets, address);
+	guint i;
+
+	if (target == NULL)
+		return;
+	for (i = 0; i < target->idle->len; i++)
+		conn_free_later(g_ptr_array_index(target->idle, i));
+	g_ptr_array_set_size(target->idle, 0);
+}
+
 void
 http_client_limit(http_client_t *client, const char *address, unsigned int max)
 {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -131,6 +131,13 @@
  */
 void http_call_set_handler(http_call_t *call, const http_handler_t *handler);
 
+/**
+ * http_client_close_idle() - Close the idle connections to an address.
+ * @client: the client
+ * @address: "IP:PORT"
+ */
+void http_client_close_idle(http_client_t *client, const char *address);
+
 /**
  * http_client_limit() - Limit the connections to an address.
  * @client: the client
