FAULT: a host starts with a time for a stop that is no whole number

What callers saw: nothing answers on a deployment whose grace time is 6.0 or 6.5 s: each host refuses its settings and ends with status 2.

Cause: drain_sec was read as a whole number; the platform gives bounds as whole numbers or fractions.

Evidence: test_gateway_settings, before: "the time for a stop: 6.0"; now 6, 6.0, 6.5 and 0.5 are taken.

Why it works: it is read as the other bounds are, and kept in milliseconds. Looked at: the other settings that the platform fills in are decimals already.

--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -45,7 +45,7 @@
 static void
 read_host(gateway_settings_t *s, const ini_t *ini)
 {
-	gint64 drain_sec = DEFAULT_DRAIN_SEC;
+	double drain_sec = DEFAULT_DRAIN_SEC;
 	const ini_field_t fields[] = {
 	    {"id", INI_STRING, TRUE, 1, NAME_CHARS, &s->id},
 	    {"region", INI_STRING, TRUE, 1, NAME_CHARS, &s->region},
@@ -54,7 +54,7 @@
 	    {"lookups", INI_STRING, TRUE, 1, NAME_CHARS, &s->lookups},
 	    {"operators", INI_STRING, TRUE, 1, NAME_CHARS, &s->operators},
 	    {"peers", INI_STRING, TRUE, 1, NAME_CHARS, &s->peers},
-	    {"drain_sec", INI_NUMBER, FALSE, 1, 3600, &drain_sec},
+	    {"drain_sec", INI_DECIMAL, FALSE, 0.1, 3600, &drain_sec},
 	};
 
 	ini_group(ini, "host", fields, G_N_ELEMENTS(fields));
@@ -62,7 +62,7 @@
 	ini_address(ini, "host", "lookups", s->lookups);
 	ini_address(ini, "host", "operators", s->operators);
 	ini_address(ini, "host", "peers", s->peers);
-	s->drain_ms = drain_sec * MSEC_PER_SEC;
+	s->drain_ms = (msec_t)(drain_sec * MSEC_PER_SEC);
 }
 
 static void
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -74,6 +74,39 @@
 	}
 }
 
+/* FAULT: a host did not start where its time for a stop is no whole number. */
+static void
+test_drain_time(void)
+{
+	static const struct {
+		const char *text;
+		msec_t ms;
+	} rows[] = {
+	    {"6", 6000},
+	    {"6.0", 6000},
+	    {"6.5", 6500},
+	    {"0.5", 500},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+		char *text = g_strconcat(HOST "drain_sec = ", rows[i].text,
+		    "\n" STORE DOMAINS, NULL);
+		char *path = write_file(text);
+		gateway_settings_t s;
+
+		ck_assert_msg(gateway_settings_init(&s, path, errors), "%s",
+		    rows[i].text);
+		ck_assert_int_eq(s.drain_ms, rows[i].ms);
+		gateway_settings_finish(&s);
+		g_ptr_array_free(errors, TRUE);
+		unlink(path);
+		g_free(path);
+		g_free(text);
+	}
+}
+
 /* A reload under load changes bounds; an invalid text changes nothing. */
 static void
 test_reload(void)
@@ -103,6 +136,7 @@
 {
 	static const suite_case_t cases[] = {
 	    {"errors in settings", test_errors},
+	    {"the time for a stop", test_drain_time},
 	    {"settings are reloaded", test_reload},
 	};
 
