FAULT: memory held by answers and unsent replies is shown

A host that is killed for its memory leaves no line. /metrics now shows the bytes of answers that arrive (answer_bytes) and of replies that wait for their callers (reply_bytes), and counts the answers that failed as all together held too much (answers_given_up_total).

Evidence that it tells: 24 callers that don't read answers of 12 MB each, a host under sanitizers: reply_bytes.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -90,6 +90,24 @@
 	return n;
 }
 
+static void
+set_memory_metrics(gateway_t *g)
+{
+	const http_server_t *const servers[] = {
+	    g->caller_server, g->lookup_server, g->operator_server};
+	size_t i, unsent = 0;
+
+	for (i = 0; i < G_N_ELEMENTS(servers); i++)
+		unsent += http_server_unsent(servers[i]);
+	metrics_set(&g->metrics, g->answer_bytes,
+	    (int64_t)(http_client_held(g->server_client) +
+		http_client_held(g->store_client)));
+	metrics_set(&g->metrics, g->answers_given_up,
+	    (int64_t)(http_client_given_up(g->server_client) +
+		http_client_given_up(g->store_client)));
+	metrics_set(&g->metrics, g->reply_bytes, (int64_t)unsent);
+}
+
 static void
 serve_metrics(gateway_t *g, http_exchange_t *x)
 {
@@ -108,6 +126,7 @@
 	metrics_set(m, g->store_reads, (int64_t)store->reads);
 	metrics_set(m, g->store_writes, (int64_t)store->writes);
 	metrics_set(m, g->store_failures, (int64_t)store->failures);
+	set_memory_metrics(g);
 	status_sync_set_metrics(&g->status_sync);
 	text = metrics_render(m);
 	reply_text(x, 200, "text/plain", text);
@@ -326,6 +345,13 @@
 	    m, METRIC_GAUGE, "tokens_asked", "token requests sent to lenders");
 	g->tokens_unanswered = metrics_add(m, METRIC_GAUGE, "tokens_unanswered",
 	    "token requests without an answer in time");
+	g->answer_bytes = metrics_add(m, METRIC_GAUGE, "answer_bytes",
+	    "bytes of answers of servers and the store in memory");
+	g->answers_given_up =
+	    metrics_add(m, METRIC_COUNTER, "answers_given_up_total",
+		"answers that failed as all together held too much memory");
+	g->reply_bytes = metrics_add(m, METRIC_GAUGE, "reply_bytes",
+	    "bytes of replies that wait for their callers to read");
 	g->store_reads = metrics_add(
 	    m, METRIC_GAUGE, "store_reads", "read calls to the store");
 	g->store_writes = metrics_add(
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -70,6 +70,7 @@
 	GPtrArray *to_free;  /* conn_t, to be freed by the reaper */
 	GPtrArray *busy;     /* conn_t with a call */
 	size_t held;	     /* bytes of all answers that are in memory */
+	guint64 given_up;    /* answers that failed for their memory */
 	struct event *reaper;
 };
 
@@ -179,6 +180,18 @@
 	return client->busy->len;
 }
 
+size_t
+http_client_held(const http_client_t *client)
+{
+	return client->held;
+}
+
+guint64
+http_client_given_up(const http_client_t *client)
+{
+	return client->given_up;
+}
+
 static target_t *
 target_get(http_client_t *client, const char *address)
 {
@@ -278,6 +291,7 @@
 		if (largest == NULL || largest->held == 0)
 			return;
 		set_held(largest, 0);
+		client->given_up++;
 		fail_later(
 		    largest->call, "answers hold too much memory together");
 	}
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -78,6 +78,10 @@
 
 /* Number of calls for which on_done has not run yet. */
 unsigned int http_client_busy(const http_client_t *client);
+
+/* Bytes of answers in memory; answers that failed as there was too little. */
+size_t http_client_held(const http_client_t *client);
+guint64 http_client_given_up(const http_client_t *client);
 void http_client_free(http_client_t *client);
 
 /**
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -449,6 +449,22 @@
 	return server->exchanges;
 }
 
+size_t
+http_server_unsent(const http_server_t *server)
+{
+	const conn_t *conn;
+	GHashTableIter it;
+	gpointer value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, server->conns);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		conn = value;
+		n += evbuffer_get_length(bufferevent_get_output(conn->bev));
+	}
+	return n;
+}
+
 struct evhttp_request *
 http_exchange_request(const http_exchange_t *x)
 {
