FAULT: the release build passes again with gcc

The build of deploy/system.toml (Release, gcc) stopped, so that no host could start from it: src/base/log.c:151: error: '%03ld' directive output may be truncated writing between 3 and 14 bytes into a region of size 7 [-Werror=format-truncation=], since the log line is bounded. clang, with which the tests are built, has no such warning. The value is now bounded for the compiler, too. Built with gcc in Release and RelWithDebInfo.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -148,7 +148,7 @@
 	clock_gettime(CLOCK_REALTIME, &ts);
 	gmtime_r(&ts.tv_sec, &tm);
 	strftime(text, sizeof(text), "time=%Y-%m-%dT%H:%M:%S", &tm);
-	snprintf(ms, sizeof(ms), ".%03ldZ", ts.tv_nsec / 1000000);
+	snprintf(ms, sizeof(ms), ".%03ldZ", ts.tv_nsec / 1000000 % 1000);
 	put_text(text);
 	put_text(ms);
 }
