FAULT: the bounds on memory fit together into what a host may hold

The bounds of bodies, of answers of servers, of answers of the store and of replies, 64 MB each, were together as much as a host of the sites may hold (260 MB). Answers of servers and waiting replies now have 48 MB each by default (answer_memory_bytes, reply_memory_bytes in [limits]), answers of the store 16 MB (one is at most 4 MB); bodies keep 64 MB.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -12,6 +12,8 @@
 #define HEAD_MAX_BYTES 65536
 /* Time for a caller to send a whole request. */
 #define RECEIVE_TIMEOUT_MS 30000
+/* Memory of answers of the store while they arrive. */
+#define STORE_MEMORY_BYTES (16 * 1024 * 1024)
 #define ADMIN_MAX_CONNECTIONS 200
 #define ADMIN_MAX_BODY_BYTES 4096
 /* Of bodies and of replies, each, of look-ups or of operators' requests. */
@@ -98,9 +100,10 @@
 	const http_server_t *const servers[] = {
 	    g->caller_server, g->lookup_server, g->operator_server};
 	guint64 given_up = 0;
-	size_t i, unsent = 0;
+	size_t i, bodies = 0, unsent = 0;
 
 	for (i = 0; i < G_N_ELEMENTS(servers); i++) {
+		bodies += http_server_bodies(servers[i]);
 		unsent += http_server_unsent(servers[i]);
 		given_up += http_server_given_up(servers[i]);
 	}
@@ -110,6 +113,7 @@
 	metrics_set(&g->metrics, g->answers_given_up,
 	    (int64_t)(http_client_given_up(g->server_client) +
 		http_client_given_up(g->store_client)));
+	metrics_set(&g->metrics, g->body_bytes, (int64_t)bodies);
 	metrics_set(&g->metrics, g->reply_bytes, (int64_t)unsent);
 	metrics_set(&g->metrics, g->replies_given_up, (int64_t)given_up);
 }
@@ -354,6 +358,8 @@
 	    m, METRIC_GAUGE, "tokens_asked", "token requests sent to lenders");
 	g->tokens_unanswered = metrics_add(m, METRIC_GAUGE, "tokens_unanswered",
 	    "token requests without an answer in time");
+	g->body_bytes = metrics_add(m, METRIC_GAUGE, "body_bytes",
+	    "bytes of requests that arrive or are answered");
 	g->answer_bytes = metrics_add(m, METRIC_GAUGE, "answer_bytes",
 	    "bytes of answers of servers and the store in memory");
 	g->answers_given_up =
@@ -388,6 +394,9 @@
 	register_metrics(g);
 	g->server_client = http_client_new(g->base, MAX_IDLE_CONNECTIONS);
 	g->store_client = http_client_new(g->base, MAX_IDLE_CONNECTIONS);
+	http_client_limit_memory(
+	    g->server_client, (size_t)settings->answer_memory_bytes);
+	http_client_limit_memory(g->store_client, STORE_MEMORY_BYTES);
 	view_init(&g->view, settings);
 	store_sync_init(&g->store_sync, &g->view, g->base, g->store_client);
 	suspects_init(
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -19,7 +19,9 @@
 #define DEFAULT_COLD_OVERAGE 1.0
 #define DEFAULT_MAX_CONNECTIONS 3000
 #define DEFAULT_BODY_MEMORY (64 * 1024 * 1024)
-#define DEFAULT_REPLY_MEMORY (64 * 1024 * 1024)
+/* With the bodies, they fit into 260 MB: tests/test_gateway_memory.c. */
+#define DEFAULT_ANSWER_MEMORY (48 * 1024 * 1024)
+#define DEFAULT_REPLY_MEMORY (48 * 1024 * 1024)
 #define DEFAULT_LOG_LINES 200
 
 /* Part of the tolerance of workspaces' rates that is lent. The rest covers
@@ -140,6 +142,8 @@
 	    {"max_connections", INI_NUMBER, FALSE, 1, 1e6, &s->max_connections},
 	    {"body_memory_bytes", INI_NUMBER, FALSE, 1e5, 1e11,
 		&s->body_memory_bytes},
+	    {"answer_memory_bytes", INI_NUMBER, FALSE, 1e5, 1e11,
+		&s->answer_memory_bytes},
 	    {"reply_memory_bytes", INI_NUMBER, FALSE, 1e5, 1e11,
 		&s->reply_memory_bytes},
 	    {"link_mbps", INI_DECIMAL, FALSE, 0.1, 1e6, &s->link_mbps},
@@ -180,6 +184,7 @@
 	s->log_lines = DEFAULT_LOG_LINES;
 	s->max_connections = DEFAULT_MAX_CONNECTIONS;
 	s->body_memory_bytes = DEFAULT_BODY_MEMORY;
+	s->answer_memory_bytes = DEFAULT_ANSWER_MEMORY;
 	s->reply_memory_bytes = DEFAULT_REPLY_MEMORY;
 	s->link_mbps = DEFAULT_LINK_MBPS;
 	s->cpu_share = DEFAULT_CPU_SHARE;
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -70,6 +70,7 @@
 	GPtrArray *to_free;  /* conn_t, to be freed by the reaper */
 	GPtrArray *busy;     /* conn_t with a call */
 	size_t held;	     /* bytes of all answers that are in memory */
+	size_t limit;	     /* of held */
 	guint64 given_up;    /* answers that failed for their memory */
 	struct event *reaper;
 };
@@ -137,6 +138,7 @@
 
 	client->base = base;
 	client->max_idle = max_idle;
+	client->limit = HTTP_ANSWER_MEMORY_BYTES;
 	client->targets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_free);
 	client->to_free = g_ptr_array_new();
@@ -180,6 +182,12 @@
 	return client->busy->len;
 }
 
+void
+http_client_limit_memory(http_client_t *client, size_t bytes)
+{
+	client->limit = bytes;
+}
+
 size_t
 http_client_held(const http_client_t *client)
 {
@@ -281,7 +289,7 @@
 	conn_t *conn, *largest;
 	guint i;
 
-	while (client->held > HTTP_ANSWER_MEMORY_BYTES) {
+	while (client->held > client->limit) {
 		largest = NULL;
 		for (i = 0; i < client->busy->len; i++) {
 			conn = g_ptr_array_index(client->busy, i);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -17,8 +17,8 @@
  * HTTP_BROKEN.
  */
 
-/* Memory of the answers of a client that are not yet passed on. Over it, the
- * calls whose answers hold most fail. */
+/* Memory of the answers of a client that are not yet passed on, unless another
+ * limit is set. Over it, the calls whose answers hold most fail. */
 #define HTTP_ANSWER_MEMORY_BYTES (64 * 1024 * 1024)
 
 typedef struct http_client http_client_t;
@@ -79,6 +79,13 @@
 /* Number of calls for which on_done has not run yet. */
 unsigned int http_client_busy(const http_client_t *client);
 
+/**
+ * http_client_limit_memory() - Limit the memory of answers.
+ * @client: the client
+ * @bytes: of all answers together that are not yet passed on
+ */
+void http_client_limit_memory(http_client_t *client, size_t bytes);
+
 /* Bytes of answers in memory; answers that failed as there was too little. */
 size_t http_client_held(const http_client_t *client);
 guint64 http_client_given_up(const http_client_t *client);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -538,6 +538,12 @@
 	return server->exchanges;
 }
 
+size_t
+http_server_bodies(const http_server_t *server)
+{
+	return server->bodies.held;
+}
+
 size_t
 http_server_unsent(const http_server_t *server)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -80,6 +80,9 @@
 unsigned int http_server_connections(const http_server_t *server);
 unsigned int http_server_exchanges(const http_server_t *server);
 
+/** http_server_bodies() - Bytes of requests that are received or answered. */
+size_t http_server_bodies(const http_server_t *server);
+
 /** http_server_unsent() - Bytes of replies that wait for their callers. */
 size_t http_server_unsent(const http_server_t *server);
 
--- a/tests/test_gateway_memory.c
+++ b/tests/test_gateway_memory.c
@@ -9,13 +9,31 @@
 #define PORT 24700
 #define SERVERS 4
 #define ANSWER_BYTES (12 * 1024 * 1024)
-#define REPLY_BOUND (64 * 1024 * 1024)
+#define REPLY_BOUND (48 * 1024 * 1024)
 #define IDLERS 24     /* callers that don't read */
-#define IDLERS_KEPT 5 /* of 24, whose replies fit within the bound */
-#define AT_ONCE 4     /* their answers fit into the memory for arriving ones */
+#define IDLERS_KEPT 3 /* of 24, whose replies fit within the bound */
+#define AT_ONCE 3     /* their answers fit into the memory for arriving ones */
 #define READERS 20
+/* Answers and bodies that stop half way, and fill their memory. */
+#define HALF_BYTES (8 * 1024 * 1024)
+#define HALVES 5
+#define BODIES 27
+#define BODY_BYTES (2 * 1024 * 1024)
+#define BODIES_HELD 50000000
+#define ANSWERS_HELD 40000000
+#define REPLIES_HELD 28000000
+/* A host of the sites is killed over 260 MB. */
+#define PEAK_KB (200 * 1024)
 #define BOUND_MS 20000
 
+#if defined(__SANITIZE_ADDRESS__)
+#define SANITIZED 1
+#elif defined(__has_feature)
+#define SANITIZED __has_feature(address_sanitizer)
+#else
+#define SANITIZED 0
+#endif
+
 static gateway_world_t g;
 static char *filler;
 
@@ -25,7 +43,7 @@
 {
 	char *head;
 
-	if (!g_str_has_prefix(id, "large")) {
+	if (!g_str_has_prefix(id, "large") && !g_str_has_prefix(id, "half")) {
 		raw_reply_whole(conn, id, request);
 		return;
 	}
@@ -35,10 +53,30 @@
 	    id, ANSWER_BYTES);
 	raw_send(conn, head);
 	evbuffer_add_reference(bufferevent_get_output(conn->bev), filler,
-	    ANSWER_BYTES, NULL, NULL);
+	    *id == 'h' ? HALF_BYTES : ANSWER_BYTES, NULL, NULL);
 	g_free(head);
 }
 
+/* Highest memory of the host's process, KB. With sanitizers it says nothing. */
+static long
+peak_kb(void)
+{
+	char path[64], line[128];
+	FILE *file;
+	long kb = -1;
+
+	g_snprintf(
+	    path, sizeof(path), "/proc/%d/status", (int)g.world.hosts[0].pid);
+	file = fopen(path, "r");
+	ck_assert(file != NULL);
+	while (fgets(line, sizeof(line), file) != NULL) {
+		if (g_str_has_prefix(line, "VmHWM:"))
+			kb = strtol(line + strlen("VmHWM:"), NULL, 10);
+	}
+	fclose(file);
+	return kb;
+}
+
 static gboolean
 has_closed(void *arg)
 {
@@ -164,12 +202,78 @@
 	g_free(filler);
 }
 
+static void
+start_bodies(void)
+{
+	raw_conn_t *conn;
+	int i;
+
+	for (i = 0; i < BODIES; i++) {
+		conn = raw_connect(&g, gateway_world_port(&g, 0, PORT_CALLERS));
+		raw_send(conn,
+		    "POST /post/x HTTP/1.1\r\nHost: soak.example\r\n"
+		    "X-Credential: " GATEWAY_WORLD_KEY "\r\n"
+		    "X-Request-Id: body\r\n"
+		    "Content-Length: 4000000\r\n\r\n");
+		evbuffer_add_reference(bufferevent_get_output(conn->bev),
+		    filler, BODY_BYTES, NULL, NULL);
+	}
+}
+
+static gboolean
+holds_halves(void *arg)
+{
+	(void)arg;
+	return metric("answer_bytes") >= ANSWERS_HELD;
+}
+
+static gboolean
+holds_bodies(void *arg)
+{
+	(void)arg;
+	return metric("body_bytes") >= BODIES_HELD;
+}
+
+/* FAULT: a host with all its memory in use was killed. */
+static void
+all_bounds_fit_together(void)
+{
+	raw_conn_t *idlers[IDLERS];
+	char id[32];
+	int i;
+
+	filler = g_malloc0(ANSWER_BYTES);
+	gateway_world_begin(&g, PORT, SERVERS, serve_large);
+	gateway_world_start(&g, 0);
+	start_bodies();
+	ck_assert_msg(gateway_world_wait(&g, holds_bodies, NULL, BOUND_MS),
+	    "bodies hold %lld bytes", metric("body_bytes"));
+	start_idlers(idlers, IDLERS);
+	for (i = 0; i < HALVES; i++) {
+		g_snprintf(id, sizeof(id), "half-%d", i);
+		raw_get(
+		    raw_connect(&g, gateway_world_port(&g, 0, PORT_CALLERS)),
+		    id);
+	}
+	ck_assert_msg(gateway_world_wait(&g, holds_halves, NULL, BOUND_MS),
+	    "answers hold %lld bytes", metric("answer_bytes"));
+	ck_assert_msg(metric("reply_bytes") >= REPLIES_HELD,
+	    "replies hold %lld bytes", metric("reply_bytes"));
+	ck_assert_msg(holds_bodies(NULL), "the bodies are gone");
+	ck_assert_msg(gateway_world_wait_end(&g, 0, 0) == -1, "the host ended");
+	if (!SANITIZED)
+		ck_assert_msg(peak_kb() < PEAK_KB, "peak %ld KB", peak_kb());
+	gateway_world_end(&g);
+	g_free(filler);
+}
+
 int
 main(void)
 {
 	static const suite_case_t cases[] = {
 	    {"replies that are not read are bounded",
 		replies_not_read_are_bounded},
+	    {"all bounds fit together", all_bounds_fit_together},
 	};
 
 	return suite_run("gateway memory", cases, G_N_ELEMENTS(cases));
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -60,6 +60,8 @@
 		"retry_ratio"},
 	    {HOST STORE DOMAINS "[limits]\nmax_connections = 0\n",
 		"max_connections"},
+	    {HOST STORE DOMAINS "[limits]\nanswer_memory_bytes = 1\n",
+		"answer_memory_bytes"},
 	    {HOST STORE DOMAINS "[limits]\nreply_memory_bytes = 1\n",
 		"reply_memory_bytes"},
 	};
