--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -12,8 +12,12 @@
 #define HEAD_MAX_BYTES 65536
 /* Time for a caller to send a whole request. */
 #define RECEIVE_TIMEOUT_MS 30000
+/* Memory of answers of the store while they arrive. */
+#define STORE_MEMORY_BYTES (16 * 1024 * 1024)
 #define ADMIN_MAX_CONNECTIONS 200
 #define ADMIN_MAX_BODY_BYTES 4096
+/* Of bodies and of replies, each, of look-ups or of operators' requests. */
+#define ADMIN_MEMORY_BYTES (4 * 1024 * 1024)
 /* Callers that looked up this host before the stop began still connect for this
  * time. */
 #define LINGER_MS 3000
@@ -90,6 +94,30 @@
 	return n;
 }
 
+static void
+set_memory_metrics(gateway_t *g)
+{
+	const http_server_t *const servers[] = {
+	    g->caller_server, g->lookup_server, g->operator_server};
+	guint64 given_up = 0;
+	size_t i, bodies = 0, unsent = 0;
+
+	for (i = 0; i < G_N_ELEMENTS(servers); i++) {
+		bodies += http_server_bodies(servers[i]);
+		unsent += http_server_unsent(servers[i]);
+		given_up += http_server_given_up(servers[i]);
+	}
+	metrics_set(&g->metrics, g->answer_bytes,
+	    (int64_t)(http_client_held(g->server_client) +
+		http_client_held(g->store_client)));
+	metrics_set(&g->metrics, g->answers_given_up,
+	    (int64_t)(http_client_given_up(g->server_client) +
+		http_client_given_up(g->store_client)));
+	metrics_set(&g->metrics, g->body_bytes, (int64_t)bodies);
+	metrics_set(&g->metrics, g->reply_bytes, (int64_t)unsent);
+	metrics_set(&g->metrics, g->replies_given_up, (int64_t)given_up);
+}
+
 static void
 serve_metrics(gateway_t *g, http_exchange_t *x)
 {
@@ -108,6 +136,7 @@
 	metrics_set(m, g->store_reads, (int64_t)store->reads);
 	metrics_set(m, g->store_writes, (int64_t)store->writes);
 	metrics_set(m, g->store_failures, (int64_t)store->failures);
+	set_memory_metrics(g);
 	status_sync_set_metrics(&g->status_sync);
 	text = metrics_render(m);
 	reply_text(x, 200, "text/plain", text);
@@ -200,7 +229,10 @@
 	    .max_head_bytes = HEAD_MAX_BYTES,
 	    .max_body_bytes =
 		callers ? (size_t)s->body_memory_bytes : ADMIN_MAX_BODY_BYTES,
-	    .body_memory_bytes = (size_t)s->body_memory_bytes,
+	    .body_memory_bytes =
+		callers ? (size_t)s->body_memory_bytes : ADMIN_MEMORY_BYTES,
+	    .reply_memory_bytes =
+		callers ? (size_t)s->reply_memory_bytes : ADMIN_MEMORY_BYTES,
 	    .max_connections = callers ? (unsigned int)s->max_connections
 				       : ADMIN_MAX_CONNECTIONS,
 	    .receive_ms = RECEIVE_TIMEOUT_MS,
@@ -326,6 +358,18 @@
 	    m, METRIC_GAUGE, "tokens_asked", "token requests sent to lenders");
 	g->tokens_unanswered = metrics_add(m, METRIC_GAUGE, "tokens_unanswered",
 	    "token requests without an answer in time");
+	g->body_bytes = metrics_add(m, METRIC_GAUGE, "body_bytes",
+	    "bytes of requests that arrive or are answered");
+	g->answer_bytes = metrics_add(m, METRIC_GAUGE, "answer_bytes",
+	    "bytes of answers of servers and the store in memory");
+	g->answers_given_up =
+	    metrics_add(m, METRIC_COUNTER, "answers_given_up_total",
+		"answers that failed as all together held too much memory");
+	g->reply_bytes = metrics_add(m, METRIC_GAUGE, "reply_bytes",
+	    "bytes of replies that wait for their callers to read");
+	g->replies_given_up =
+	    metrics_add(m, METRIC_COUNTER, "replies_given_up_total",
+		"replies that were reset as all together held too much memory");
 	g->store_reads = metrics_add(
 	    m, METRIC_GAUGE, "store_reads", "read calls to the store");
 	g->store_writes = metrics_add(
@@ -350,6 +394,9 @@
 	register_metrics(g);
 	g->server_client = http_client_new(g->base, MAX_IDLE_CONNECTIONS);
 	g->store_client = http_client_new(g->base, MAX_IDLE_CONNECTIONS);
+	http_client_limit_memory(
+	    g->server_client, (size_t)settings->answer_memory_bytes);
+	http_client_limit_memory(g->store_client, STORE_MEMORY_BYTES);
 	view_init(&g->view, settings);
 	store_sync_init(&g->store_sync, &g->view, g->base, g->store_client);
 	suspects_init(
