FAULT: signals in the start and after the loop do not end the process

Callers saw a host that ended by a signal: SIGHUP or SIGUSR1 right after a start, or a second SIGTERM, SIGHUP or SIGUSR1 while a stopping host cleaned up.

Cause: the handlers were installed by gateway_init() and host_init(), after the settings were read, and removed with the events of the loop; outside this time the signals had their default action. A host of src/host without TLS never handled SIGHUP.

Evidence: tests/test_gateway_stops.c on the code before: 'signals in the start: signal 1: wait status 1' and 'signals in series in a stop: wait status 1' (both SIGHUP). The other cases of the file (settings files that can't be used, stops beside a store that fails in ten ways) passed before and stay as tests.

Fix: base/start_signals is called first in main(): SIGHUP, SIGUSR1 and SIGPIPE are ignored, SIGTERM and SIGINT end the process with 0 while it starts. libevent puts these back when it removes its own handlers; then a late SIGTERM changes nothing, and the exit status is the one of the stop.

--- a/src/cmd/greengageloomd.c
+++ b/src/cmd/greengageloomd.c
@@ -6,6 +6,7 @@
 
 #include "base/fatal_signal.h"
 #include "base/log.h"
+#include "base/start_signals.h"
 #include "gateway/gateway.h"
 #include "host/host.h"
 #include "protocol/config_text.h"
@@ -162,11 +163,12 @@
 int
 main(int argc, char **argv)
 {
-	poptContext ctx =
-	    poptGetContext(NULL, argc, (const char **)argv, options, 0);
-	int rc = poptGetNextOpt(ctx);
-	int status;
+	poptContext ctx;
+	int rc, status;
 
+	start_signals_init();
+	ctx = poptGetContext(NULL, argc, (const char **)argv, options, 0);
+	rc = poptGetNextOpt(ctx);
 	if (sodium_init() < 0)
 		return 1;
 	if (rc < -1)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/start_signals.h"
 #include "gateway/gateway.h"
 #include "platform/wire_http.h"
 
@@ -345,7 +346,6 @@
 	g->settings = settings;
 	g->path = path;
 	g->settings_mtime = mtime_of(path);
-	signal(SIGPIPE, SIG_IGN);
 	g->base = event_base_new();
 	register_metrics(g);
 	g->server_client = http_client_new(g->base, MAX_IDLE_CONNECTIONS);
@@ -362,6 +362,7 @@
 	g->signals[3] = evsignal_new(g->base, SIGHUP, on_reload, g);
 	for (i = 0; i < G_N_ELEMENTS(g->signals); i++)
 		event_add(g->signals[i], NULL);
+	start_signals_handled();
 	g->settings_timer =
 	    event_new(g->base, -1, EV_PERSIST, on_settings_timer, g);
 	event_add(g->settings_timer, &poll);
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -5,6 +5,7 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "base/start_signals.h"
 #include "host/proxy.h"
 #include "host/control.h"
 #include "host/dump.h"
@@ -234,7 +235,7 @@
 	h->term = add_signal(h, SIGTERM, on_stop);
 	h->interrupt = add_signal(h, SIGINT, on_stop);
 	h->dump_signal = add_signal(h, SIGUSR1, on_dump);
-	signal(SIGPIPE, SIG_IGN);
+	start_signals_handled();
 	return host_open_ports(h, err);
 }
 
--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -32,9 +32,10 @@
 }
 
 static void
-read_all(raw_conn_t *conn)
+read_all(struct bufferevent *bev, void *arg)
 {
-	struct evbuffer *in = bufferevent_get_input(conn->bev);
+	raw_conn_t *conn = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
 	size_t len = evbuffer_get_length(in);
 
 	g_string_append_len(
@@ -42,13 +43,6 @@
 	evbuffer_drain(in, len);
 }
 
-static void
-on_answer(struct bufferevent *bev, void *arg)
-{
-	(void)bev;
-	read_all(arg);
-}
-
 /* Value of a header of the message at the start of @text, or NULL. */
 static char *
 header(const char *text, const char *name)
@@ -90,8 +84,7 @@
 	size_t len;
 	char *id, *request;
 
-	(void)bev;
-	read_all(conn);
+	read_all(bev, conn);
 	while ((len = request_length(conn->in)) > 0) {
 		request = g_strndup(conn->in->str, len);
 		id = header(request, "X-Request-Id");
@@ -113,7 +106,7 @@
 	    bufferevent_socket_new(g->world.base, fd, BEV_OPT_CLOSE_ON_FREE);
 	conn->in = g_string_new(NULL);
 	conn->server = server;
-	bufferevent_setcb(conn->bev, server >= 0 ? on_request : on_answer, NULL,
+	bufferevent_setcb(conn->bev, server >= 0 ? on_request : read_all, NULL,
 	    on_event, conn);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 	g_ptr_array_add(g->conns, conn);
@@ -260,11 +253,17 @@
 
 void
 gateway_world_start(gateway_world_t *g, int host)
+{
+	soak_host_start(&g->world, host);
+	gateway_world_wait_ready(g, host);
+}
+
+void
+gateway_world_wait_ready(gateway_world_t *g, int host)
 {
 	msec_t until = clock_now() + SETTLED_MS;
 	raw_conn_t *conn;
 
-	soak_host_start(&g->world, host);
 	do {
 		ck_assert_msg(
 		    clock_now() < until, "host %d is not ready", host);
@@ -312,6 +311,19 @@
 	return -1;
 }
 
+gboolean
+gateway_world_logs(const gateway_world_t *g, int host, const char *text)
+{
+	char *path = g_strdup_printf("%s/host-%d.log", g->world.dir, host);
+	char *log = NULL;
+	gboolean found = g_file_get_contents(path, &log, NULL, NULL) &&
+	    strstr(log, text) != NULL;
+
+	g_free(log);
+	g_free(path);
+	return found;
+}
+
 int
 gateway_world_port(const gateway_world_t *g, int host, int which)
 {
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -56,6 +56,9 @@
 /** gateway_world_start() - Start a host (0 to HOSTS - 1), wait until ready. */
 void gateway_world_start(gateway_world_t *g, int host);
 
+/** gateway_world_wait_ready() - Wait until a started host serves. */
+void gateway_world_wait_ready(gateway_world_t *g, int host);
+
 /** gateway_world_run() - Run the event loop for a time. */
 void gateway_world_run(gateway_world_t *g, msec_t ms);
 
@@ -74,6 +77,10 @@
  */
 int gateway_world_wait_end(gateway_world_t *g, int host, msec_t ms);
 
+/** gateway_world_logs() - Whether a host has logged a text. */
+gboolean gateway_world_logs(
+    const gateway_world_t *g, int host, const char *text);
+
 /** gateway_world_port() - A port of a host: PORT_CALLERS or another one. */
 int gateway_world_port(const gateway_world_t *g, int host, int which);
 
