FAULT: a start waits for ports that the process before it still holds

Callers saw a host that did not start when its predecessor still stopped: host.start.failed at once, exit status 1.

Cause: the ports were bound once, while a host that stops keeps its ports of look-ups, operators and peers until it ends.

Fix: ports_wait() tries all ports of the host every 50 ms, for drain_sec and 2 s, before anything of the host exists: a host that waits writes no row and answers nobody. It logs host.start.waits once, and fails with a clear error. SIGTERM and SIGINT end the wait with 0, without blocked signals. It binds and closes, so of two processes that wait for the same ports one may still fail at once.

--- a/src/cmd/greengageloomd.c
+++ b/src/cmd/greengageloomd.c
@@ -10,6 +10,7 @@
 #include "gateway/gateway.h"
 #include "host/host.h"
 #include "protocol/config_text.h"
+#include "transport/ports_wait.h"
 
 #define EXIT_USAGE 2
 
@@ -58,23 +59,35 @@
 	return ok;
 }
 
+static void
+report_failure(GError *err)
+{
+	log_event(LOG_ERROR, "host.start.failed", "error", err->message, NULL);
+	g_error_free(err);
+}
+
 static int
 run(settings_t *s)
 {
+	const port_t ports[] = {
+	    {s->callers, FALSE},
+	    {s->rpc, FALSE},
+	    {s->operators, FALSE},
+	};
 	GError *err = NULL;
 	host_t host;
-	int status;
+	int status = 1;
 
 	log_open(stderr, s->log_level);
 	fatal_signal_report(STDERR_FILENO);
-	if (!host_init(&host, s, &err)) {
-		log_event(LOG_ERROR, "host.start.failed", "error", err->message,
-		    NULL);
-		g_error_free(err);
-		host_finish(&host);
-		return 1;
+	if (!ports_wait(ports, G_N_ELEMENTS(ports), s->drain_ms, &err)) {
+		report_failure(err);
+		return status;
 	}
-	status = host_run(&host);
+	if (host_init(&host, s, &err))
+		status = host_run(&host);
+	else
+		report_failure(err);
 	host_finish(&host);
 	return status;
 }
@@ -82,6 +95,12 @@
 static int
 run_gateway(gateway_settings_t *s)
 {
+	const port_t ports[] = {
+	    {s->callers, FALSE},
+	    {s->lookups, FALSE},
+	    {s->operators, FALSE},
+	    {s->peers, TRUE},
+	};
 	GError *err = NULL;
 	gateway_t g;
 	int status = 1;
@@ -89,13 +108,14 @@
 	log_open(stdout, s->log_level);
 	fatal_signal_report(STDOUT_FILENO);
 	log_set_rate_limit((unsigned int)s->log_lines);
-	if (gateway_init(&g, s, config_path, &err)) {
-		status = gateway_run(&g);
-	} else {
-		log_event(LOG_ERROR, "host.start.failed", "error", err->message,
-		    NULL);
-		g_error_free(err);
+	if (!ports_wait(ports, G_N_ELEMENTS(ports), s->drain_ms, &err)) {
+		report_failure(err);
+		return status;
 	}
+	if (gateway_init(&g, s, config_path, &err))
+		status = gateway_run(&g);
+	else
+		report_failure(err);
 	gateway_finish(&g);
 	return status;
 }
