LOST: a request whose server is silent ends at its deadline (src/host)

What callers saw: on a host of src/host a request to a backend server that did not answer was never answered, neither at the service's timeout nor later; its connection stayed open and its place in the host's tables stayed taken.

Cause: the timer of a call is set in libevent's time, which is that of the begin of the loop's turn and of a coarse clock; it fires some milliseconds early by the clock that decides. The attempt ignored the report (its deadline had not passed), and nothing was left that could wake the request. The gateway has a timer of its own that is set again; src/host has none.

--- a/src/host/proxy_send.c
+++ b/src/host/proxy_send.c
@@ -241,6 +241,9 @@
 		break;
 	case HTTP_TIMED_OUT:
 		proxy_release_endpoint(pr, OUTCOME_TIMEOUT);
+		/* The try had all the time that was left. Its timer may fire
+		 * early by the clock that decides. */
+		pr->attempt.deadline = MIN(pr->attempt.deadline, clock_now());
 		proxy_attempt_event(pr, ATTEMPT_TIMED_OUT);
 		break;
 	case HTTP_ANSWERED: /* an answer without a head can't be used */
--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -161,6 +161,17 @@
 {
 	int port = g->world.port + PORT_SERVERS + i;
 	struct sockaddr_in at = loopback(port);
+
+	g->servers[i] = evconnlistener_new_bind(g->world.base, on_accept, g,
+	    LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, BACKLOG,
+	    (struct sockaddr *)&at, sizeof(at));
+	ck_assert_msg(g->servers[i] != NULL, "no port %d", port);
+}
+
+static void
+list_server(gateway_world_t *g, int i)
+{
+	int port = g->world.port + PORT_SERVERS + i;
 	char *key = g_strdup_printf("i-%d", i);
 	char *row = g_strdup_printf(
 	    "{\"service\":\"service-0\",\"address\":\"127.0.0.1:%d\","
@@ -169,10 +180,6 @@
 	    "\"born\":1}",
 	    port, i % HOSTS, GATEWAY_WORLD_SLOTS);
 
-	g->servers[i] = evconnlistener_new_bind(g->world.base, on_accept, g,
-	    LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, BACKLOG,
-	    (struct sockaddr *)&at, sizeof(at));
-	ck_assert_msg(g->servers[i] != NULL, "no port %d", port);
 	soak_store_put(&g->world.store, "servers", key, row);
 	g_free(row);
 	g_free(key);
@@ -197,7 +204,7 @@
 				  "\"burst\":0}]}";
 
 void
-gateway_world_begin(gateway_world_t *g, int port, int nservers,
+gateway_world_begin_raw(gateway_world_t *g, int port, int nservers,
     void (*serve)(raw_conn_t *conn, const char *id, const char *request))
 {
 	GError *err = NULL;
@@ -212,10 +219,21 @@
 	g->world.program = HOST_PROGRAM;
 	g->world.dir = g_dir_make_tmp("gateway-XXXXXX", &err);
 	ck_assert(err == NULL);
+	for (i = 0; i < nservers; i++)
+		start_server(g, i);
+}
+
+void
+gateway_world_begin(gateway_world_t *g, int port, int nservers,
+    void (*serve)(raw_conn_t *conn, const char *id, const char *request))
+{
+	int i;
+
+	gateway_world_begin_raw(g, port, nservers, serve);
 	soak_store_init(&g->world.store, &g->world);
 	soak_store_put(&g->world.store, "op", "config", manifest);
 	for (i = 0; i < nservers; i++)
-		start_server(g, i);
+		list_server(g, i);
 }
 
 static void
@@ -246,7 +264,8 @@
 		if (g->servers[i] != NULL)
 			evconnlistener_free(g->servers[i]);
 	}
-	soak_store_finish(&g->world.store);
+	if (g->world.store.tables != NULL)
+		soak_store_finish(&g->world.store);
 	event_base_free(g->world.base);
 	remove_folder(g->world.dir);
 	g_free((char *)g->world.dir);
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -50,6 +50,15 @@
 void gateway_world_begin(gateway_world_t *g, int port, int nservers,
     void (*serve)(raw_conn_t *conn, const char *id, const char *request));
 
+/**
+ * gateway_world_begin_raw() - Start the servers only: no store, no rows.
+ *
+ * For hosts of another composition. The other arguments are those of
+ * gateway_world_begin().
+ */
+void gateway_world_begin_raw(gateway_world_t *g, int port, int nservers,
+    void (*serve)(raw_conn_t *conn, const char *id, const char *request));
+
 /** gateway_world_end() - Kill the hosts and free everything. */
 void gateway_world_end(gateway_world_t *g);
 
