LOST: a body without a length is read also beside a Connection header

Callers got an empty success in place of the body when a server answered with a Connection header other than "close", such as "keep-alive", and without a length. Cause: evhttp takes the body of such an answer for empty and reports it as whole at the end of its head; the framing says that it goes on to the close.

Such Connection headers are removed once the head has been read, so that evhttp reads up to the close; a connection whose answer ends with it is not kept. The header is of no use to others: it is hop-by-hop.

Found by fuzzing of answers. Before, the new row of test_http_client said "no length, connection kept: got answered[] answered[second]".

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -385,12 +385,13 @@
 }
 
 static gboolean
-wants_close(struct evhttp_request *req)
+wants_close(const http_call_t *call, struct evhttp_request *req)
 {
 	const char *value =
 	    evhttp_find_header(req->input_headers, "Connection");
 
-	return req->major < 1 || (req->major == 1 && req->minor < 1) ||
+	return call->framing.state == HTTP_FRAMING_UNTIL_CLOSE ||
+	    req->major < 1 || (req->major == 1 && req->minor < 1) ||
 	    (value != NULL && g_ascii_strcasecmp(value, "close") == 0);
 }
 
@@ -430,7 +431,7 @@
 	if (outcome == HTTP_ANSWERED) {
 		call->handler.on_done(call->handler.arg, outcome,
 		    req->response_code, req->input_headers, req->input_buffer);
-		if (wants_close(req) || call->no_reuse)
+		if (wants_close(call, req) || call->no_reuse)
 			conn_free_later(conn);
 		else
 			conn_release(conn);
@@ -442,6 +443,17 @@
 	call_free(call);
 }
 
+/* Without a length, evhttp reads up to the close only if the answer has no
+ * Connection header or a plain "close"; else it takes the body for empty. */
+static void
+read_until_close(const http_call_t *call, struct evhttp_request *req)
+{
+	if (call->framing.state != HTTP_FRAMING_UNTIL_CLOSE)
+		return;
+	while (evhttp_remove_header(req->input_headers, "Connection") == 0)
+		;
+}
+
 static int
 on_header(struct evhttp_request *req, void *arg)
 {
@@ -456,6 +468,7 @@
 		call->got_1xx = TRUE;
 		return -1;
 	}
+	read_until_close(call, req);
 	if (call->handler.on_head == NULL)
 		return 0;
 	call->in_head = TRUE;
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -67,6 +67,13 @@
     /* Without a length, truncation can't be detected: the body ends at EOF. */
     {"no length", "HTTP/1.1 200 OK\r\n\r\nfirst", NULL, TRUE,
 	"answered[first] answered[second] ", 2},
+    /* LOST: the body was taken for empty. */
+    {"no length, connection kept",
+	"HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nfirst", NULL, TRUE,
+	"answered[first] answered[second] ", 2},
+    {"no length, connection kept, reset",
+	"HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nfirst", NULL, RESETS,
+	"broken[] answered[second] ", 2},
     {"no length, reset", "HTTP/1.1 200 OK\r\n\r\nfirst", NULL, RESETS,
 	"broken[] answered[second] ", 2},
     {"closed without an answer", "", NULL, TRUE, "broken[] answered[second] ",
