LOST: all of the Connection headers of a message are read

A connection was used again although the answer on it said "close" in a list ("x, close") or in a second Connection header, so that the next request on it ended without an answer when the server closed; and a header that a caller listed in its second Connection header was passed on to a server. Cause: only the first header was read, and "close" only if it stood alone.

Found by fuzzing of answers (cases answer-close-in-a-list and answer-close-in-a-second-header: "a connection is used again that must close").

--- a/src/transport/http_check.c
+++ b/src/transport/http_check.c
@@ -123,23 +123,33 @@
 	return NULL;
 }
 
-/* Whether the Connection header lists this header as hop-by-hop. */
 static gboolean
-is_hop_by_hop(const char *connection, const char *name)
+lists(const char *value, const char *token)
 {
-	char **parts;
+	char **parts = g_strsplit(value, ",", -1);
 	gboolean found = FALSE;
 	size_t i;
 
-	if (connection == NULL)
-		return FALSE;
-	parts = g_strsplit(connection, ",", -1);
 	for (i = 0; parts[i] != NULL && !found; i++)
-		found = g_ascii_strcasecmp(g_strstrip(parts[i]), name) == 0;
+		found = g_ascii_strcasecmp(g_strstrip(parts[i]), token) == 0;
 	g_strfreev(parts);
 	return found;
 }
 
+gboolean
+http_connection_lists(const struct evkeyvalq *headers, const char *token)
+{
+	const struct evkeyval *h;
+
+	TAILQ_FOREACH(h, headers, next)
+	{
+		if (g_ascii_strcasecmp(h->key, "Connection") == 0 &&
+		    lists(h->value, token))
+			return TRUE;
+	}
+	return FALSE;
+}
+
 const char *
 http_method_name(enum evhttp_cmd_type method)
 {
@@ -167,14 +177,13 @@
 void
 http_copy_end_to_end(struct evkeyvalq *to, const struct evkeyvalq *from)
 {
-	const char *connection = evhttp_find_header(from, "Connection");
 	const struct evkeyval *h;
 
 	TAILQ_FOREACH(h, from, next)
 	{
 		if (is_in(h->key, not_forwarded, G_N_ELEMENTS(not_forwarded)))
 			continue;
-		if (is_hop_by_hop(connection, h->key))
+		if (http_connection_lists(from, h->key))
 			continue;
 		evhttp_add_header(to, h->key, h->value);
 	}
--- a/src/transport/http_check.h
+++ b/src/transport/http_check.h
@@ -37,6 +37,14 @@
 const char *http_check_body(
     enum evhttp_cmd_type method, const struct evkeyvalq *headers);
 
+/**
+ * http_connection_lists() - Whether a Connection header lists a token.
+ * @headers: of a message
+ * @token: an option, or the name of a hop-by-hop header; in any case of letters
+ */
+gboolean http_connection_lists(
+    const struct evkeyvalq *headers, const char *token);
+
 /**
  * http_method_name() - Name of an HTTP method.
  * @method: evhttp's constant
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 
+#include "transport/http_check.h"
 #include "transport/http_client.h"
 #include "transport/http_framing.h"
 
@@ -387,12 +388,9 @@
 static gboolean
 wants_close(const http_call_t *call, struct evhttp_request *req)
 {
-	const char *value =
-	    evhttp_find_header(req->input_headers, "Connection");
-
 	return call->framing.state == HTTP_FRAMING_UNTIL_CLOSE ||
 	    req->major < 1 || (req->major == 1 && req->minor < 1) ||
-	    (value != NULL && g_ascii_strcasecmp(value, "close") == 0);
+	    http_connection_lists(req->input_headers, "close");
 }
 
 static http_outcome_t
