--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -407,6 +407,14 @@
 	http_exchange_t *x = g_new0(http_exchange_t, 1);
 	const char *wrong = http_check_headers(req->input_headers);
 
+	if (req->major != 1) {
+		wrong = "unknown version of HTTP";
+		/* evhttp replies in the version of the request. */
+		req->major = 1;
+		req->minor = 1;
+	}
+	if (wrong == NULL)
+		wrong = http_check_target(evhttp_request_get_uri(req));
 	if (wrong == NULL)
 		wrong = http_check_body(
 		    evhttp_request_get_command(req), req->input_headers);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -263,6 +263,7 @@
 #define CHUNKED_NEXT \
 	"Transfer-Encoding: chunked\r\n\r\n23\r\n" NEXT "\r\n0\r\n\r\n"
 #define HEAD_REFUSED "400 closed"
+#define BAD_TARGET "400<the target holds blanks or control characters> closed"
 #define REFUSED "400<a header that may stand once is repeated> closed"
 
 /* Input; expected answers; requests that the handler gets. */
@@ -314,6 +315,9 @@
 	"200<held> 200</b> 200</c> ", "1 /hold 0;1 /b 0;1 /c 0;"},
     {"folded key", GET "Authorization:\r\n Bearer secret\r\n\r\n", "200</a> ",
 	"1 /a 0;"},
+    {"headers for one hop",
+	GET "Connection: x\r\nConnection: y, X-Hop\r\nX-Hop: secret\r\n\r\n",
+	"200</a> ", "1 /a 0;"},
     {"space before the colon", GET "Authorization : secret\r\n\r\n" NEXT,
 	"400<a header name is no token> closed", ""},
     {"key twice", GET "Authorization: a\r\naUTHORIZATION: b\r\n\r\n" NEXT,
@@ -325,6 +329,11 @@
 	"400<Content-Length is not a plain number> closed", ""},
     {"unknown coding", POST "Transfer-Encoding: xchunked\r\n\r\n" NEXT,
 	"400<unknown Transfer-Encoding> closed", ""},
+    {"unknown version", "GET /a HTTP/0.1\r\n\r\n" NEXT,
+	"400<unknown version of HTTP> closed", ""},
+    {"blank in the target", "GET /a b HTTP/1.1\r\n\r\n" NEXT, BAD_TARGET, ""},
+    {"carriage return in the target", "GET /a\rb HTTP/1.1\r\n\r\n" NEXT,
+	BAD_TARGET, ""},
     {"control character", GET "X-A: a\001b\r\n\r\n" NEXT,
 	"400<a header value holds control characters> closed", ""},
 };
