--- a/src/base/log.c
+++ b/src/base/log.c
@@ -142,7 +142,7 @@
 {
 	struct timespec ts;
 	struct tm tm;
-	char text[32], ms[8];
+	char text[32], ms[24];
 
 	line_len = 0;
 	clock_gettime(CLOCK_REALTIME, &ts);
