Tests: the soak plays what ended hosts

Seeds from 1000 on play, each of them most seeds: servers that write their own bytes (soak_bytes.c), callers that do and that leave in any state (soak_leavers.c), signals in series to some hosts at once (soak_series.c), writes of the store 1 to 6 s late, hosts under the sites' limit of descriptors, and a pause of the callers. Checked besides: peak memory of a release build, descriptors, processor time while callers send nothing (soak_watch.c), whole bodies of up to 4 MB, bytes that are no answer, and requests that end without an answer. Seeds below 1000 keep their draws.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,6 +9,9 @@
 #include "soak.h"
 
 #define STEP_MS 100
+/* Callers fall silent for this time in the middle of a long run. */
+#define QUIET_MS 6500
+#define QUIET_RUN_SEC 20
 /* After the last fault: time for the hosts to recover, then for the last
  * checks. */
 #define RECOVERY_MS 9000
@@ -17,7 +20,7 @@
 #define LATE_ANSWERED_SHARE_MIN 0.9
 
 static char *program, *dir;
-static int seed = 1, seconds = 30, first_port = 21000;
+static int seed = 1, seconds = 30, first_port = 21000, memory_mb;
 static double rate = 60;
 
 static const struct poptOption options[] = {
@@ -28,6 +31,8 @@
     {"seed", 0, POPT_ARG_INT, &seed, 0, "seed of the random choices", "N"},
     {"seconds", 0, POPT_ARG_INT, &seconds, 0, "duration of the faults", "N"},
     {"port", 0, POPT_ARG_INT, &first_port, 0, "first port", "N"},
+    {"memory", 0, POPT_ARG_INT, &memory_mb, 0,
+	"peak memory of a host that a release build may have", "MB"},
     {"rate", 0, POPT_ARG_DOUBLE, &rate, 0, "requests per second", "N"},
     POPT_AUTOHELP POPT_TABLEEND,
 };
@@ -198,8 +203,10 @@
 {
 	int i;
 
-	for (i = 0; i < w->nservers; i++)
+	for (i = 0; i < w->nservers; i++) {
 		soak_server_fault(&w->servers[i], SERVER_HEALTHY);
+		w->servers[i].shape = BYTES_SOUND;
+	}
 }
 
 /* Starts a server and removes another one, with or without a drain before. */
@@ -289,6 +296,23 @@
 	}
 }
 
+/* Shapes of answers, and writes of the store that happen late. */
+static void
+inject_further(world_t *w)
+{
+	int h = g_rand_int_range(w->further, 0, HOSTS);
+
+	if (w->plan.bytes && g_rand_int_range(w->further, 0, 6) == 0)
+		w->bytes[g_rand_int_range(w->further, 0, BYTES_SERVERS)]
+		    ->shape = (soak_shape_t)g_rand_int_range(
+		    w->further, BYTES_SOUND, BYTES_SHAPES);
+	if (!w->plan.late || g_rand_int_range(w->further, 0, 50) != 0)
+		return;
+	log_event(w, "store writes late");
+	w->store.fault[h] = STORE_LATE;
+	w->hosts[h].undisturbed_since = 0;
+}
+
 static void
 inject_fault(world_t *w)
 {
@@ -310,9 +334,14 @@
 	(void)what;
 	soak_hosts_watch(w);
 	recover_hosts(w);
+	soak_watch(w);
+	if (w->plan.series)
+		soak_series(w);
 	if (now > w->ends_at + END_MS) {
 		event_base_loopbreak(w->base);
 	} else if (now < w->stops_at && now > w->began_at + SETTLE_MS) {
+		if (w->seed >= SOAK_FIRST_FURTHER)
+			inject_further(w);
 		if (g_rand_int_range(w->rand, 0, 8) == 0)
 			inject_fault(w);
 		if (g_rand_int_range(w->rand, 0, 30) == 0)
@@ -336,6 +365,10 @@
 	       "unreached %u, hung up %u; answered at the end %u of %u\n",
 	    w->seed, w->sent, w->answered, w->refused, w->failed, w->cut,
 	    w->unreached, w->hung_up, w->late_answered, w->late_sent);
+	printf("seed %u: raw callers sent %u, success %u, closed %u; servers "
+	       "spoiled %u, without end %u, large %u; peak %ld KB\n",
+	    w->seed, w->raw_sent, w->raw_answered, w->raw_closed, w->spoiled,
+	    w->endless, w->large, w->peak_kb);
 	if (w->late_sent == 0 ||
 	    w->late_answered < LATE_ANSWERED_SHARE_MIN * w->late_sent)
 		soak_broken(
@@ -345,6 +378,32 @@
 	return w->broken == 0 ? 0 : 1;
 }
 
+static gboolean
+plays(world_t *w)
+{
+	return g_rand_int_range(w->further, 0, 4) != 0 &&
+	    w->seed >= SOAK_FIRST_FURTHER;
+}
+
+static void
+make_plan(world_t *w)
+{
+	w->plan = (soak_plan_t){.bytes = plays(w)};
+	w->plan.leavers = plays(w);
+	w->plan.late = plays(w);
+	w->plan.series = plays(w);
+	w->plan.limits = plays(w);
+	w->plan.pause = plays(w) && seconds >= QUIET_RUN_SEC;
+	printf("seed %u: bytes %d, leavers %d, late %d, series %d, limits %d, "
+	       "pause %d\n",
+	    w->seed, w->plan.bytes, w->plan.leavers, w->plan.late,
+	    w->plan.series, w->plan.limits, w->plan.pause);
+	if (!w->plan.pause)
+		return;
+	w->quiet_at = (w->began_at + w->stops_at) / 2;
+	w->quiet_until = w->quiet_at + QUIET_MS;
+}
+
 static int
 run(world_t *w)
 {
@@ -361,25 +420,37 @@
 	w->began_at = clock_now();
 	w->stops_at = w->began_at + SETTLE_MS + seconds * MSEC_PER_SEC;
 	w->ends_at = w->stops_at + RECOVERY_MS;
+	w->further = g_rand_new_with_seed(w->seed);
+	make_plan(w);
 	soak_store_init(&w->store, w);
+	w->store.late = w->further;
 	soak_config(w);
 	for (i = 0; i < SERVICES * 4; i++)
 		soak_server_start(w, i % SERVICES, i / SERVICES, "v1");
+	for (i = 0; w->plan.bytes && i < BYTES_SERVERS; i++) {
+		w->bytes[i] = &w->servers[w->nservers];
+		soak_server_start_bytes(w, i % SERVICES, i);
+	}
 	for (i = 0; i < HOSTS; i++)
 		soak_host_start(w, i);
 	soak_callers_init(w);
+	if (w->plan.leavers)
+		soak_leavers_init(w);
 	stepper = event_new(w->base, -1, EV_PERSIST, on_step, w);
 	event_add(stepper, &step);
 	event_base_dispatch(w->base);
 	status = report_result(w);
 	soak_hosts_finish(w);
 	event_free(stepper);
+	if (w->plan.leavers)
+		soak_leavers_finish(w);
 	soak_callers_finish(w);
 	soak_servers_finish(w);
 	soak_store_finish(&w->store);
 	g_array_free(w->quota_runs, TRUE);
 	g_hash_table_destroy(w->requests);
 	g_rand_free(w->rand);
+	g_rand_free(w->further);
 	event_base_free(w->base);
 	return status;
 }
@@ -405,6 +476,7 @@
 	w->seed = (uint32_t)seed;
 	w->port = first_port;
 	w->rate = rate;
+	w->memory_mb = memory_mb;
 	status = run(w);
 	g_free(w);
 	poptFreeContext(ctx);
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -1,5 +1,6 @@
 #include <sys/queue.h>
 
+#include <stdlib.h>
 #include <string.h>
 
 #include <event2/buffer.h>
@@ -37,20 +38,53 @@
 
 /* ---- checks of an answer ---- */
 
+/* Body of a server: "ID from i-SERVER", or "ID from i-SERVER, N bytes\nxxx"
+ * with N bytes in all. */
+static gboolean
+is_whole(const soak_request_t *r, const char *body, size_t len)
+{
+	char *start = g_strdup_printf("%s from i-", r->id);
+	size_t n = strlen(start), at;
+	gboolean ours = len >= n && memcmp(body, start, n) == 0;
+
+	g_free(start);
+	if (!ours)
+		return FALSE;
+	for (at = n;
+	     at < len && (g_ascii_isxdigit(body[at]) || body[at] == '-'); at++)
+		;
+	if (at == len)
+		return at > n;
+	if (strtoul(body + at + strlen(", "), NULL, 10) != len)
+		return FALSE;
+	for (n = len; n > at && body[n - 1] == 'x'; n--)
+		;
+	return body[n - 1] == '\n';
+}
+
+void
+soak_answer_check(world_t *w, const soak_request_t *r, const char *sign,
+    const char *body, size_t len)
+{
+	if (!is_whole(r, body, len) ||
+	    (!r->spoiled && g_strcmp0(sign, r->id) != 0))
+		soak_broken(w,
+		    "MIXED request %s got %zu bytes \"%.*s\", signature %s",
+		    r->id, len, (int)MIN(len, 200), body, sign);
+}
+
 static void
 check_good(world_t *w, const soak_request_t *r, const struct evkeyvalq *headers,
     struct evbuffer *body)
 {
 	size_t len = evbuffer_get_length(body);
-	char *text = g_strndup((char *)evbuffer_pullup(body, -1), len);
-	const char *sign = evhttp_find_header(headers, "X-Response-Signature");
-	char *want = g_strdup_printf("%s from i-", r->id);
+	char *text = g_malloc(len + 1);
 
-	if (g_strcmp0(sign, r->id) != 0 || !g_str_has_prefix(text, want))
-		soak_broken(w, "MIXED request %s got \"%s\", signature %s",
-		    r->id, text, sign);
+	evbuffer_copyout(body, text, len);
+	text[len] = '\0';
+	soak_answer_check(w, r,
+	    evhttp_find_header(headers, "X-Response-Signature"), text, len);
 	g_free(text);
-	g_free(want);
 }
 
 static void
@@ -88,6 +122,32 @@
 		    r->host);
 }
 
+void
+soak_cut_check(world_t *w, const soak_request_t *r)
+{
+	const soak_host_t *h = &w->hosts[r->host];
+	msec_t now = clock_now(), waited = now - r->sent_at;
+	/* The last sixth of a stop. */
+	gboolean ends = h->stopped_at != 0 &&
+	    now - h->stopped_at > DRAIN_SEC * MSEC_PER_SEC * 5 / 6;
+
+	if (r->sent_at > w->began_at + SETTLE_MS && h->calm_since != 0 &&
+	    h->calm_since < r->sent_at && !r->broke_off && !ends &&
+	    waited < ROUTE_MS - 200 && (r->runs > 0 || waited > READ_MS))
+		soak_broken(w,
+		    "LOST request %s (%u runs) ended without an answer at "
+		    "host %d after %lld ms",
+		    r->id, r->runs, r->host, (long long)waited);
+}
+
+gboolean
+soak_is_quiet(const world_t *w)
+{
+	msec_t now = clock_now();
+
+	return now > w->ends_at || (now >= w->quiet_at && now < w->quiet_until);
+}
+
 static void
 count(world_t *w, const soak_request_t *r)
 {
@@ -128,6 +188,7 @@
 			check_good(w, r, headers, body);
 	} else if (outcome == HTTP_BROKEN) {
 		check_cut(w, r);
+		soak_cut_check(w, r);
 	}
 	if (!r->crashes)
 		count(w, r);
@@ -290,7 +351,7 @@
 		looked_up_at = now;
 		look_up(w);
 	}
-	if (now > w->ends_at || w->addresses->len == 0)
+	if (soak_is_quiet(w) || w->addresses->len == 0)
 		return;
 	due = w->rate * (double)MIN(now - called_at, 100) / MSEC_PER_SEC;
 	called_at = now;
--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -1,4 +1,5 @@
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 
 #include <fcntl.h>
@@ -8,9 +9,9 @@
 
 #include "soak.h"
 
-#define DRAIN_SEC 6
 /* Extra time that a graceful stop may take on a busy machine. */
 #define DRAIN_SLACK_MS 1500
+#define SITE_FILES 4100
 
 const char *
 soak_region(int domain)
@@ -48,6 +49,7 @@
 {
 	soak_host_t *h = &w->hosts[host];
 	char *settings = write_settings(w, host);
+	const struct rlimit files = {SITE_FILES, SITE_FILES};
 	char *log = g_strdup_printf("%s/host-%d.log", w->dir, host);
 	pid_t pid = fork();
 	int fd;
@@ -55,6 +57,8 @@
 	if (pid == 0) {
 		/* A test that fails leaves no host behind. */
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		if (w->plan.limits)
+			setrlimit(RLIMIT_NOFILE, &files);
 		fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
@@ -64,7 +68,9 @@
 	h->pid = pid;
 	h->state = HOST_RUNS;
 	h->since = clock_now();
-	h->undisturbed_since = h->since;
+	h->undisturbed_since = h->calm_since = h->since;
+	h->stopped_at = h->quiet_since = 0;
+	h->killed = FALSE;
 	g_free(settings);
 	g_free(log);
 }
@@ -77,21 +83,25 @@
 	if (h->state == HOST_OFF)
 		return;
 	kill(h->pid, sig);
+	if (h->state == HOST_STOPS && sig != SIGKILL)
+		return;
 	h->since = clock_now();
 	switch (sig) {
 	case SIGTERM:
 		h->state = HOST_STOPS;
+		h->stopped_at = h->since;
 		break;
 	case SIGSTOP:
 		h->state = HOST_PAUSED;
-		h->undisturbed_since = 0;
+		h->undisturbed_since = h->calm_since = 0;
 		break;
 	case SIGCONT:
 		h->state = HOST_RUNS;
-		h->undisturbed_since = h->since;
+		h->undisturbed_since = h->calm_since = h->since;
 		break;
 	case SIGKILL:
-		h->undisturbed_since = 0;
+		h->killed = TRUE;
+		h->undisturbed_since = h->calm_since = 0;
 		break;
 	default:
 		break;
@@ -107,7 +117,7 @@
 	    (!WIFEXITED(status) || WEXITSTATUS(status) != 0))
 		soak_broken(w, "LOST host %d stopped with wait status %d", host,
 		    status);
-	if (h->state == HOST_RUNS && !killed)
+	if (h->state != HOST_STOPS && !killed)
 		soak_broken(w, "host %d exited by itself, wait status %d", host,
 		    status);
 	h->state = HOST_OFF;
@@ -127,13 +137,15 @@
 			continue;
 		if (waitpid(h->pid, &status, WNOHANG) == h->pid)
 			ended(w, host, status,
-			    WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL);
+			    h->killed && WIFSIGNALED(status) &&
+				WTERMSIG(status) == SIGKILL);
 		else if (h->state == HOST_STOPS &&
-		    clock_now() >
-			h->since + DRAIN_SEC * MSEC_PER_SEC + DRAIN_SLACK_MS) {
+		    clock_now() > h->stopped_at + DRAIN_SEC * MSEC_PER_SEC +
+			    DRAIN_SLACK_MS &&
+		    !h->killed) {
 			soak_broken(w,
 			    "host %d did not stop within its drain time", host);
-			kill(h->pid, SIGKILL);
+			soak_host_signal(w, host, SIGKILL);
 		}
 	}
 }
--- a/tests/soak/soak_servers.c
+++ b/tests/soak/soak_servers.c
@@ -124,98 +124,17 @@
 
 /* ---- checks of a request at a server ---- */
 
-static void
-check_leaving(const soak_server_t *s, const char *id)
-{
-	world_t *w = s->world;
-	msec_t now = clock_now();
-
-	if (w->lag > 100)
-		return;
-	if (s->leaving_at != 0 && now > s->leaving_at + DRAIN_BOUND_MS &&
-	    soak_all_undisturbed(w, now - s->leaving_at + SETTLE_MS))
-		soak_broken(w,
-		    "DRAIN request %s reached server %s %lld ms after it "
-		    "began to drain or left",
-		    id, s->id, (long long)(now - s->leaving_at));
-	if (s->drained_at != 0 && now > s->drained_at + DOMAIN_BOUND_MS &&
-	    soak_all_undisturbed(w, now - s->drained_at + SETTLE_MS))
-		soak_broken(w,
-		    "EVAC request %s reached server %s %lld ms after the "
-		    "drain of its domain",
-		    id, s->id, (long long)(now - s->drained_at));
-}
-
-static void
-check_quota(world_t *w)
-{
-	msec_t now = clock_now();
-	guint i, n = 0;
-
-	g_array_append_val(w->quota_runs, now);
-	for (i = w->quota_runs->len; i > 0; i--) {
-		if (g_array_index(w->quota_runs, msec_t, i - 1) <=
-		    now - QUOTA_WINDOW_MS)
-			break;
-		n++;
-	}
-	if (n > QUOTA_ALLOWED)
-		soak_broken(w, "QUOTA %u requests ran in one window", n);
-}
-
-static void
-check_headers(
-    soak_server_t *s, struct evhttp_request *req, const soak_request_t *r)
-{
-	static const char *const workspaces[] = {"school", "shop"};
-	const char *workspace = header(req, "X-Tenant-Id");
-	const char *ms_left = header(req, "X-Deadline-Ms");
-	const char *object = header(req, "X-Affinity-Key");
-
-	if (header(req, "X-Credential") != NULL)
-		soak_broken(s->world,
-		    "UNASKED request %s: its key reached a server", r->id);
-	if (g_strcmp0(workspace, workspaces[r->workspace]) != 0)
-		soak_broken(s->world, "UNASKED request %s: wrong workspace %s",
-		    r->id, workspace);
-	if (ms_left == NULL || atoi(ms_left) <= 0 || atoi(ms_left) > BUDGET_MS)
-		soak_broken(
-		    s->world, "BUDGET request %s: %s ms left", r->id, ms_left);
-	if (object == NULL)
-		soak_broken(s->world,
-		    "UNASKED request %s: X-Affinity-Key is missing", r->id);
-	if (r->second_key && s->world->withdrawn &&
-	    r->sent_at > s->world->key_changed_at + CONFIG_BOUND_MS &&
-	    s->world->lag < 100 &&
-	    soak_all_undisturbed(
-		s->world, clock_now() - s->world->key_changed_at + SETTLE_MS))
-		soak_broken(s->world,
-		    "CONFIG request %s ran with a withdrawn key", r->id);
-	if (r->service != s->service)
-		soak_broken(s->world,
-		    "ROUTE request %s ran at server %s of another service",
-		    r->id, s->id);
-}
-
 static void
 note_run(soak_server_t *s, struct evhttp_request *req, soak_request_t *r)
 {
-	world_t *w = s->world;
-	size_t len = evbuffer_get_length(evhttp_request_get_input_buffer(req));
-
-	r->runs++;
-	if (!r->idempotent && r->runs > 1)
-		soak_broken(w, "TWICE request %s ran %u times", r->id, r->runs);
-	if (r->status == 503 || r->status == 429)
-		soak_broken(
-		    w, "REFUSED request %s ran after it was refused", r->id);
-	if (!r->idempotent && len != strlen(r->id) * 1000)
-		soak_broken(w, "UNASKED request %s: wrong body of %zu bytes",
-		    r->id, len);
-	if (r->workspace == 1)
-		check_quota(w);
-	check_headers(s, req, r);
-	check_leaving(s, r->id);
+	const soak_seen_t seen = {.workspace = header(req, "X-Tenant-Id"),
+	    .ms_left = header(req, "X-Deadline-Ms"),
+	    .object = header(req, "X-Affinity-Key"),
+	    .credential = header(req, "X-Credential"),
+	    .body_len =
+		evbuffer_get_length(evhttp_request_get_input_buffer(req))};
+
+	soak_run_check(s, r, &seen);
 }
 
 /* An idempotent request must be cancelled when its caller hangs up. */
@@ -248,8 +167,12 @@
 static void
 on_closed(struct evhttp_connection *evcon, void *arg)
 {
+	run_t *run = arg;
+
 	(void)evcon;
-	run_free(arg);
+	if (run->server->crashed && run->request != NULL)
+		run->request->broke_off = TRUE;
+	run_free(run);
 }
 
 /* Sends a truncated answer as raw bytes, then closes the connection. */
@@ -296,6 +219,10 @@
 	(void)what;
 	if (run->request != NULL)
 		check_hung_up(run->server->world, run->req, run->request);
+	if (run->request != NULL)
+		run->request->broke_off |=
+		    run->server->fault == SERVER_LOSES_ANSWERS ||
+		    run->server->fault == SERVER_TRUNCATES;
 	switch (run->server->fault) {
 	case SERVER_SILENT:
 		return;
@@ -434,8 +361,8 @@
 		listen_on(s);
 }
 
-void
-soak_server_start(world_t *w, int service, int domain, const char *version)
+static void
+add(world_t *w, int service, int domain, const char *version, gboolean bytes)
 {
 	soak_server_t *s = &w->servers[w->nservers];
 
@@ -447,11 +374,26 @@
 	s->service = service;
 	s->domain = domain;
 	s->version = version;
-	start(s);
+	if (bytes)
+		s->bytes = soak_bytes_new(s);
+	else
+		start(s);
 	w->nservers++;
 	soak_server_write(s, TRUE);
 }
 
+void
+soak_server_start(world_t *w, int service, int domain, const char *version)
+{
+	add(w, service, domain, version, FALSE);
+}
+
+void
+soak_server_start_bytes(world_t *w, int service, int domain)
+{
+	add(w, service, domain, "v1", TRUE);
+}
+
 void
 soak_server_write(soak_server_t *s, gboolean listed)
 {
@@ -474,7 +416,7 @@
 void
 soak_server_fault(soak_server_t *s, server_fault_t fault)
 {
-	if (s->crashed) {
+	if (s->crashed || s->bytes != NULL) {
 		s->fault = fault;
 		return;
 	}
@@ -493,7 +435,9 @@
 	int i;
 
 	for (i = 0; i < w->nservers; i++) {
-		if (!w->servers[i].crashed)
+		if (w->servers[i].bytes != NULL)
+			soak_bytes_free(w->servers[i].bytes);
+		else if (!w->servers[i].crashed)
 			evhttp_free(w->servers[i].http);
 	}
 }
--- a/tests/soak/soak_store.c
+++ b/tests/soak/soak_store.c
@@ -336,7 +336,10 @@
 static void
 hold_write(soak_store_t *s, struct evhttp_request *req)
 {
-	struct timeval tv = {STORE_LATE_MS / 1000, STORE_LATE_MS % 1000 * 1000};
+	int ms = s->late == NULL
+	    ? STORE_LATE_MS
+	    : g_rand_int_range(s->late, STORE_LATE_MIN_MS, STORE_LATE_MAX_MS);
+	struct timeval tv = {ms / 1000, ms % 1000 * 1000};
 	late_write_t *late = g_new0(late_write_t, 1);
 
 	late->store = s;
