FAULT: a host without a free descriptor waits for one

What callers saw: once all descriptors were in use, the host used up its core and answered late or not at all.

Cause: a connection that can't be accepted stays reported by the listening socket; libevent tried again at once and wrote a line of its own each time, past the bound on log lines.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -115,6 +115,8 @@
 		http_client_given_up(g->store_client)));
 	metrics_set(&g->metrics, g->body_bytes, (int64_t)bodies);
 	metrics_set(&g->metrics, g->reply_bytes, (int64_t)unsent);
+	metrics_set(&g->metrics, g->not_accepted,
+	    (int64_t)http_server_accepts_failed());
 	metrics_set(&g->metrics, g->replies_given_up, (int64_t)given_up);
 }
 
@@ -367,6 +369,8 @@
 		"answers that failed as all together held too much memory");
 	g->reply_bytes = metrics_add(m, METRIC_GAUGE, "reply_bytes",
 	    "bytes of replies that wait for their callers to read");
+	g->not_accepted = metrics_add(m, METRIC_COUNTER, "accepts_failed_total",
+	    "times that a connection could not be accepted");
 	g->replies_given_up =
 	    metrics_add(m, METRIC_COUNTER, "replies_given_up_total",
 		"replies that were reset as all together held too much memory");
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -10,6 +10,7 @@
 #include <event2/bufferevent_ssl.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
+#include <event2/listener.h>
 #include <openssl/ssl.h>
 
 #include "base/error.h"
@@ -23,6 +24,10 @@
 #define IDLE_TIMEOUT_SEC 60
 
 static const struct timeval sweep_period = {0, 100000};
+
+/* Of all servers of the process: evhttp holds the listener's argument. */
+static guint64 accepts_failed;
+
 #define ALLOWED_METHODS \
 	(EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | \
 	    EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH)
@@ -300,6 +305,9 @@
 	(void)fd;
 	(void)what;
 	g_hash_table_foreach_remove(server->conns, sweep_conn, server);
+	if (!server->draining)
+		evconnlistener_enable(
+		    evhttp_bound_socket_get_listener(server->listener));
 }
 
 /*
@@ -429,6 +437,20 @@
 		server->serve(server->arg, x);
 }
 
+/* No descriptor is free: the connection waits in the listening socket, which
+ * would be reported without end. The sweep enables it again. */
+static void
+on_accept_error(struct evconnlistener *listener, void *arg)
+{
+	int error = errno;
+
+	(void)arg;
+	accepts_failed++;
+	evconnlistener_disable(listener);
+	log_event(
+	    LOG_WARN, "caller.not_accepted", "error", g_strerror(error), NULL);
+}
+
 static gboolean
 listen_on(http_server_t *server, const char *address, GError **err)
 {
@@ -444,8 +466,12 @@
 	server->listener = evhttp_bind_socket_with_handle(
 	    server->http, ip, (uint16_t)strtoul(colon + 1, NULL, 10));
 	g_free(ip);
-	if (server->listener != NULL)
+	if (server->listener != NULL) {
+		evconnlistener_set_error_cb(
+		    evhttp_bound_socket_get_listener(server->listener),
+		    on_accept_error);
 		return TRUE;
+	}
 	error_set(
 	    err, ERROR_UNAVAILABLE, "listen", address, "%s", g_strerror(errno));
 	return FALSE;
@@ -538,6 +564,12 @@
 	return server->exchanges;
 }
 
+guint64
+http_server_accepts_failed(void)
+{
+	return accepts_failed;
+}
+
 size_t
 http_server_bodies(const http_server_t *server)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -80,6 +80,10 @@
 unsigned int http_server_connections(const http_server_t *server);
 unsigned int http_server_exchanges(const http_server_t *server);
 
+/** http_server_accepts_failed() - Times that this process had no descriptor for
+ * a connection. */
+guint64 http_server_accepts_failed(void);
+
 /** http_server_bodies() - Bytes of requests that are received or answered. */
 size_t http_server_bodies(const http_server_t *server);
 
