FAULT: idle connections to servers are bounded together

Up to 16 idle connections were kept for each server's address, and those to an address that was not used again were kept until the server closed them. Beside 3,000 callers, a few dozen servers were enough to use up the descriptors of a host of the sites. Now at most 400 are kept for all addresses, the newest ones, and those over their age are closed when another becomes idle.

tests/test_http_client, "idle connections are bounded"; before: "http_client_connections(client) == 500, 400 == 400".

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -37,9 +37,10 @@
 	struct evhttp_connection *evcon;
 	http_call_t *call; /* NULL while idle */
 	msec_t idle_since;
-	gboolean wrote; /* bytes of the current request left the buffer */
-	guint64 calls;	/* requests that were sent on it */
-	size_t held;	/* bytes of the answer that are in memory */
+	GList idle_link; /* its data is NULL while not idle */
+	gboolean wrote;	 /* bytes of the current request left the buffer */
+	guint64 calls;	 /* requests that were sent on it */
+	size_t held;	 /* bytes of the answer that are in memory */
 } conn_t;
 
 struct http_call {
@@ -67,6 +68,8 @@
 	struct event_base *base;
 	unsigned int max_idle;
 	GHashTable *targets; /* address to target_t */
+	unsigned int open;   /* connections */
+	GQueue idle;	     /* conn_t of all targets, oldest first */
 	GPtrArray *to_free;  /* conn_t, to be freed by the reaper */
 	GPtrArray *busy;     /* conn_t with a call */
 	size_t held;	     /* bytes of all answers that are in memory */
@@ -86,6 +89,7 @@
 conn_free(conn_t *conn)
 {
 	conn->target->open--;
+	conn->client->open--;
 	/* evhttp would otherwise report the close that is requested here. */
 	evhttp_connection_set_closecb(conn->evcon, NULL, NULL);
 	evhttp_connection_free(conn->evcon);
@@ -117,6 +121,42 @@
 	g_ptr_array_set_size(client->to_free, 0);
 }
 
+static void
+keep_idle(conn_t *conn)
+{
+	conn->idle_since = clock_now();
+	conn->idle_link.data = conn;
+	g_ptr_array_add(conn->target->idle, conn);
+	g_queue_push_tail_link(&conn->client->idle, &conn->idle_link);
+}
+
+/* Return: FALSE if it was not idle. */
+static gboolean
+take_idle(conn_t *conn)
+{
+	if (conn->idle_link.data == NULL)
+		return FALSE;
+	g_ptr_array_remove(conn->target->idle, conn);
+	g_queue_unlink(&conn->client->idle, &conn->idle_link);
+	conn->idle_link.data = NULL;
+	return TRUE;
+}
+
+/* Closes those that are not reused any more, or are too many. */
+static void
+close_old_idle(http_client_t *client)
+{
+	msec_t now = clock_now();
+	conn_t *conn;
+
+	while ((conn = g_queue_peek_head(&client->idle)) != NULL &&
+	    (client->idle.length > HTTP_IDLE_MAX ||
+		now - conn->idle_since >= IDLE_MAX_MS)) {
+		take_idle(conn);
+		conn_free_later(conn);
+	}
+}
+
 static void
 target_free(void *p)
 {
@@ -182,6 +222,12 @@
 	return client->busy->len;
 }
 
+unsigned int
+http_client_connections(const http_client_t *client)
+{
+	return client->open;
+}
+
 void
 http_client_limit_memory(http_client_t *client, size_t bytes)
 {
@@ -341,7 +387,7 @@
 	conn_t *conn = arg;
 
 	(void)evcon;
-	if (conn->call == NULL && g_ptr_array_remove(conn->target->idle, conn))
+	if (take_idle(conn))
 		conn_free_later(conn);
 }
 
@@ -362,6 +408,7 @@
 	evbuffer_add_cb(bufferevent_get_output(bev), on_output, conn);
 	evbuffer_add_cb(bufferevent_get_input(bev), on_input, conn);
 	target->open++;
+	client->open++;
 	return conn;
 }
 
@@ -373,14 +420,14 @@
 
 	while (!new_connection && target->idle->len > 0) {
 		conn = g_ptr_array_index(target->idle, target->idle->len - 1);
-		g_ptr_array_set_size(target->idle, (gint)target->idle->len - 1);
+		take_idle(conn);
 		if (now - conn->idle_since < IDLE_MAX_MS)
 			return conn;
 		conn_free_later(conn);
 	}
 	if (target->idle->len > 0 && target->open >= target->max) {
 		conn = g_ptr_array_index(target->idle, 0);
-		g_ptr_array_remove_index(target->idle, 0);
+		take_idle(conn);
 		conn_free_later(conn);
 	}
 	return conn_new(client, target);
@@ -402,8 +449,8 @@
 		conn_free_later(conn);
 		return;
 	}
-	conn->idle_since = clock_now();
-	g_ptr_array_add(target->idle, conn);
+	keep_idle(conn);
+	close_old_idle(conn->client);
 }
 
 static gboolean
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -21,6 +21,9 @@
  * limit is set. Over it, the calls whose answers hold most fail. */
 #define HTTP_ANSWER_MEMORY_BYTES (64 * 1024 * 1024)
 
+/* Idle connections to all addresses together; the oldest are closed. */
+#define HTTP_IDLE_MAX 400
+
 typedef struct http_client http_client_t;
 typedef struct http_call http_call_t;
 
@@ -79,6 +82,9 @@
 /* Number of calls for which on_done has not run yet. */
 unsigned int http_client_busy(const http_client_t *client);
 
+/* Number of open connections, idle ones included. */
+unsigned int http_client_connections(const http_client_t *client);
+
 /**
  * http_client_limit_memory() - Limit the memory of answers.
  * @client: the client
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -17,6 +17,8 @@
 #define LATE_MS 60
 #define RESETS 2
 #define SETTLE_MS 200
+#define IDLE_MORE 100 /* connections over the bound */
+#define IDLE_AT_ONCE 10
 #define LARGE_BYTES (8 * 1024 * 1024)
 /* What a server sends at a time, and what a client may take of an endless head:
  * the bytes between both sockets are not in its memory. */
@@ -413,6 +415,37 @@
 	g_free(body);
 }
 
+/* FAULT: idle connections to many servers took up the host's descriptors. */
+static void
+idle_connections_are_bounded(void)
+{
+	static const struct script s = {
+	    .answer = OK("5", "first"),
+	    .requests = HTTP_IDLE_MAX + IDLE_MORE,
+	};
+	const http_handler_t handler = {.on_done = on_done};
+	http_request_t request = {
+	    .address = ADDRESS,
+	    .method = EVHTTP_REQ_GET,
+	    .path = "/",
+	    .timeout_ms = BOUND_MS,
+	    .new_connection = TRUE,
+	};
+	int i;
+
+	start(&s);
+	http_client_free(client);
+	client = http_client_new(base, HTTP_IDLE_MAX + IDLE_MORE);
+	for (i = 1; i <= HTTP_IDLE_MAX + IDLE_MORE; i++) {
+		http_call(client, &request, &handler);
+		if (i % IDLE_AT_ONCE == 0)
+			wait_done(i);
+	}
+	run_loop(SETTLE_MS);
+	ck_assert_uint_eq(http_client_connections(client), HTTP_IDLE_MAX);
+	finish();
+}
+
 /*
  * LOST: a server sends without end, and the bytes are kept until the process is
  * out of memory. Each answer starts with @start and goes on with @more; the
@@ -645,6 +678,7 @@
 	    {"refused connection is reported as not sent",
 		refused_connection_is_reported_as_not_sent},
 	    {"paused call receives no more", paused_call_receives_no_more},
+	    {"idle connections are bounded", idle_connections_are_bounded},
 	    {"answers that are cut are not whole", cut_answers_are_not_whole},
 	    {"answers without end are cut", answers_without_end_are_cut},
 	    {"requests are framed", requests_are_framed},
