LOST: a closed connection lingers until the caller has the last answer

A caller that reads slowly and sends more after its request lost the end of a large last answer, as a reset.

Cause: evhttp frees a connection once the answer is in the system's send queue, and the descriptor was closed up to 100 ms later. What the caller sent then met a closed socket: the system resets the connection and drops the queue. A raw refusal (408, 503) shut down both directions, with the same effect.

Fix: transport/linger. A refused request is released by evhttp at once, so its memory is free while its socket lingers. A drain waits for lingering connections within its own bound.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -18,6 +18,7 @@
 #include "transport/hangup_watch.h"
 #include "transport/http_check.h"
 #include "transport/http_server.h"
+#include "transport/linger.h"
 
 #define IDLE_TIMEOUT_SEC 60
 
@@ -37,6 +38,7 @@
 	struct bufferevent *bev;
 	struct event *deadline; /* for receiving the complete request */
 	body_usage_t body;	/* memory of the current request */
+	linger_t linger;	/* once evhttp has released the connection */
 	http_exchange_t *x;	/* the request being answered */
 	gboolean receiving;
 	gboolean refused; /* over the limit on connections */
@@ -69,6 +71,7 @@
 	body_memory_t bodies;
 	hangup_watch_t hangups; /* of callers whose request is handled */
 	unsigned int exchanges;
+	unsigned int lingering; /* connections */
 	gboolean draining;
 	gboolean closing; /* each connection is closed after its next reply */
 };
@@ -92,6 +95,9 @@
 	conn_t *conn = p;
 
 	body_memory_detach(&conn->server->bodies, &conn->body);
+	if (conn->linger.input != NULL)
+		conn->server->lingering--;
+	linger_finish(&conn->linger);
 	event_free(conn->deadline);
 	bufferevent_decref(conn->bev);
 	g_free(conn);
@@ -117,6 +123,18 @@
 	shutdown(bufferevent_getfd(conn->bev), SHUT_RDWR);
 }
 
+/* Has evhttp free the connection as at an EOF, while the socket stays open and
+ * can linger. */
+static void
+release_from_evhttp(conn_t *conn)
+{
+	conn->shut = TRUE;
+	shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
+	bufferevent_disable(conn->bev, EV_READ);
+	bufferevent_trigger_event(conn->bev, BEV_EVENT_READING | BEV_EVENT_EOF,
+	    BEV_TRIG_DEFER_CALLBACKS);
+}
+
 /*
  * Sends a refusal directly on the socket and closes the connection: evhttp
  * can't answer before it has read the complete request. Over TLS, the
@@ -133,10 +151,13 @@
 				     "Connection: close\r\n\r\n%s",
 	    status, strlen(body), body);
 
-	if (server->conf.tls == NULL)
+	if (server->conf.tls == NULL) {
 		(void)send(bufferevent_getfd(conn->bev), text, strlen(text),
 		    MSG_NOSIGNAL | MSG_DONTWAIT);
-	shut_down(conn);
+		release_from_evhttp(conn);
+	} else {
+		shut_down(conn);
+	}
 	g_free(text);
 	g_free(body);
 }
@@ -246,6 +267,23 @@
 	    bytes > 0;
 }
 
+/* Whether a connection that evhttp has released may be closed. */
+static gboolean
+may_close(conn_t *conn)
+{
+	http_server_t *server = conn->server;
+	msec_t now = clock_now();
+
+	if (conn->linger.input == NULL) {
+		if (server->lingering >= LINGER_MAX_CONNECTIONS)
+			return TRUE;
+		server->lingering++;
+		linger_begin(&conn->linger, server->base,
+		    bufferevent_getfd(conn->bev), now);
+	}
+	return linger_is_over(&conn->linger, now);
+}
+
 static gboolean
 sweep_conn(gpointer key, gpointer value, gpointer arg)
 {
@@ -254,7 +292,9 @@
 
 	(void)key;
 	if (is_released_by_evhttp(conn))
-		return conn->x == NULL;
+		return conn->x == NULL && may_close(conn);
+	if (conn->shut)
+		return FALSE;
 	if (conn->refused ||
 	    (server->draining && is_idle(conn) && !has_unread(conn)))
 		shut_down(conn);
--- a/tests/gateway_world.c
+++ b/tests/gateway_world.c
@@ -29,6 +29,8 @@
 	(void)bev;
 	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
 		conn->closed = TRUE;
+	if (what & BEV_EVENT_ERROR)
+		conn->reset = TRUE;
 }
 
 static void
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -25,6 +25,7 @@
 	struct bufferevent *bev;
 	GString *in;	 /* what has arrived and was not taken */
 	gboolean closed; /* by the peer, in order or with a reset */
+	gboolean reset;	 /* closed by the peer with a reset */
 	int server;	 /* its number; -1: a caller's connection */
 } raw_conn_t;
 
