FAULT: a host whose place was taken starts anew

A host of src/host that learns that another process has taken its place in the roster (two processes with one id, or one that was paused and retired) ended by itself with status 255.

Cause: host_run() returns HOST_RESTART 'if the process should make the host anew', and nobody made it anew; the value became the exit status. No test played it through a process.

Fix: run() makes the host anew, after a pause of 1 s that doubles up to 32 s, so that two processes with one id do not write the roster without end. A stop that was asked for stands: SIGTERM before the pause ends the host in order, SIGTERM within it ends the process with 0.

--- a/src/base/start_signals.c
+++ b/src/base/start_signals.c
@@ -35,3 +35,9 @@
 {
 	starting = 0;
 }
+
+void
+start_signals_again(void)
+{
+	starting = 1;
+}
--- a/src/base/start_signals.h
+++ b/src/base/start_signals.h
@@ -23,4 +23,11 @@
  */
 void start_signals_handled(void);
 
+/**
+ * start_signals_again() - The process goes back to its start.
+ *
+ * Call it before the handlers of the loop are removed.
+ */
+void start_signals_again(void);
+
 #endif
--- a/src/cmd/greengageloomd.c
+++ b/src/cmd/greengageloomd.c
@@ -13,6 +13,10 @@
 #include "transport/ports_wait.h"
 
 #define EXIT_USAGE 2
+/* Two processes with one name take over from each other with longer and longer
+ * pauses. */
+#define ANEW_PAUSE_MS 1000
+#define ANEW_PAUSE_MAX_MS 32000
 
 static char *config_path, *listen_address, *level_name;
 static int check_only, show_version;
@@ -67,7 +71,7 @@
 }
 
 static int
-run(settings_t *s)
+run_host(settings_t *s)
 {
 	const port_t ports[] = {
 	    {s->callers, FALSE},
@@ -78,8 +82,6 @@
 	host_t host;
 	int status = 1;
 
-	log_open(stderr, s->log_level);
-	fatal_signal_report(STDERR_FILENO);
 	if (!ports_wait(ports, G_N_ELEMENTS(ports), s->drain_ms, &err)) {
 		report_failure(err);
 		return status;
@@ -92,6 +94,24 @@
 	return status;
 }
 
+/* Makes the host anew whenever another process has taken its place. */
+static int
+run(settings_t *s)
+{
+	msec_t pause_ms = ANEW_PAUSE_MS;
+	int status;
+
+	log_open(stderr, s->log_level);
+	fatal_signal_report(STDERR_FILENO);
+	while ((status = run_host(s)) == HOST_RESTART) {
+		log_event(LOG_WARN, "host.starts_anew", "pause_ms",
+		    log_num(pause_ms), NULL);
+		g_usleep((gulong)pause_ms * 1000);
+		pause_ms = MIN(2 * pause_ms, ANEW_PAUSE_MAX_MS);
+	}
+	return status;
+}
+
 static int
 run_gateway(gateway_settings_t *s)
 {
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -131,6 +131,7 @@
 	host_t *h = arg;
 
 	(void)what;
+	h->stop_asked = TRUE;
 	if (h->phase == HOST_DRAINING || h->phase == HOST_ENDING) {
 		event_base_loopbreak(h->base);
 		return;
@@ -309,6 +310,20 @@
 	}
 }
 
+/* Whether no signal has asked for a stop; from then on such a signal ends the
+ * process. */
+static gboolean
+starts_anew(host_t *h)
+{
+	event_base_loop(h->base, EVLOOP_NONBLOCK);
+	if (h->stop_asked)
+		return FALSE;
+	start_signals_again();
+	event_del(h->term);
+	event_del(h->interrupt);
+	return TRUE;
+}
+
 int
 host_run(host_t *h)
 {
@@ -326,7 +341,7 @@
 	finish_calls(h);
 	log_event(LOG_INFO, "host.stopped", "cut",
 	    log_num(h->proxied_requests->len), NULL);
-	if (h->superseded)
+	if (h->superseded && starts_anew(h))
 		return HOST_RESTART;
 	return h->proxied_requests->len == 0 ? 0 : 1;
 }
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -71,6 +71,7 @@
 	GHashTable *peers; /* name to peer_t */
 	msec_t exchange_at;
 	gboolean superseded;
+	gboolean stop_asked; /* by a signal */
 	msec_t retire_at, list_at;
 	GHashTable *leaving; /* names that the platform lists as leaving */
 	gboolean listing;
