LOST: an answer that waits for a slow caller goes on when the caller leaves (src/host)

What callers saw: a caller that did not read a large answer and left kept its request under way on the host, and its place on the backend server taken, until the service's time-out; the server then counted as one that broke off. Enough of these refuse or end the requests of others on this server.

Cause: reading an answer pauses while too much of it is unsent to the caller. It goes on when the caller's connection has been written out, which never happens once the caller has left.

Why the fix works: the rest of an answer without a caller is read and dropped anyway; reading now goes on as soon as the caller has left.

--- a/src/host/proxy.c
+++ b/src/host/proxy.c
@@ -120,6 +120,9 @@
 
 	metrics_count(&pr->host->metrics, pr->host->m.hang_ups, 1);
 	pr->x = NULL;
+	/* The rest of an answer that waited for this caller is dropped. */
+	if (pr->answer_started && pr->call != NULL)
+		http_call_pause(pr->call, FALSE);
 	if (pr->started)
 		proxy_attempt_event(pr, ATTEMPT_CALLER_GONE);
 	else
--- a/tests/host_world.c
+++ b/tests/host_world.c
@@ -17,6 +17,7 @@
 #define ANSWER_MS 1000
 #define STEP_MS 50
 #define HOSTS_MAX 3
+#define SOUND_TIMEOUT_MS 5000
 
 static host_world_t *current;
 
@@ -94,6 +95,7 @@
 	current = w;
 	gateway_world_begin_raw(&w->raw, port, HOST_WORLD_SERVERS, serve);
 	w->odd = odd;
+	w->timeout_ms = HOST_WORLD_TIMEOUT_MS;
 	w->passed = g_hash_table_new(NULL, NULL);
 	w->store = spawn(argv, w->raw.world.dir, "store.log");
 	secret = g_strdup_printf("%s/secret", w->raw.world.dir);
@@ -147,9 +149,8 @@
 	g_free(path);
 }
 
-#define SERVICE(name, timeout) \
-	"[service " name "]\nversion = v1\ntimeout_ms = " timeout \
-	"\ntypical_ms = 5\n" \
+#define SERVICE(name) \
+	"[service " name "]\nversion = v1\ntimeout_ms = %d\ntypical_ms = 5\n" \
 	"[route " name "-get]\nservice = " name \
 	"\nprefix = /get\naccess = open\nidempotent = yes\n" \
 	"[route " name "-rest]\nservice = " name \
@@ -176,7 +177,8 @@
 	for (int i = 0; i < HOSTS_MAX; i++)
 		g_string_append_printf(
 		    text, "[domain zone-%d]\nregion = north\n", i);
-	g_string_append(text, SERVICE("odd", "1500") SERVICE("sound", "5000"));
+	g_string_append_printf(text, SERVICE("odd"), w->timeout_ms);
+	g_string_append_printf(text, SERVICE("sound"), SOUND_TIMEOUT_MS);
 	add_endpoint(text, w, "odd", 0);
 	add_endpoint(text, w, "odd", 1);
 	add_endpoint(text, w, "sound", 2);
@@ -231,15 +233,13 @@
 }
 
 void
-host_world_serve(host_world_t *w, int n)
+host_world_configure(host_world_t *w, int n)
 {
 	char *path = g_strdup_printf("%s/fleet.ini", w->raw.world.dir);
 	msec_t until = clock_now() + SETTLED_MS;
 	int i;
 
 	write_config(w, path, n);
-	for (i = 0; i < n; i++)
-		host_world_start(w, i);
 	while (!apply(w, path)) {
 		ck_assert_msg(clock_now() < until, "not applied");
 		gateway_world_run(&w->raw, STEP_MS);
@@ -249,6 +249,16 @@
 	g_free(path);
 }
 
+void
+host_world_serve(host_world_t *w, int n)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		host_world_start(w, i);
+	host_world_configure(w, n);
+}
+
 void
 host_world_stays(host_world_t *w, int host, const char *what)
 {
--- a/tests/host_world.h
+++ b/tests/host_world.h
@@ -13,7 +13,7 @@
 
 #define HOST_WORLD_STORE 3 /* number of the raw server that is the store */
 #define HOST_WORLD_SERVERS 4
-#define HOST_WORLD_TIMEOUT_MS 1500 /* of a request to "odd" */
+#define HOST_WORLD_TIMEOUT_MS 1500
 
 /* Ports of a host. */
 typedef enum {
@@ -30,7 +30,8 @@
 	/* Answers a request to the store; NULL: passes it on. */
 	void (*store_answer)(raw_conn_t *conn, const char *request);
 	GHashTable
-	    *passed; /* connection to the store to that to the stand-in */
+	    *passed;	/* connection to the store to that to the stand-in */
+	int timeout_ms; /* of "odd"; may be set before host_world_serve() */
 	guint odd_requests; /* that reached servers of "odd" */
 	guint store_requests;
 } host_world_t;
@@ -53,6 +54,9 @@
 /** host_world_serve() - Start @n hosts with a configuration, wait for them. */
 void host_world_serve(host_world_t *w, int n);
 
+/** host_world_configure() - Apply a configuration, wait for @n hosts. */
+void host_world_configure(host_world_t *w, int n);
+
 /** host_world_wait_serving() - Wait until a host answers a sound request. */
 void host_world_wait_serving(host_world_t *w, int host);
 
