--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -12,6 +12,7 @@
 /* Callers fall silent for this time in the middle of a long run. */
 #define QUIET_MS 6500
 #define QUIET_RUN_SEC 20
+#define UNREAD_CALLERS 400
 /* After the last fault: time for the hosts to recover, then for the last
  * checks. */
 #define RECOVERY_MS 9000
@@ -296,6 +297,18 @@
 	}
 }
 
+/* Large answers of all, to many callers of one host that don't read. */
+static void
+burst(world_t *w)
+{
+	int i;
+
+	log_event(w, "large answers, unread");
+	for (i = 0; i < BYTES_SERVERS; i++)
+		w->bytes[i]->shape = BYTES_LARGE;
+	w->unread = UNREAD_CALLERS;
+}
+
 /* Shapes of answers, and writes of the store that happen late. */
 static void
 inject_further(world_t *w)
@@ -306,6 +319,8 @@
 		w->bytes[g_rand_int_range(w->further, 0, BYTES_SERVERS)]
 		    ->shape = (soak_shape_t)g_rand_int_range(
 		    w->further, BYTES_SOUND, BYTES_SHAPES);
+	if (w->plan.bytes && g_rand_int_range(w->further, 0, 100) == 0)
+		burst(w);
 	if (!w->plan.late || g_rand_int_range(w->further, 0, 50) != 0)
 		return;
 	log_event(w, "store writes late");
@@ -366,15 +381,15 @@
 	    w->seed, w->sent, w->answered, w->refused, w->failed, w->cut,
 	    w->unreached, w->hung_up, w->late_answered, w->late_sent);
 	printf("seed %u: raw callers sent %u, success %u, closed %u; servers "
-	       "spoiled %u, without end %u, large %u; peak %ld KB\n",
+	       "spoiled %u, without end %u, large %u\n",
 	    w->seed, w->raw_sent, w->raw_answered, w->raw_closed, w->spoiled,
-	    w->endless, w->large, w->peak_kb);
+	    w->endless, w->large);
 	if (w->late_sent == 0 ||
 	    w->late_answered < LATE_ANSWERED_SHARE_MIN * w->late_sent)
 		soak_broken(
 		    w, "RECOVER too few requests answered after the faults");
-	printf("seed %u: %s\n", w->seed,
-	    w->broken == 0 ? "promises kept" : "promises broken");
+	printf("seed %u: %s, peak %ld KB\n", w->seed,
+	    w->broken == 0 ? "promises kept" : "promises broken", w->peak_kb);
 	return w->broken == 0 ? 0 : 1;
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -300,6 +300,7 @@
 	guint crashes, crashes_late; /* of servers, by the crashing request */
 	msec_t third_crash_at;
 	guint hung_up; /* requests whose callers hung up */
+	int unread;    /* callers to begin that don't read for a while */
 	guint raw_sent, raw_answered, raw_closed; /* of soak_leavers.c */
 	guint spoiled, endless, large;		  /* answers of soak_bytes.c */
 	long peak_kb;				  /* the largest of a host */
--- a/tests/soak/soak_bytes.c
+++ b/tests/soak/soak_bytes.c
@@ -290,7 +290,9 @@
 static soak_shape_t
 draw_shape(const soak_server_t *s)
 {
-	return g_rand_boolean(s->world->further) ? s->shape : BYTES_SOUND;
+	return s->shape == BYTES_LARGE || g_rand_boolean(s->world->further)
+	    ? s->shape
+	    : BYTES_SOUND;
 }
 
 /* Runs the request of @head, or rejects it. */
--- a/tests/soak/soak_leavers.c
+++ b/tests/soak/soak_leavers.c
@@ -23,6 +23,7 @@
 #define IDLE_MAX_MS 300
 #define STALL_MIN_MS 1000
 #define STALL_MAX_MS 5000
+#define STALLED_ROOM_BYTES 16384
 #define STEP_MAX_MS 4
 #define BYTES_SINGLE 60 /* sent one by one, then in steps */
 #define BYTES_STEP 500
@@ -368,6 +369,8 @@
 static void
 begin(caller_t *c)
 {
+	const int room = STALLED_ROOM_BYTES;
+
 	switch (c->kind) {
 	case LEAVES_HEAD:
 	case LEAVES_BODY:
@@ -385,6 +388,8 @@
 		send_step(c);
 		break;
 	case STAYS_STALLED:
+		setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_RCVBUF,
+		    &room, sizeof(room));
 		bufferevent_disable(c->bev, EV_READ);
 		after(c, draw(c, STALL_MIN_MS, STALL_MAX_MS));
 		send_whole(c);
@@ -398,11 +403,16 @@
 	}
 }
 
-static void
-caller_new(world_t *w, kind_t kind)
+static const char *
+pick_address(world_t *w)
 {
-	const char *address = g_ptr_array_index(w->addresses,
+	return g_ptr_array_index(w->addresses,
 	    g_rand_int_range(w->further, 0, (gint32)w->addresses->len));
+}
+
+static void
+caller_new(world_t *w, const char *address, kind_t kind)
+{
 	int port = atoi(strrchr(address, ':') + 1);
 	struct sockaddr_in at = {.sin_family = AF_INET,
 	    .sin_port = htons((uint16_t)port),
@@ -431,6 +441,7 @@
 {
 	world_t *w = arg;
 	msec_t now = clock_now();
+	const char *address;
 	int n, kept = 0;
 	guint i;
 
@@ -446,10 +457,13 @@
 	if (soak_is_quiet(w) || w->addresses->len == 0)
 		return;
 	for (n = g_rand_int_range(w->further, 0, NEW_PER_TICK_MAX); n > 0; n--)
-		caller_new(
-		    w, (kind_t)g_rand_int_range(w->further, 0, STAYS_KEPT));
+		caller_new(w, pick_address(w),
+		    (kind_t)g_rand_int_range(w->further, 0, STAYS_KEPT));
+	address = pick_address(w);
+	for (; w->unread > 0; w->unread--)
+		caller_new(w, address, STAYS_STALLED);
 	for (; kept < KEPT_MAX; kept++)
-		caller_new(w, STAYS_KEPT);
+		caller_new(w, pick_address(w), STAYS_KEPT);
 }
 
 void
--- a/tests/soak/soak_watch.c
+++ b/tests/soak/soak_watch.c
@@ -8,12 +8,12 @@
 
 /* What a host's process takes: memory, descriptors, processor time. */
 
-#define EVERY_MS 500
+#define EVERY_MS 200
 #define FILES_MAX 3900
 /* Requests have ended this long after callers fall silent; then a host may use
  * half of a core for the time after it. */
 #define SETTLED_MS 3000
-#define SETTLED_AT_END_MS 700
+#define SETTLED_AT_END_MS 300
 #define MEASURE_MS 3000
 #define CORE_SHARE_MAX 0.5
 
