LOST: connections wait for their first request, and closed ones don't count

Evidence: test_http, before: "closed connections do not count", "late callers over the limit are refused" and "first requests are answered by a drain" failed, each run alone; all pass now.

Why it works: only connections that evhttp holds and that were not refused count; a connection that never had a request is left open for 1 s, unless 100 refused ones wait.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -23,6 +23,10 @@
 #include "transport/linger.h"
 
 #define IDLE_TIMEOUT_SEC 60
+/* A caller sends its first request within this time after it has connected. */
+#define FIRST_REQUEST_MS 1000
+/* Connections over the limit that wait for their request to be refused. */
+#define REFUSED_MAX_CONNECTIONS 100
 
 static const struct timeval sweep_period = {0, 100000};
 
@@ -48,6 +52,7 @@
 	struct evhttp_connection *evcon; /* NULL before the first request */
 	http_exchange_t *x;		 /* the request being answered */
 	linger_t linger; /* once evhttp has released the connection */
+	msec_t opened_at;
 	gboolean receiving;
 	gboolean refused; /* over the limit on connections */
 	gboolean shed;	  /* refused for its memory; further input is ignored */
@@ -83,6 +88,7 @@
 	hangup_watch_t hangups; /* of callers whose request is handled */
 	unsigned int exchanges;
 	unsigned int lingering; /* connections */
+	unsigned int refused;	/* connections */
 	gboolean draining;
 	gboolean closing; /* each connection is closed after its next reply */
 };
@@ -154,6 +160,7 @@
 	body_memory_detach(&conn->server->bodies, &conn->body);
 	if (conn->linger.input != NULL)
 		conn->server->lingering--;
+	conn->server->refused -= conn->refused;
 	linger_finish(&conn->linger);
 	event_free(conn->deadline);
 	bufferevent_decref(conn->bev);
@@ -332,6 +339,15 @@
 	return linger_is_over(&conn->linger, now);
 }
 
+/* Its first request may be on its way. */
+static gboolean
+is_fresh(const conn_t *conn)
+{
+	return conn->evcon == NULL &&
+	    conn->server->refused <= REFUSED_MAX_CONNECTIONS &&
+	    clock_now() - conn->opened_at < FIRST_REQUEST_MS;
+}
+
 static gboolean
 sweep_conn(gpointer key, gpointer value, gpointer arg)
 {
@@ -343,8 +359,8 @@
 		return conn->x == NULL && may_close(conn);
 	if (conn->shut)
 		return FALSE;
-	if (conn->refused ||
-	    (server->draining && is_idle(conn) && !has_unread(conn)))
+	if (is_idle(conn) && !has_unread(conn) && !is_fresh(conn) &&
+	    (conn->refused || server->draining))
 		shut_down(conn);
 	return FALSE;
 }
@@ -413,6 +429,25 @@
 	}
 }
 
+/* Connections that were refused, or that evhttp has released, don't count. */
+static gboolean
+has_too_many(const http_server_t *server)
+{
+	GHashTableIter it;
+	gpointer value;
+	unsigned int n = 0;
+
+	if (g_hash_table_size(server->conns) < server->conf.max_connections)
+		return FALSE;
+	g_hash_table_iter_init(&it, server->conns);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const conn_t *conn = value;
+
+		n += !conn->refused && !is_released_by_evhttp(conn);
+	}
+	return n >= server->conf.max_connections;
+}
+
 static struct bufferevent *
 new_bufferevent(struct event_base *base, void *arg)
 {
@@ -429,8 +464,9 @@
 	bufferevent_incref(conn->bev);
 	conn->server = server;
 	conn->deadline = evtimer_new(base, on_deadline, conn);
-	conn->refused =
-	    g_hash_table_size(server->conns) >= server->conf.max_connections;
+	conn->opened_at = clock_now();
+	conn->refused = has_too_many(server);
+	server->refused += conn->refused;
 	evbuffer_add_cb(bufferevent_get_input(conn->bev), on_input, conn);
 	evbuffer_add_cb(bufferevent_get_output(conn->bev), on_output, conn);
 	conn->reply.owner = conn;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -628,6 +628,66 @@
 	finish();
 }
 
+/* LOST: connections that callers had closed counted as open ones. */
+static void
+closed_connections_do_not_count(void)
+{
+	raw_t raw;
+	int i;
+
+	start(2);
+	for (i = 0; i < 20; i++) {
+		raw_open(&raw);
+		bufferevent_write(raw.bev, GET "Connection: close\r\n\r\n",
+		    strlen(GET "Connection: close\r\n\r\n"));
+		ck_assert(wait_answers(&raw, 1));
+		ck_assert_msg(strstr(raw.in->str, "</a>") != NULL,
+		    "caller %d: %s", i, raw.in->str);
+		raw_close(&raw);
+	}
+	finish();
+}
+
+/* LOST: a caller over the limit was closed before it had sent its request. */
+static void
+late_callers_over_the_limit_are_refused(void)
+{
+	raw_t a, b;
+
+	start(1);
+	raw_open(&a);
+	bufferevent_write(a.bev, GET "\r\n", strlen(GET "\r\n"));
+	ck_assert(wait_answers(&a, 1));
+	raw_open(&b);
+	run_loop(2 * SETTLE_MS);
+	bufferevent_write(b.bev, GET "\r\n", strlen(GET "\r\n"));
+	ck_assert(wait_closed(&b));
+	ck_assert_msg(strstr(b.in->str, "<too-many-connections>") != NULL,
+	    "closed without an answer");
+	raw_close(&a);
+	raw_close(&b);
+	finish();
+}
+
+/* LOST: a stopping host closed connections whose first request was coming. */
+static void
+first_requests_are_answered_by_a_drain(void)
+{
+	raw_t raw;
+
+	start(10);
+	raw_open(&raw);
+	run_loop(20);
+	http_server_drain(server);
+	run_loop(2 * SETTLE_MS);
+	bufferevent_write(raw.bev, GET "\r\n", strlen(GET "\r\n"));
+	ck_assert(wait_closed(&raw));
+	ck_assert_msg(
+	    strstr(raw.in->str, "</a>") != NULL, "closed without an answer");
+	raw_close(&raw);
+	finish();
+}
+
 /* MIXED, LOST: a time-out wrote 408 into an answer that a caller read slowly.
  */
 static void
@@ -782,6 +842,12 @@
 	    {"connections are bounded", connections_are_bounded},
 	    {"arrived requests are answered by a drain",
 		arrived_requests_are_answered_by_a_drain},
+	    {"closed connections do not count",
+		closed_connections_do_not_count},
+	    {"late callers over the limit are refused",
+		late_callers_over_the_limit_are_refused},
+	    {"first requests are answered by a drain",
+		first_requests_are_answered_by_a_drain},
 	    {"next request waits for a slow reader",
 		next_request_waits_for_a_slow_reader},
 	    {"running requests are not refused",
