FAULT: standard error is not waited for, and may be closed

Cause: only lines of the log asked whether the pipe takes them.

Why it works: a dump is written in parts that a ready pipe takes, and cut if it isn't ready; messages of the event library are lines of the log; closed standard streams are opened on /dev/null first; SIGXFSZ is ignored as SIGPIPE is.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -4,6 +4,7 @@
 #include <stdarg.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -46,13 +47,11 @@
 }
 
 static int
-can_write(void)
+is_writable(int fd)
 {
-	struct pollfd out = {.fd = fileno(log_out), .events = POLLOUT};
+	struct pollfd out = {.fd = fd, .events = POLLOUT};
 
-	/* A stream in memory has no descriptor. */
-	return out.fd < 0 ||
-	    (poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0);
+	return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
 }
 
 static int
@@ -67,7 +66,8 @@
 	    lines_this_second >= line_limit)
 		return 0;
 	lines_this_second++;
-	return can_write();
+	/* A stream in memory has no descriptor. */
+	return fileno(log_out) < 0 || is_writable(fileno(log_out));
 }
 
 int
@@ -206,6 +206,24 @@
 	fflush(log_out);
 }
 
+void
+log_text(int fd, const char *text)
+{
+	size_t left = strlen(text);
+	ssize_t n;
+
+	while (left > 0 && is_writable(fd)) {
+		n = write(fd, text, MIN(left, PIPE_WRITE_BYTES));
+		if (n <= 0)
+			break;
+		text += n;
+		left -= (size_t)n;
+	}
+	if (left > 0)
+		log_event(LOG_WARN, "log.text_cut", "bytes",
+		    log_num((long long)left), NULL);
+}
+
 const char *
 log_num(long long n)
 {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -52,6 +52,16 @@
 void log_event(log_level_t level, const char *event, ...)
     __attribute__((sentinel));
 
+/**
+ * log_text() - Write a text of several lines that was asked for.
+ * @fd: where to
+ * @text: the text
+ *
+ * Never blocks: what a full pipe can't take is left out, and a line of the log
+ * (log.text_cut) counts its bytes.
+ */
+void log_text(int fd, const char *text);
+
 /**
  * log_num() - Format a number as a value of log_event().
  * @n: the number
--- a/src/base/start_signals.c
+++ b/src/base/start_signals.c
@@ -26,6 +26,7 @@
 	(void)sigaction(SIGHUP, &ignored, NULL);
 	(void)sigaction(SIGUSR1, &ignored, NULL);
 	(void)sigaction(SIGPIPE, &ignored, NULL);
+	(void)sigaction(SIGXFSZ, &ignored, NULL);
 	(void)sigaction(SIGTERM, &stop, NULL);
 	(void)sigaction(SIGINT, &stop, NULL);
 }
--- a/src/base/start_signals.h
+++ b/src/base/start_signals.h
@@ -10,8 +10,8 @@
 /**
  * start_signals_init() - Handle signals from now on; call it first in main().
  *
- * SIGHUP, SIGUSR1 and SIGPIPE are ignored. SIGTERM and SIGINT end the process
- * with status 0: it holds nothing yet.
+ * SIGHUP, SIGUSR1, SIGPIPE and SIGXFSZ are ignored. SIGTERM and SIGINT end the
+ * process with status 0: it holds nothing yet.
  */
 void start_signals_init(void);
 
--- a/src/cmd/greengageloomd.c
+++ b/src/cmd/greengageloomd.c
@@ -1,6 +1,8 @@
+#include <fcntl.h>
 #include <stdio.h>
 #include <unistd.h>
 
+#include <event2/event.h>
 #include <popt.h>
 #include <sodium.h>
 
@@ -200,13 +202,36 @@
 	return status;
 }
 
+/* Sockets of the process must not take the place of its standard streams. */
+static void
+open_standard_streams(void)
+{
+	int fd;
+
+	do {
+		fd = open("/dev/null", O_RDWR);
+	} while (fd >= 0 && fd <= STDERR_FILENO);
+	if (fd >= 0)
+		close(fd);
+}
+
+/* libevent would write to standard error, which may be a full pipe. */
+static void
+log_libevent(int severity, const char *message)
+{
+	log_event(severity >= EVENT_LOG_ERR ? LOG_ERROR : LOG_WARN,
+	    "libevent.message", "text", message, NULL);
+}
+
 int
 main(int argc, char **argv)
 {
 	poptContext ctx;
 	int rc, status;
 
+	open_standard_streams();
 	start_signals_init();
+	event_set_log_callback(log_libevent);
 	ctx = poptGetContext(NULL, argc, (const char **)argv, options, 0);
 	rc = poptGetNextOpt(ctx);
 	if (sodium_init() < 0)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -3,6 +3,7 @@
 
 #include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/log.h"
 #include "base/start_signals.h"
@@ -292,7 +293,7 @@
 
 	(void)sig;
 	(void)what;
-	fputs(text, stderr);
+	log_text(STDERR_FILENO, text);
 	g_free(text);
 }
 
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -3,6 +3,8 @@
 
 #include <sodium.h>
 
+#include <unistd.h>
+
 #include "base/error.h"
 #include "base/log.h"
 #include "base/start_signals.h"
@@ -172,7 +174,8 @@
 
 	(void)sig;
 	(void)what;
-	fprintf(stderr, "%s\n", text);
+	log_text(STDERR_FILENO, text);
+	log_text(STDERR_FILENO, "\n");
 	free(text);
 }
 
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -121,6 +121,30 @@
 	}
 }
 
+/* FAULT: a dump that was asked for stopped a host if nobody read it. */
+static void
+long_texts_do_not_block(void)
+{
+	char *text = g_strnfill(1000000, 'x');
+	int out[2], status;
+	pid_t pid;
+
+	ck_assert_int_eq(pipe(out), 0);
+	pid = fork();
+	if (pid == 0) {
+		signal(SIGALRM, SIG_DFL);
+		alarm(BLOCKED_SEC);
+		log_text(out[1], text);
+		_exit(0);
+	}
+	ck_assert_int_eq(waitpid(pid, &status, 0), pid);
+	ck_assert_msg(
+	    WIFEXITED(status), "ended by signal %d", WTERMSIG(status));
+	close(out[0]);
+	close(out[1]);
+	g_free(text);
+}
+
 /* FAULT: a process that ended by a signal left no line in its log. */
 static void
 fatal_signals_are_reported(void)
@@ -171,6 +195,7 @@
 	    {"metrics are found by name", metrics_are_found_by_name},
 	    {"errors contain step and peer", errors_contain_step_and_peer},
 	    {"long values do not block", long_values_do_not_block},
+	    {"long texts do not block", long_texts_do_not_block},
 	    {"fatal signals are reported", fatal_signals_are_reported},
 	};
 
