FAULT: settings that are no regular file are not read again

Cause: the file was opened and read in the event loop; a pipe waits for its writer.

Evidence: test_gateway_streams, "settings that are a pipe", before: "SIGHUP with a pipe for settings: no answer"; passes now.

Why it works: only a regular file is read again; else settings.refused says so and the settings in force stay.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -302,16 +302,21 @@
 {
 	struct stat st;
 
-	return stat(path, &st) == 0 ? st.st_mtime : 0;
+	return stat(path, &st) == 0 && S_ISREG(st.st_mode) ? st.st_mtime : 0;
 }
 
 static void
 reload(gateway_t *g, const char *why)
 {
 	GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
-	gboolean ok = gateway_settings_reload(g->settings, g->path, errors);
+	gboolean ok = FALSE;
 
 	g->settings_mtime = mtime_of(g->path);
+	/* Reading a pipe would wait for its writer. */
+	if (g->settings_mtime == 0)
+		g_ptr_array_add(errors, g_strdup("no regular file"));
+	else
+		ok = gateway_settings_reload(g->settings, g->path, errors);
 	if (ok) {
 		view_apply_bounds(&g->view);
 		log_open(stdout, g->settings->log_level);
--- a/tests/test_gateway_streams.c
+++ b/tests/test_gateway_streams.c
@@ -1,15 +1,19 @@
 #include <sys/prctl.h>
+#include <sys/stat.h>
 
 #include <signal.h>
 #include <string.h>
 #include <unistd.h>
 
+#include <glib/gstdio.h>
+
 #include "gateway_world.h"
 #include "suite.h"
 
 #define PORT 25900
 #define BOUND_MS 5000
 #define DUMPS 3000
+#define SETTINGS_POLL_MS 4000 /* twice the time between two looks */
 
 static gateway_world_t g;
 static pid_t pid;
@@ -104,12 +108,33 @@
 	end();
 }
 
+/* FAULT: a host waited for the writer of a pipe in place of its settings. */
+static void
+settings_that_are_a_pipe(void)
+{
+	char *path;
+
+	gateway_world_begin(&g, PORT, 4, NULL);
+	start_host(FALSE);
+	path = settings_path();
+	ck_assert_int_eq(g_unlink(path), 0);
+	ck_assert_int_eq(mkfifo(path, 0600), 0);
+	gateway_world_run(&g, SETTINGS_POLL_MS);
+	check_serves("a pipe for settings");
+	kill(pid, SIGHUP);
+	gateway_world_run(&g, 200);
+	check_serves("SIGHUP with a pipe for settings");
+	g_free(path);
+	end();
+}
+
 int
 main(void)
 {
 	static const suite_case_t cases[] = {
 	    {"dumps that nobody reads", dumps_that_nobody_reads},
 	    {"closed streams", closed_streams},
+	    {"settings that are a pipe", settings_that_are_a_pipe},
 	};
 
 	return suite_run("gateway streams", cases, G_N_ELEMENTS(cases));
