FAULT: bytes of a queued request stay counted

A caller that sends a request behind another one: what had come of it was given back with the first one's memory and never counted again, nor limited in time. What remains in the input after a request is now counted for the next one, and its time begins. While a reply waits to be sent, the time begins anew, and no refusal is written into the middle of that reply.

tests/test_http, "memory of queued bodies is counted"; before: "http_server_bodies(server) == 5966, 10000 == 10000".

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -84,12 +84,36 @@
 	gboolean closing; /* each connection is closed after its next reply */
 };
 
+static void
+start_receiving(conn_t *conn)
+{
+	msec_t ms = conn->server->conf.receive_ms;
+	struct timeval tv = {ms / MSEC_PER_SEC, (ms % MSEC_PER_SEC) * 1000};
+
+	conn->receiving = TRUE;
+	event_add(conn->deadline, &tv);
+}
+
+/* What is left in the input belongs to the next request. */
+static void
+count_rest(conn_t *conn)
+{
+	size_t n = evbuffer_get_length(bufferevent_get_input(conn->bev));
+
+	if (n == 0 || conn->shed)
+		return;
+	body_memory_take(&conn->server->bodies, &conn->body,
+	    bufferevent_getfd(conn->bev), n);
+	start_receiving(conn);
+}
+
 static void
 exchange_free(http_exchange_t *x)
 {
 	x->conn->x = NULL;
 	x->conn->server->exchanges--;
 	body_memory_release(&x->conn->server->bodies, &x->conn->body);
+	count_rest(x->conn);
 	evhttp_connection_set_closecb(x->evcon, NULL, NULL);
 	if (x->watched)
 		hangup_watch_remove(
@@ -153,10 +177,16 @@
 	shutdown(bufferevent_getfd(conn->bev), SHUT_RDWR);
 }
 
+static gboolean
+has_unsent(const conn_t *conn)
+{
+	return evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0;
+}
+
 /*
  * Sends a refusal directly on the socket and closes the connection: evhttp
- * can't answer before it has read the complete request. Over TLS, the
- * connection is closed without a refusal.
+ * can't answer before it has read the complete request. Over TLS, and in the
+ * middle of a reply, the connection is closed without a refusal.
  */
 static void
 refuse_raw(conn_t *conn, int status, const char *reason)
@@ -169,7 +199,7 @@
 				     "Connection: close\r\n\r\n%s",
 	    status, strlen(body), body);
 
-	if (server->conf.tls == NULL)
+	if (server->conf.tls == NULL && !has_unsent(conn))
 		(void)send(bufferevent_getfd(conn->bev), text, strlen(text),
 		    MSG_NOSIGNAL | MSG_DONTWAIT);
 	shut_down(conn);
@@ -180,19 +210,15 @@
 static void
 on_deadline(evutil_socket_t fd, short what, void *arg)
 {
+	conn_t *conn = arg;
+
 	(void)fd;
 	(void)what;
-	refuse_raw(arg, 408, "request-too-slow");
-}
-
-static void
-start_receiving(conn_t *conn)
-{
-	msec_t ms = conn->server->conf.receive_ms;
-	struct timeval tv = {ms / MSEC_PER_SEC, (ms % MSEC_PER_SEC) * 1000};
-
-	conn->receiving = TRUE;
-	event_add(conn->deadline, &tv);
+	/* A request is not read before the reply to the one before is sent. */
+	if (has_unsent(conn))
+		start_receiving(conn);
+	else
+		refuse_raw(conn, 408, "request-too-slow");
 }
 
 /* The request that holds most among those still received from an address. */
@@ -268,8 +294,7 @@
 static gboolean
 is_idle(const conn_t *conn)
 {
-	return conn->x == NULL && !conn->receiving &&
-	    evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0;
+	return conn->x == NULL && !conn->receiving && !has_unsent(conn);
 }
 
 /* A request that has arrived, at least in part, is read first. */
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -20,6 +20,7 @@
 #define RECEIVE_MS 400
 #define MEMORY_BYTES 60000
 #define REPLY_BYTES (16 << 20)
+#define QUEUED_BYTES 10000
 
 static struct event_base *base;
 static http_server_t *server;
@@ -493,6 +494,28 @@
 	finish();
 }
 
+/* FAULT: a request that came behind another one was not counted any more once
+ * that was answered. */
+static void
+memory_of_queued_bodies_is_counted(void)
+{
+	char *body = g_strnfill(QUEUED_BYTES, 'x');
+	raw_t raw;
+
+	start(10);
+	raw_open(&raw);
+	evbuffer_add_printf(bufferevent_get_output(raw.bev),
+	    "GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\n"
+	    "Content-Length: 20000\r\n\r\n%s",
+	    body);
+	ck_assert_msg(wait_answers(&raw, 1), "no answer");
+	run_loop(50);
+	ck_assert_uint_ge(http_server_bodies(server), QUEUED_BYTES);
+	raw_close(&raw);
+	finish();
+	g_free(body);
+}
+
 /* One sender fills the body memory with bodies that it doesn't complete. */
 static void
 memory_for_bodies_is_shared(void)
@@ -700,6 +723,8 @@
 	    {"malformed input is refused", malformed_input_is_refused},
 	    {"endless input is refused", endless_input_is_refused},
 	    {"memory for bodies is bounded", memory_for_bodies_is_bounded},
+	    {"memory of queued bodies is counted",
+		memory_of_queued_bodies_is_counted},
 	    {"memory for bodies is shared", memory_for_bodies_is_shared},
 	    {"connections are bounded", connections_are_bounded},
 	    {"arrived requests are answered by a drain",
