--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -93,12 +93,36 @@
 	gboolean closing; /* each connection is closed after its next reply */
 };
 
+static void
+start_receiving(conn_t *conn)
+{
+	msec_t ms = conn->server->conf.receive_ms;
+	struct timeval tv = {ms / MSEC_PER_SEC, (ms % MSEC_PER_SEC) * 1000};
+
+	conn->receiving = TRUE;
+	event_add(conn->deadline, &tv);
+}
+
+/* What is left in the input belongs to the next request, whose time begins once
+ * the reply is sent: see on_output(). */
+static void
+count_rest(conn_t *conn)
+{
+	size_t n = evbuffer_get_length(bufferevent_get_input(conn->bev));
+
+	if (n == 0 || conn->shed)
+		return;
+	body_memory_take(&conn->server->bodies, &conn->body,
+	    bufferevent_getfd(conn->bev), n);
+}
+
 static void
 exchange_free(http_exchange_t *x)
 {
 	x->conn->x = NULL;
 	x->conn->server->exchanges--;
 	body_memory_release(&x->conn->server->bodies, &x->conn->body);
+	count_rest(x->conn);
 	evhttp_connection_set_closecb(x->evcon, NULL, NULL);
 	if (x->watched)
 		hangup_watch_remove(
@@ -113,16 +137,6 @@
 	    evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0;
 }
 
-static void
-start_receiving(conn_t *conn)
-{
-	msec_t ms = conn->server->conf.receive_ms;
-	struct timeval tv = {ms / MSEC_PER_SEC, (ms % MSEC_PER_SEC) * 1000};
-
-	conn->receiving = TRUE;
-	event_add(conn->deadline, &tv);
-}
-
 /* Replies are added to the output, and leave it as the caller reads. */
 static void
 on_output(
@@ -201,8 +215,8 @@
 
 /*
  * Sends a refusal directly on the socket and closes the connection: evhttp
- * can't answer before it has read the complete request. Over TLS, the
- * connection is closed without a refusal.
+ * can't answer before it has read the complete request. Over TLS, and in the
+ * middle of a reply, the connection is closed without a refusal.
  */
 static void
 refuse_raw(conn_t *conn, int status, const char *reason)
