A host of src/host frees its open operations on keyed requests when it ends

Nobody saw it: memory that a process still held when it ended. A request with an Idempotency-Key that is cut by a stop leaves an operation on its row with a timer, which no list named.

The operations are now in a table that frees them.

--- a/src/host/host.h
+++ b/src/host/host.h
@@ -99,6 +99,7 @@
 	msec_t first_probe_at; /* of a catalog's endpoints; 0: none yet */
 	once_t once;
 	GHashTable *once_requests; /* entry to proxy_request_t */
+	GHashTable *once_jobs;	   /* operations on rows; freed at the end */
 	GHashTable *once_kept; /* entry to an answer that is kept for replays */
 	size_t once_kept_bytes;
 	struct sweep *sweep;
--- a/src/host/once_calls.c
+++ b/src/host/once_calls.c
@@ -35,10 +35,22 @@
 	g_free(k);
 }
 
+static void
+job_free(void *p)
+{
+	job_t *job = p;
+
+	if (job->timer != NULL)
+		event_free(job->timer);
+	g_free(job->name);
+	g_free(job);
+}
+
 void
 once_calls_init(host_t *h)
 {
 	once_init(&h->once);
+	h->once_jobs = g_hash_table_new_full(NULL, NULL, job_free, NULL);
 	h->once_requests = g_hash_table_new(NULL, NULL);
 	h->once_kept = g_hash_table_new_full(NULL, NULL, NULL, kept_free);
 }
@@ -46,6 +58,7 @@
 void
 once_calls_finish(host_t *h)
 {
+	g_hash_table_destroy(h->once_jobs);
 	g_hash_table_destroy(h->once_requests);
 	g_hash_table_destroy(h->once_kept);
 	once_finish(&h->once);
@@ -113,6 +126,7 @@
 	job->id = a->id;
 	job->row = a->row;
 	job->name = g_strdup(name);
+	g_hash_table_add(h->once_jobs, job);
 	return job;
 }
 
@@ -125,10 +139,7 @@
 	once_action_t a = once_step(&job->host->once, job->id, e, clock_now());
 
 	perform_action(job->host, pr, &a, job->name);
-	if (job->timer != NULL)
-		event_free(job->timer);
-	g_free(job->name);
-	g_free(job);
+	g_hash_table_remove(job->host->once_jobs, job);
 }
 
 static void
