FAULT: a stop frees requests after their callers' connections (src/host)

What callers saw: nothing more than a cut answer; the host ended by using freed memory, in place of its departure and its exit status. It needs a caller that has not read the whole of a streamed answer when the drain ends.

Cause: host_finish() freed the requests first and then the server of callers. Closing its connections reports each caller as gone to its request, which was freed (on_caller_gone()).

Evidence: test_host_callers, "a stop beside slow callers ends in order", failed before with heap-use-after-free, READ of size 8 in on_caller_gone() < on_conn_close() < evhttp_connection_free() < http_server_free() < host_finish(), freed by proxy_free() < host_finish(). It passes now, without a leak.

Why the fix works: the server goes first, while requests and all that they use are there; on_caller_gone() ends the request or clears its exchange. What is left has no exchange any more.

--- a/src/host/host.c
+++ b/src/host/host.c
@@ -241,10 +241,11 @@
 void
 host_finish(host_t *h)
 {
-	while (h->proxied_requests->len > 0)
-		proxy_free(g_ptr_array_index(h->proxied_requests, 0));
+	/* Closing its connections reports callers that left to requests. */
 	if (h->callers != NULL)
 		http_server_free(h->callers);
+	while (h->proxied_requests->len > 0)
+		proxy_free(g_ptr_array_index(h->proxied_requests, 0));
 	if (h->operators != NULL)
 		http_server_free(h->operators);
 	operate_finish(h);
--- a/tests/test_host_callers.c
+++ b/tests/test_host_callers.c
@@ -1,5 +1,7 @@
 #include <sys/socket.h>
+#include <sys/wait.h>
 
+#include <signal.h>
 #include <string.h>
 
 #include "host_world.h"
@@ -8,6 +10,7 @@
 #define PORT 25500
 #define CALLERS 6
 #define BIG_BYTES (16 * 1024 * 1024) /* more than sockets hold */
+#define REPORT_CHARS 2000
 #define LONG_MS 10000 /* time-out of a service with slow callers */
 #define FULL_MS 1500  /* until what waits for a slow caller is full */
 #define SOON_MS 3000
@@ -267,6 +270,36 @@
 	host_world_end(&w);
 }
 
+/* FAULT: a request that its caller had not read was used after it was freed. */
+static void
+a_stop_beside_slow_callers_ends_in_order(void)
+{
+	raw_conn_t *callers[CALLERS];
+	char *path, *log = NULL;
+	const char *found;
+	int k, status;
+
+	host_world_begin(&w, PORT, serve_odd);
+	w.timeout_ms = LONG_MS;
+	host_world_serve(&w, 1);
+	for (k = 0; k < CALLERS; k++) {
+		callers[k] = call("big-whole", k % 2 == 1);
+		bufferevent_disable(callers[k]->bev, EV_READ);
+	}
+	gateway_world_run(&w.raw, FULL_MS);
+	soak_host_signal(&w.raw.world, 0, SIGTERM);
+	status = gateway_world_wait_end(&w.raw, 0, 2 * LONG_MS);
+	ck_assert_msg(WIFEXITED(status), "wait status %d", status);
+	path = g_strdup_printf("%s/host-0.log", w.raw.world.dir);
+	ck_assert(g_file_get_contents(path, &log, NULL, NULL));
+	found = strstr(log, "Sanitizer");
+	ck_assert_msg(found == NULL, "%.*s", REPORT_CHARS, found);
+	ck_assert(strstr(log, "event=host.stopped") != NULL);
+	g_free(log);
+	g_free(path);
+	host_world_end(&w);
+}
+
 int
 main(void)
 {
@@ -276,6 +309,8 @@
 	    {"callers that leave the queue", callers_that_leave_the_queue},
 	    {"a slow caller that leaves frees the server",
 		a_slow_caller_that_leaves_frees_the_server},
+	    {"a stop beside slow callers ends in order",
+		a_stop_beside_slow_callers_ends_in_order},
 	};
 
 	return suite_run("host callers", cases, G_N_ELEMENTS(cases));
