--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -323,6 +323,12 @@
 	http_exchange_t *x = g_new0(http_exchange_t, 1);
 	const char *wrong = http_check_headers(req->input_headers);
 
+	if (req->major != 1) {
+		wrong = "unknown version of HTTP";
+		/* evhttp replies in the version of the request. */
+		req->major = 1;
+		req->minor = 1;
+	}
 	if (wrong == NULL)
 		wrong = http_check_body(
 		    evhttp_request_get_command(req), req->input_headers);
@@ -449,6 +455,12 @@
 	return server->exchanges;
 }
 
+size_t
+http_server_memory(const http_server_t *server)
+{
+	return server->bodies.held;
+}
+
 struct evhttp_request *
 http_exchange_request(const http_exchange_t *x)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -77,6 +77,9 @@
 unsigned int http_server_connections(const http_server_t *server);
 unsigned int http_server_exchanges(const http_server_t *server);
 
+/* Bytes of requests that are received or answered. */
+size_t http_server_memory(const http_server_t *server);
+
 struct evhttp_request *http_exchange_request(const http_exchange_t *x);
 const struct evkeyvalq *http_exchange_headers(const http_exchange_t *x);
 struct evbuffer *http_exchange_body(const http_exchange_t *x);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -326,6 +326,8 @@
 	"400<Content-Length is not a plain number> closed", ""},
     {"unknown coding", POST "Transfer-Encoding: xchunked\r\n\r\n" NEXT,
 	"400<unknown Transfer-Encoding> closed", ""},
+    {"unknown version", "GET /a HTTP/0.1\r\n\r\n" NEXT,
+	"400<unknown version of HTTP> closed", ""},
     {"control character", GET "X-A: a\001b\r\n\r\n" NEXT,
 	"400<a header value holds control characters> closed", ""},
 };
