--- a/src/transport/http_check.c
+++ b/src/transport/http_check.c
@@ -86,6 +86,18 @@
 	return NULL;
 }
 
+const char *
+http_check_target(const char *target)
+{
+	const char *c;
+
+	for (c = target; *c != '\0'; c++) {
+		if ((unsigned char)*c <= ' ' || *c == 0x7f)
+			return "the target holds blanks or control characters";
+	}
+	return NULL;
+}
+
 const char *
 http_check_headers(const struct evkeyvalq *headers)
 {
--- a/src/transport/http_check.h
+++ b/src/transport/http_check.h
@@ -7,8 +7,8 @@
 
 /*
  * Checks of requests that evhttp accepts but that must not reach a backend
- * server: contradictory lengths, unknown transfer codings, header names that
- * are not tokens.
+ * server: targets that end the request line, contradictory lengths, unknown
+ * transfer codings, header names that are not tokens.
  */
 
 /** http_is_token() - Whether @len bytes are a token of RFC 9110. */
@@ -17,6 +17,15 @@
 /** http_has_control() - Whether control characters other than a tab occur. */
 gboolean http_has_control(const char *text, size_t len);
 
+/**
+ * http_check_target() - Check the target of a request.
+ * @target: as evhttp parsed it: all between the first and the last blank of
+ *	the request line
+ *
+ * Return: NULL if it is valid, else a static text that says what is wrong.
+ */
+const char *http_check_target(const char *target);
+
 /**
  * http_check_headers() - Check the headers of a request.
  * @headers: as evhttp parsed them
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -329,6 +329,8 @@
 		req->major = 1;
 		req->minor = 1;
 	}
+	if (wrong == NULL)
+		wrong = http_check_target(evhttp_request_get_uri(req));
 	if (wrong == NULL)
 		wrong = http_check_body(
 		    evhttp_request_get_command(req), req->input_headers);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -261,6 +261,7 @@
 #define CHUNKED_NEXT \
 	"Transfer-Encoding: chunked\r\n\r\n23\r\n" NEXT "\r\n0\r\n\r\n"
 #define HEAD_REFUSED "400 closed"
+#define BAD_TARGET "400<the target holds blanks or control characters> closed"
 #define REFUSED "400<a header that may stand once is repeated> closed"
 
 /* Input; expected answers; requests that the handler gets. */
@@ -328,6 +329,9 @@
 	"400<unknown Transfer-Encoding> closed", ""},
     {"unknown version", "GET /a HTTP/0.1\r\n\r\n" NEXT,
 	"400<unknown version of HTTP> closed", ""},
+    {"blank in the target", "GET /a b HTTP/1.1\r\n\r\n" NEXT, BAD_TARGET, ""},
+    {"carriage return in the target", "GET /a\rb HTTP/1.1\r\n\r\n" NEXT,
+	BAD_TARGET, ""},
     {"control character", GET "X-A: a\001b\r\n\r\n" NEXT,
 	"400<a header value holds control characters> closed", ""},
 };
