FAULT: a request whose caller leaves a started reply is freed

A host kept the memory of a request, with its body, for good when the caller closed the connection after the reply had started; only src/host starts replies before their end is known. Cause: evhttp then takes the request off its connection and leaves it to its user, who was to end the reply; this module ends the exchange instead.

Found by fuzzing of requests (address sanitizer, 216 bytes and more a request). Before, the new test of test_http said "LeakSanitizer: detected memory leaks: Direct leak of 216 byte(s)" (evhttp_request_new).

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -106,6 +106,9 @@
 	(void)evcon;
 	if (x->gone != NULL && !x->ended)
 		x->gone(x->gone_arg);
+	/* evhttp leaves a request whose reply has started to its user. */
+	if (evhttp_request_get_connection(x->req) == NULL)
+		evhttp_request_free(x->req);
 	exchange_free(x);
 }
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -67,6 +67,19 @@
 	event_base_once(base, -1, EV_TIMEOUT, reply_later, x, &tv);
 }
 
+/* Starts a reply that does not end. */
+static void
+start_reply(http_exchange_t *x)
+{
+	struct evbuffer *piece = evbuffer_new();
+
+	evbuffer_add_printf(piece, "<piece>");
+	http_exchange_watch(x, on_caller_gone, NULL);
+	http_reply_start(x, 200, NULL);
+	http_reply_piece(x, piece, NULL, NULL);
+	evbuffer_free(piece);
+}
+
 static void
 serve(void *arg, http_exchange_t *x)
 {
@@ -86,6 +99,8 @@
 	evhttp_clear_headers(&copy);
 	if (g_str_has_prefix(path, "/hold"))
 		hold(x);
+	else if (g_str_has_prefix(path, "/start"))
+		start_reply(x);
 	else
 		reply_text(x, path);
 }
@@ -699,6 +714,23 @@
 	finish();
 }
 
+/* FAULT: memory of each such request was kept for good. */
+static void
+caller_that_leaves_a_started_reply_leaves_no_memory(void)
+{
+	raw_t raw;
+
+	start(10);
+	raw_open(&raw);
+	bufferevent_write(raw.bev, "GET /start HTTP/1.1\r\n\r\n", 23);
+	ck_assert(wait_answers(&raw, 1));
+	raw_close(&raw);
+	run_loop(SETTLE_MS);
+	ck_assert_int_eq(hung_up, 1);
+	ck_assert_uint_eq(http_server_exchanges(server), 0);
+	finish();
+}
+
 int
 main(void)
 {
@@ -714,6 +746,8 @@
 	    {"hang-up is seen while a request runs",
 		hang_up_is_seen_while_a_request_runs},
 	    {"hang-ups at once are all seen", hang_ups_at_once_are_all_seen},
+	    {"caller that leaves a started reply leaves no memory",
+		caller_that_leaves_a_started_reply_leaves_no_memory},
 	    {"refused requests do not run", refused_requests_do_not_run},
 	};
 
