--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -18,6 +18,7 @@
 #include "transport/hangup_watch.h"
 #include "transport/http_check.h"
 #include "transport/http_server.h"
+#include "transport/request_framing.h"
 
 #define IDLE_TIMEOUT_SEC 60
 
@@ -37,7 +38,8 @@
 	struct bufferevent *bev;
 	struct event *deadline; /* for receiving the complete request */
 	body_usage_t body;	/* memory of the current request */
-	http_exchange_t *x;	/* the request being answered */
+	request_framing_t framing;
+	http_exchange_t *x; /* the request being answered */
 	gboolean receiving;
 	gboolean refused; /* over the limit on connections */
 	gboolean shed;	  /* refused for its memory; further input is ignored */
@@ -92,6 +94,7 @@
 	conn_t *conn = p;
 
 	body_memory_detach(&conn->server->bodies, &conn->body);
+	request_framing_finish(&conn->framing);
 	event_free(conn->deadline);
 	bufferevent_decref(conn->bev);
 	g_free(conn);
@@ -201,6 +204,26 @@
 	}
 }
 
+/* Reads the last @n bytes of the input. */
+static void
+read_framing(conn_t *conn, struct evbuffer *buffer, size_t n)
+{
+	struct evbuffer_iovec part;
+	struct evbuffer_ptr at;
+	size_t len;
+
+	evbuffer_ptr_set(
+	    buffer, &at, evbuffer_get_length(buffer) - n, EVBUFFER_PTR_SET);
+	while (
+	    n > 0 && evbuffer_peek(buffer, (ev_ssize_t)n, &at, &part, 1) > 0) {
+		len = MIN(n, part.iov_len);
+		request_framing_read(&conn->framing, part.iov_base, len);
+		n -= len;
+		if (n > 0)
+			evbuffer_ptr_set(buffer, &at, len, EVBUFFER_PTR_ADD);
+	}
+}
+
 static void
 on_input(
     struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *arg)
@@ -208,9 +231,9 @@
 	conn_t *conn = arg;
 	http_server_t *server = conn->server;
 
-	(void)buffer;
 	if (info->n_added == 0 || conn->shed)
 		return;
+	read_framing(conn, buffer, info->n_added);
 	body_memory_take(&server->bodies, &conn->body,
 	    bufferevent_getfd(conn->bev), info->n_added);
 	if (conn->x == NULL && !conn->receiving)
@@ -288,6 +311,7 @@
 		    SSL_new(server->conf.tls), BUFFEREVENT_SSL_ACCEPTING,
 		    BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_incref(conn->bev);
+	request_framing_init(&conn->framing);
 	conn->server = server;
 	conn->deadline = evtimer_new(base, on_deadline, conn);
 	conn->refused =
@@ -306,7 +330,7 @@
 }
 
 static void
-refuse_headers(http_exchange_t *x, const char *wrong)
+refuse_headers(http_exchange_t *x, int status, const char *wrong)
 {
 	struct evbuffer *body = evbuffer_new();
 	char *text = x->conn->server->refuse(wrong);
@@ -314,16 +338,15 @@
 	/* The boundaries of later requests on this connection are unknown. */
 	evhttp_add_header(x->req->output_headers, "Connection", "close");
 	evbuffer_add(body, text, strlen(text));
-	http_reply(x, 400, NULL, body);
+	http_reply(x, status, NULL, body);
 	evbuffer_free(body);
 	g_free(text);
 }
 
-static void
-on_request(struct evhttp_request *req, void *arg)
+/* Return: NULL, or what is wrong with a request as evhttp has read it. */
+static const char *
+check_request(struct evhttp_request *req)
 {
-	http_server_t *server = arg;
-	http_exchange_t *x = g_new0(http_exchange_t, 1);
 	const char *wrong = http_check_headers(req->input_headers);
 
 	if (req->major != 1) {
@@ -337,10 +360,23 @@
 	if (wrong == NULL)
 		wrong = http_check_body(
 		    evhttp_request_get_command(req), req->input_headers);
+	return wrong;
+}
+
+static void
+on_request(struct evhttp_request *req, void *arg)
+{
+	http_server_t *server = arg;
+	http_exchange_t *x = g_new0(http_exchange_t, 1);
+	const char *wrong = check_request(req), *framing;
+
 	x->req = req;
 	x->evcon = evhttp_request_get_connection(req);
 	x->conn = g_hash_table_lookup(
 	    server->conns, evhttp_connection_get_bufferevent(x->evcon));
+	framing = request_framing_take(&x->conn->framing);
+	if (wrong == NULL)
+		wrong = framing;
 	x->conn->receiving = FALSE;
 	x->conn->x = x;
 	event_del(x->conn->deadline);
@@ -350,7 +386,9 @@
 	if (x->conn->shut)
 		http_reply(x, 503, NULL, NULL);
 	else if (wrong != NULL)
-		refuse_headers(x, wrong);
+		refuse_headers(x, 400, wrong);
+	else if ((evhttp_request_get_command(req) & ALLOWED_METHODS) == 0)
+		refuse_headers(x, 501, "the method is not supported");
 	else
 		server->serve(server->arg, x);
 }
@@ -394,7 +432,9 @@
 	server->sweeper = event_new(base, -1, EV_PERSIST, sweep, server);
 	event_add(server->sweeper, &sweep_period);
 	server->http = evhttp_new(base);
-	evhttp_set_allowed_methods(server->http, ALLOWED_METHODS);
+	/* Those that are not allowed are refused by on_request(), so that each
+	 * request of a connection passes there. */
+	evhttp_set_allowed_methods(server->http, UINT16_MAX);
 	evhttp_set_max_headers_size(
 	    server->http, (ev_ssize_t)conf->max_head_bytes);
 	evhttp_set_max_body_size(
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -347,6 +347,21 @@
     {"blank in the target", "GET /a b HTTP/1.1\r\n\r\n" NEXT, BAD_TARGET, ""},
     {"carriage return in the target", "GET /a\rb HTTP/1.1\r\n\r\n" NEXT,
 	BAD_TARGET, ""},
+    /* UNASKED: a request was served that its caller had not sent. */
+    {"chunk longer than its size",
+	POST "Transfer-Encoding: chunked\r\n\r\n3\r\nabc0\r\n\r\n" NEXT,
+	"400<a chunk is longer than its size> closed", ""},
+    {"chunk shorter than its size",
+	POST "Transfer-Encoding: chunked\r\n\r\n7\r\nabc\r\n00a\r\n"
+	     "0123456789\r\n0\r\n\r\n" NEXT,
+	"400<a chunk is longer than its size> closed", ""},
+    {"chunk longer than its size, behind a refused method",
+	"TRACE /a HTTP/1.1\r\n\r\nCONNECT h:1 HTTP/1.1\r\n\r\n" POST
+	"Transfer-Encoding: chunked\r\n\r\n3\r\nabc0\r\n\r\n" NEXT,
+	"501<the method is not supported> closed", ""},
+    {"chunk size with a sign",
+	POST "Transfer-Encoding: chunked\r\n\r\n+3\r\nabc\r\n0\r\n\r\n" NEXT,
+	"400<invalid chunk size> closed", ""},
     {"control character", GET "X-A: a\001b\r\n\r\n" NEXT,
 	"400<a header value holds control characters> closed", ""},
 };
@@ -377,6 +392,20 @@
     {"unfinished body", POST "Content-Length: 10\r\n\r\nabc", 408},
 };
 
+/* With NUL bytes. */
+static const struct {
+	const char *name, *input;
+	size_t len;
+} nul_rows[] = {
+#define NUL_ROW(name, text) \
+	{ \
+		name, text, sizeof(text) - 1 \
+	}
+    NUL_ROW("NUL in a value", GET "X-A: b\0c\r\n\r\n"),
+    NUL_ROW("NUL in front of a line", GET "\0X-A: b\r\n\r\n"),
+    NUL_ROW("NUL in a length", POST "Content-Length: 1\0002\r\n\r\nab"),
+};
+
 static int
 count(const char *text, char c)
 {
@@ -417,6 +446,29 @@
 	}
 }
 
+static void
+nul_bytes_are_refused(void)
+{
+	char *got;
+	size_t i;
+	raw_t raw;
+
+	for (i = 0; i < G_N_ELEMENTS(nul_rows); i++) {
+		start(10);
+		raw_open(&raw);
+		bufferevent_write(raw.bev, nul_rows[i].input, nul_rows[i].len);
+		wait_closed(&raw);
+		got = raw_summary(&raw);
+		ck_assert_msg(
+		    strcmp(got, "400<a NUL byte in the head> closed") == 0 &&
+			served->len == 0,
+		    "%s: got %s served %s", nul_rows[i].name, got, served->str);
+		g_free(got);
+		raw_close(&raw);
+		finish();
+	}
+}
+
 static void
 check_refused(const char *name, const raw_t *raw, int status)
 {
@@ -737,6 +789,7 @@
 	static const suite_case_t cases[] = {
 	    {"input is answered as expected", input_is_answered_as_expected},
 	    {"malformed input is refused", malformed_input_is_refused},
+	    {"NUL bytes are refused", nul_bytes_are_refused},
 	    {"endless input is refused", endless_input_is_refused},
 	    {"memory for bodies is bounded", memory_for_bodies_is_bounded},
 	    {"memory for bodies is shared", memory_for_bodies_is_shared},
