MIXED: a refusal by the server module is not sent into a reply

A connection whose next request was too large or too slow got the text of its refusal between the bytes of a reply that was not yet sent, so that a caller could take it for a part of the body. Cause: the text is written to the socket directly, past what evhttp has still to send. It is now left out in this case; the connection is closed as before.

Found by reading the findings of the fuzzing of requests; no test of its own: fuzz_caller checks all bytes that callers get.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -139,7 +139,10 @@
 				     "Connection: close\r\n\r\n%s",
 	    status, strlen(body), body);
 
-	if (server->conf.tls == NULL)
+	/* The text would stand in the middle of a reply that is not sent yet.
+	 */
+	if (server->conf.tls == NULL && conn->x == NULL &&
+	    evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0)
 		(void)send(bufferevent_getfd(conn->bev), text, strlen(text),
 		    MSG_NOSIGNAL | MSG_DONTWAIT);
 	shut_down(conn);
