--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -358,6 +358,10 @@
 		req->major = 1;
 		req->minor = 1;
 	}
+	req->minor = MIN(req->minor, 1);
+	if (wrong == NULL && req->minor == 0 &&
+	    evhttp_find_header(req->input_headers, "Transfer-Encoding") != NULL)
+		wrong = "Transfer-Encoding in HTTP/1.0";
 	if (wrong == NULL)
 		wrong = http_check_target(evhttp_request_get_uri(req));
 	if (wrong == NULL)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -359,6 +359,8 @@
 	"TRACE /a HTTP/1.1\r\n\r\nCONNECT h:1 HTTP/1.1\r\n\r\n" POST
 	"Transfer-Encoding: chunked\r\n\r\n3\r\nabc0\r\n\r\n" NEXT,
 	"501<the method is not supported> closed", ""},
+    {"reply in a known version", "GET /a HTTP/1.12\r\n\r\n" LAST,
+	"200</a> 200</b> ", "1 /a 0;1 /b 0;"},
     {"chunk size with a sign",
 	POST "Transfer-Encoding: chunked\r\n\r\n+3\r\nabc\r\n0\r\n\r\n" NEXT,
 	"400<invalid chunk size> closed", ""},
@@ -387,6 +389,10 @@
     {"no method", "   \r\n\r\n" NEXT, 0},
     {"unknown method", "BREW /a HTTP/1.1\r\n\r\n" NEXT, 0},
     {"no version", "GET /a HTTP/x\r\n\r\n" NEXT, 0},
+    {"chunks in HTTP/1.0",
+	"POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"0\r\n\r\n" NEXT,
+	0},
     {"header without a colon", GET "nonsense\r\n\r\n" NEXT, 0},
     {"unfinished head", GET "X-A: ", 408},
     {"unfinished body", POST "Content-Length: 10\r\n\r\nabc", 408},
