UNASKED: a request that lists "close" is the last of its connection

Behind a request with "close" in a list or in a second Connection header, the next request on the connection was served, which RFC 9112 (9.6) forbids. Cause: evhttp looks at the first header alone and only for a plain "close". The reply now names the close, so that evhttp closes behind it.

Found by fuzzing of requests ("served behind the last request"). Without it, test_http says "last request of a connection: got 200</a> 200</smuggled>".

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -555,7 +555,9 @@
 		TAILQ_FOREACH(h, headers, next)
 		evhttp_add_header(x->req->output_headers, h->key, h->value);
 	}
-	if (x->conn->server->draining || x->conn->server->closing)
+	/* evhttp sees only a plain "close" in the first Connection header. */
+	if (x->conn->server->draining || x->conn->server->closing ||
+	    http_connection_lists(x->req->input_headers, "close"))
 		evhttp_add_header(
 		    x->req->output_headers, "Connection", "close");
 }
