--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -82,6 +82,19 @@
 	event_base_once(base, -1, EV_TIMEOUT, reply_later, x, &tv);
 }
 
+/* Starts a reply that does not end. */
+static void
+start_reply(http_exchange_t *x)
+{
+	struct evbuffer *piece = evbuffer_new();
+
+	evbuffer_add_printf(piece, "<piece>");
+	http_exchange_watch(x, on_caller_gone, NULL);
+	http_reply_start(x, 200, NULL);
+	http_reply_piece(x, piece, NULL, NULL);
+	evbuffer_free(piece);
+}
+
 static void
 serve(void *arg, http_exchange_t *x)
 {
@@ -103,6 +116,8 @@
 		hold(x);
 	else if (strcmp(path, "/large") == 0)
 		reply_large(x);
+	else if (g_str_has_prefix(path, "/start"))
+		start_reply(x);
 	else
 		reply_text(x, path);
 }
@@ -350,6 +365,26 @@
     {"blank in the target", "GET /a b HTTP/1.1\r\n\r\n" NEXT, BAD_TARGET, ""},
     {"carriage return in the target", "GET /a\rb HTTP/1.1\r\n\r\n" NEXT,
 	BAD_TARGET, ""},
+    /* UNASKED: a request was served that its caller had not sent. */
+    {"chunk longer than its size",
+	POST "Transfer-Encoding: chunked\r\n\r\n3\r\nabc0\r\n\r\n" NEXT,
+	"400<a chunk is longer than its size> closed", ""},
+    {"chunk shorter than its size",
+	POST "Transfer-Encoding: chunked\r\n\r\n7\r\nabc\r\n00a\r\n"
+	     "0123456789\r\n0\r\n\r\n" NEXT,
+	"400<a chunk is longer than its size> closed", ""},
+    {"chunk longer than its size, behind a refused method",
+	"TRACE /a HTTP/1.1\r\n\r\nCONNECT h:1 HTTP/1.1\r\n\r\n" POST
+	"Transfer-Encoding: chunked\r\n\r\n3\r\nabc0\r\n\r\n" NEXT,
+	"501<the method is not supported> closed", ""},
+    {"reply in a known version", "GET /a HTTP/1.12\r\n\r\n" LAST,
+	"200</a> 200</b> ", "1 /a 0;1 /b 0;"},
+    {"last request of a connection",
+	GET "Connection: x\r\nConnection: y, close\r\n\r\n" NEXT,
+	"200</a> closed", "1 /a 0;"},
+    {"chunk size with a sign",
+	POST "Transfer-Encoding: chunked\r\n\r\n+3\r\nabc\r\n0\r\n\r\n" NEXT,
+	"400<invalid chunk size> closed", ""},
     {"control character", GET "X-A: a\001b\r\n\r\n" NEXT,
 	"400<a header value holds control characters> closed", ""},
 };
@@ -375,11 +410,29 @@
     {"no method", "   \r\n\r\n" NEXT, 0},
     {"unknown method", "BREW /a HTTP/1.1\r\n\r\n" NEXT, 0},
     {"no version", "GET /a HTTP/x\r\n\r\n" NEXT, 0},
+    {"chunks in HTTP/1.0",
+	"POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"0\r\n\r\n" NEXT,
+	0},
     {"header without a colon", GET "nonsense\r\n\r\n" NEXT, 0},
     {"unfinished head", GET "X-A: ", 408},
     {"unfinished body", POST "Content-Length: 10\r\n\r\nabc", 408},
 };
 
+/* With NUL bytes. */
+static const struct {
+	const char *name, *input;
+	size_t len;
+} nul_rows[] = {
+#define NUL_ROW(name, text) \
+	{ \
+		name, text, sizeof(text) - 1 \
+	}
+    NUL_ROW("NUL in a value", GET "X-A: b\0c\r\n\r\n"),
+    NUL_ROW("NUL in front of a line", GET "\0X-A: b\r\n\r\n"),
+    NUL_ROW("NUL in a length", POST "Content-Length: 1\0002\r\n\r\nab"),
+};
+
 static int
 count(const char *text, char c)
 {
@@ -420,6 +473,29 @@
 	}
 }
 
+static void
+nul_bytes_are_refused(void)
+{
+	char *got;
+	size_t i;
+	raw_t raw;
+
+	for (i = 0; i < G_N_ELEMENTS(nul_rows); i++) {
+		start(10);
+		raw_open(&raw);
+		bufferevent_write(raw.bev, nul_rows[i].input, nul_rows[i].len);
+		wait_closed(&raw);
+		got = raw_summary(&raw);
+		ck_assert_msg(
+		    strcmp(got, "400<a NUL byte in the head> closed") == 0 &&
+			served->len == 0,
+		    "%s: got %s served %s", nul_rows[i].name, got, served->str);
+		g_free(got);
+		raw_close(&raw);
+		finish();
+	}
+}
+
 static void
 check_refused(const char *name, const raw_t *raw, int status)
 {
@@ -853,12 +929,30 @@
 	finish();
 }
 
+/* FAULT: memory of each such request was kept for good. */
+static void
+caller_that_leaves_a_started_reply_leaves_no_memory(void)
+{
+	raw_t raw;
+
+	start(10);
+	raw_open(&raw);
+	bufferevent_write(raw.bev, "GET /start HTTP/1.1\r\n\r\n", 23);
+	ck_assert(wait_answers(&raw, 1));
+	raw_close(&raw);
+	run_loop(SETTLE_MS);
+	ck_assert_int_eq(hung_up, 1);
+	ck_assert_uint_eq(http_server_exchanges(server), 0);
+	finish();
+}
+
 int
 main(void)
 {
 	static const suite_case_t cases[] = {
 	    {"input is answered as expected", input_is_answered_as_expected},
 	    {"malformed input is refused", malformed_input_is_refused},
+	    {"NUL bytes are refused", nul_bytes_are_refused},
 	    {"endless input is refused", endless_input_is_refused},
 	    {"memory for bodies is bounded", memory_for_bodies_is_bounded},
 	    {"memory of queued bodies is counted",
@@ -880,6 +974,8 @@
 	    {"hang-up is seen while a request runs",
 		hang_up_is_seen_while_a_request_runs},
 	    {"hang-ups at once are all seen", hang_ups_at_once_are_all_seen},
+	    {"caller that leaves a started reply leaves no memory",
+		caller_that_leaves_a_started_reply_leaves_no_memory},
 	    {"refused requests do not run", refused_requests_do_not_run},
 	};
 
