Tests: callers that queue requests and read nothing

30 callers on each of the three ports send 4 MB of requests each and read no reply: the gauges stay within the bounds, the host serves others and stays under 200 MB.

--- a/tests/test_gateway_memory.c
+++ b/tests/test_gateway_memory.c
@@ -22,6 +22,11 @@
 #define BODIES_HELD 50000000
 #define ANSWERS_HELD 40000000
 #define REPLIES_HELD 28000000
+/* Requests that are sent one after the other, by QUEUES callers a port. */
+#define QUEUES 30
+#define QUEUE_BYTES (4 * 1024 * 1024)
+#define QUEUED_MS 3000
+#define BODY_BOUND (72 * 1024 * 1024) /* of three ports */
 /* A host of the sites is killed over 260 MB. */
 #define PEAK_KB (200 * 1024)
 #define BOUND_MS 20000
@@ -267,6 +272,43 @@
 	g_free(filler);
 }
 
+/* FAULT: callers that send request after request and read no reply. */
+static void
+queued_requests_are_bounded(void)
+{
+	static const int ports[] = {PORT_CALLERS, PORT_LOOKUPS, PORT_OPERATORS};
+	GString *requests = g_string_new(NULL);
+	raw_conn_t *conn;
+	size_t i;
+	int k;
+
+	while (requests->len < QUEUE_BYTES)
+		g_string_append(requests,
+		    "GET /none HTTP/1.1\r\nHost: soak.example\r\n\r\n");
+	gateway_world_begin(&g, PORT, SERVERS, NULL);
+	gateway_world_start(&g, 0);
+	for (k = 0; k < QUEUES * (int)G_N_ELEMENTS(ports); k++) {
+		i = (size_t)k % G_N_ELEMENTS(ports);
+		conn = raw_connect(&g, gateway_world_port(&g, 0, ports[i]));
+		bufferevent_disable(conn->bev, EV_READ);
+		evbuffer_add_reference(bufferevent_get_output(conn->bev),
+		    requests->str, requests->len, NULL, NULL);
+	}
+	gateway_world_run(&g, QUEUED_MS);
+	ck_assert_int_le(metric("reply_bytes"), REPLY_BOUND);
+	ck_assert_int_le(metric("body_bytes"), BODY_BOUND);
+	conn = raw_connect(&g, gateway_world_port(&g, 0, PORT_CALLERS));
+	raw_get(conn, "after");
+	ck_assert_msg(gateway_world_wait(&g, is_answered, conn, BOUND_MS) &&
+		raw_status(conn) == 200,
+	    "status %d", raw_status(conn));
+	ck_assert_msg(gateway_world_wait_end(&g, 0, 0) == -1, "the host ended");
+	if (!SANITIZED)
+		ck_assert_msg(peak_kb() < PEAK_KB, "peak %ld KB", peak_kb());
+	gateway_world_end(&g);
+	g_string_free(requests, TRUE);
+}
+
 int
 main(void)
 {
@@ -274,6 +316,7 @@
 	    {"replies that are not read are bounded",
 		replies_not_read_are_bounded},
 	    {"all bounds fit together", all_bounds_fit_together},
+	    {"queued requests are bounded", queued_requests_are_bounded},
 	};
 
 	return suite_run("gateway memory", cases, G_N_ELEMENTS(cases));
