FAULT: the listener for other hosts' calls waits for a descriptor

tests/test_rpc_socket, "a listener without descriptors waits"; before: "496 ms of processor time in 500 ms".

--- a/src/transport/rpc_server.c
+++ b/src/transport/rpc_server.c
@@ -21,6 +21,19 @@
 		rpc_conn_refuse(c, RPC_REFUSAL_CONNECTIONS);
 }
 
+/* No descriptor is free: the connection waits in the listening socket, which
+ * would be reported without end. The sweep enables it again. */
+static void
+on_accept_error(struct evconnlistener *listener, void *arg)
+{
+	int error = errno;
+
+	(void)arg;
+	evconnlistener_disable(listener);
+	log_event(
+	    LOG_WARN, "rpc.not_accepted", "error", g_strerror(error), NULL);
+}
+
 static void
 sweep(evutil_socket_t fd, short what, void *arg)
 {
@@ -36,6 +49,8 @@
 			rpc_conn_refuse(l->data, RPC_REFUSAL_SLOW);
 	}
 	g_list_free(conns);
+	if (s->listener != NULL)
+		evconnlistener_enable(s->listener);
 }
 
 gboolean
@@ -59,6 +74,7 @@
 		    g_strerror(errno));
 		return FALSE;
 	}
+	evconnlistener_set_error_cb(s->listener, on_accept_error);
 	s->conns = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, rpc_conn_free);
 	s->pending =
--- a/tests/test_rpc_socket.c
+++ b/tests/test_rpc_socket.c
@@ -1,6 +1,13 @@
+#include <sys/resource.h>
+
+#include <time.h>
+#include <unistd.h>
+
 #include "rpc_fixture.h"
 #include "transport/rpc_peer.h"
 
+#define WAIT_MS 500
+
 static void
 answers_are_matched_to_their_calls(void)
 {
@@ -167,6 +174,44 @@
 	finish();
 }
 
+static msec_t
+cpu_ms(void)
+{
+	struct timespec ts;
+
+	ck_assert(clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts) == 0);
+	return ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+/* FAULT: a listener without a free descriptor used the core up. */
+static void
+a_listener_without_descriptors_waits(void)
+{
+	const struct timeval tv = {0, WAIT_MS * 1000};
+	struct rlimit few, all;
+	msec_t before;
+	int fd;
+
+	start(ANSWER_NOW);
+	ck_assert(getrlimit(RLIMIT_NOFILE, &all) == 0);
+	fd = dup(STDIN_FILENO);
+	ck_assert_int_ge(fd, 0);
+	close(fd);
+	few = all;
+	few.rlim_cur = (rlim_t)fd + 1; /* for the client's end only */
+	ck_assert(setrlimit(RLIMIT_NOFILE, &few) == 0);
+	ck_assert(call(1, 10000, NULL));
+	before = cpu_ms();
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+	ck_assert(setrlimit(RLIMIT_NOFILE, &all) == 0);
+	ck_assert_msg(cpu_ms() - before < WAIT_MS / 3,
+	    "%lld ms of processor time in %d ms",
+	    (long long)(cpu_ms() - before), WAIT_MS);
+	run_until(&answered, 1);
+	finish();
+}
+
 int
 main(void)
 {
@@ -180,6 +225,8 @@
 	    {"outstanding calls are bounded", outstanding_calls_are_bounded},
 	    {"peers may be removed in an answer's callback",
 		peers_may_be_removed_in_an_answers_callback},
+	    {"a listener without descriptors waits",
+		a_listener_without_descriptors_waits},
 	};
 
 	return fixture_run(
