--- a/tests/fuzz/byte_sockets.h
+++ b/tests/fuzz/byte_sockets.h
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <netinet/tcp.h>
 #include <unistd.h>
 
 #include <event2/event.h>
@@ -72,6 +73,16 @@
 	g_error("no free port");
 }
 
+/* Sends and acknowledges at once. */
+static inline void
+sockets_no_delay(int fd)
+{
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_QUICKACK, &on, sizeof(on));
+}
+
 /* Takes what has arrived. Return: FALSE at the end of the input. */
 static inline gboolean
 sockets_read(int fd, GString *in)
@@ -81,6 +92,7 @@
 
 	while ((n = recv(fd, block, sizeof(block), MSG_DONTWAIT)) > 0)
 		g_string_append_len(in, block, n);
+	sockets_no_delay(fd);
 	return n < 0 && (errno == EAGAIN || errno == EINTR);
 }
 
--- a/tests/fuzz/fuzz_answer.c
+++ b/tests/fuzz/fuzz_answer.c
@@ -319,6 +319,7 @@
 		    listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
 		p = g_new0(peer_t, 1);
 		p->fd = fd;
+		sockets_no_delay(fd);
 		p->call = -1;
 		p->asked = g_string_new(NULL);
 		p->sent = g_string_new(NULL);
