--- a/tests/fuzz/fuzz_caller.c
+++ b/tests/fuzz/fuzz_caller.c
@@ -274,8 +274,12 @@
 	if (w->ncallers == CALLERS_MAX || w->drained)
 		return;
 	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (connect(c->fd, (struct sockaddr *)&at, sizeof(at)) != 0)
-		g_error("connect: %s", g_strerror(errno));
+	/* libFuzzer's timer interrupts. */
+	while (connect(c->fd, (struct sockaddr *)&at, sizeof(at)) != 0 &&
+	    errno != EISCONN) {
+		if (errno != EINTR && errno != EALREADY)
+			g_error("connect: %s", g_strerror(errno));
+	}
 	sockets_no_delay(c->fd);
 	getsockname(c->fd, (struct sockaddr *)&at, &len);
 	c->port = ntohs(at.sin_port);
