FAULT: closed idle connections leave the list of all idle ones

Cause: two changes that were made side by side. One closes the idle connections of an address (silent store), the other keeps idle connections in a list of all addresses as well; the first freed them without taking them off that list.

Evidence: the line host.crashed with its stack named g_queue_unlink() and on_close(); test_silent_store and the new "closed idle connections are forgotten" of test_http_client: heap-use-after-free in close_old_idle() before, both pass now.

Why it works: take_idle() is the one way out of both lists.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -763,13 +763,13 @@
 http_client_close_idle(http_client_t *client, const char *address)
 {
 	target_t *target = g_hash_table_lookup(client->targets, address);
-	guint i;
+	conn_t *conn;
 
-	if (target == NULL)
-		return;
-	for (i = 0; i < target->idle->len; i++)
-		conn_free_later(g_ptr_array_index(target->idle, i));
-	g_ptr_array_set_size(target->idle, 0);
+	while (target != NULL && target->idle->len > 0) {
+		conn = g_ptr_array_index(target->idle, 0);
+		take_idle(conn);
+		conn_free_later(conn);
+	}
 }
 
 void
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -374,6 +374,23 @@
 	finish();
 }
 
+/* FAULT: closed idle connections stayed in the list of all idle ones. */
+static void
+closed_idle_connections_are_forgotten(void)
+{
+	static const http_handler_t handler = {.on_done = on_done};
+	int i;
+
+	start(&scripts[0]);
+	for (i = 1; i <= 4; i++) {
+		ask(ADDRESS, 1000, &handler);
+		wait_done(i);
+		http_client_close_idle(client, ADDRESS);
+		ck_assert_int_eq(connections, i);
+	}
+	finish();
+}
+
 static size_t received;
 static http_call_t *large;
 
@@ -684,6 +701,8 @@
 		stray_answer_is_not_given_to_next_request},
 	    {"refused connection is reported as not sent",
 		refused_connection_is_reported_as_not_sent},
+	    {"closed idle connections are forgotten",
+		closed_idle_connections_are_forgotten},
 	    {"paused call receives no more", paused_call_receives_no_more},
 	    {"idle connections are bounded", idle_connections_are_bounded},
 	    {"answers that are cut are not whole", cut_answers_are_not_whole},
