--- a/tests/host_world.h
+++ b/tests/host_world.h
@@ -39,7 +39,7 @@
 /**
  * host_world_begin() - Start the servers and the store.
  * @w: initialised here; one at a time
- * @port: first port; a test takes 100
+ * @port: a test takes @port + 20 to @port + 60
  * @odd: answers requests to "odd"; NULL: raw_reply_whole()
  */
 void host_world_begin(host_world_t *w, int port,
