--- a/review/standins-2/servers.c
+++ b/review/standins-2/servers.c
@@ -62,6 +62,10 @@
 	} else if (status != 200) {
 		evhttp_add_header(out, "X-Not-Executed", "1");
 	}
+	if (s->limit != NULL)
+		evhttp_add_header(out, "Server-Limit", s->limit);
+	if (s->leaving)
+		evhttp_add_header(out, "Server-Leaving", "1");
 	if (s->drains)
 		evhttp_add_header(out, "Connection", "close");
 	evhttp_send_reply(req, status, "-", body);
@@ -91,7 +95,9 @@
 start_run(run_t *run)
 {
 	server_t *s = run->server;
-	struct timeval tv = {s->work_ms / 1000, s->work_ms % 1000 * 1000};
+	ms_t ms =
+	    run->request->work_ms > 0 ? run->request->work_ms : s->work_ms;
+	struct timeval tv = {ms / 1000, ms % 1000 * 1000};
 
 	run->began_at = world_now(s->world) + 1;
 	run->request->runs++;
--- a/review/standins-2/world.c
+++ b/review/standins-2/world.c
@@ -58,36 +58,66 @@
 	    ? evhttp_request_get_response_code(req)
 	    : -1;
 	world_note(r->world, "answer %s %d", r->id, r->status);
+	if (r->world->on_answer != NULL)
+		r->world->on_answer(r, req);
 }
 
-request_t *
-caller_send(world_t *w, int host, enum evhttp_cmd_type method, const char *path,
-    const char *key)
+static void
+send_request(request_t *r, enum evhttp_cmd_type method, const char *path)
 {
-	request_t *r = g_new0(request_t, 1);
+	world_t *w = r->world;
 	struct evhttp_request *req = evhttp_request_new(on_answer, r);
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+	char *budget = g_strdup_printf("%d", (int)r->budget_ms);
 
-	r->world = w;
-	r->host = host;
-	r->key = g_strdup(key);
 	r->idempotent = method == EVHTTP_REQ_GET;
 	r->sent_at = world_now(w);
 	g_snprintf(r->id, sizeof(r->id), "r%06u", ++w->sent);
 	g_hash_table_insert(w->requests, r->id, r);
-	r->evcon = evhttp_connection_base_new(
-	    w->base, NULL, "127.0.0.1", (uint16_t)w->hosts[host].ports[0]);
-	evhttp_connection_set_timeout(r->evcon, CALLER_BUDGET_MS / 1000 + 1);
+	evhttp_connection_set_timeout(r->evcon, (int)(r->budget_ms / 1000) + 1);
 	evhttp_add_header(headers, "Host", "school.example");
 	evhttp_add_header(headers, "X-Request-Id", r->id);
-	evhttp_add_header(headers, "X-Credential", key);
-	evhttp_add_header(headers, "X-Deadline-Ms", "4000");
+	evhttp_add_header(headers, "X-Credential", r->key);
+	evhttp_add_header(headers, "X-Deadline-Ms", budget);
 	if (method == EVHTTP_REQ_POST)
 		evbuffer_add_printf(
 		    evhttp_request_get_output_buffer(req), "seat of %s", r->id);
-	world_note(w, "send %s to host %d %s %s", r->id, host,
+	world_note(w, "send %s to host %d %s %s", r->id, r->host,
 	    method == EVHTTP_REQ_GET ? "GET" : "POST", path);
+	g_free(budget);
 	evhttp_make_request(r->evcon, req, method, path);
+}
+
+request_t *
+caller_send(world_t *w, int host, enum evhttp_cmd_type method, const char *path,
+    const char *key)
+{
+	request_t *r = g_new0(request_t, 1);
+
+	r->world = w;
+	r->host = host;
+	r->key = g_strdup(key);
+	r->budget_ms = CALLER_BUDGET_MS;
+	r->evcon = evhttp_connection_base_new(
+	    w->base, NULL, "127.0.0.1", (uint16_t)w->hosts[host].ports[0]);
+	send_request(r, method, path);
+	return r;
+}
+
+request_t *
+caller_send_kept(request_t *before, enum evhttp_cmd_type method,
+    const char *path, ms_t budget_ms, ms_t work_ms)
+{
+	request_t *r = g_new0(request_t, 1);
+
+	r->world = before->world;
+	r->host = before->host;
+	r->key = g_strdup(before->key);
+	r->budget_ms = budget_ms;
+	r->work_ms = work_ms;
+	r->evcon = before->evcon;
+	r->shares_evcon = TRUE;
+	send_request(r, method, path);
 	return r;
 }
 
@@ -96,7 +126,8 @@
 {
 	request_t *r = p;
 
-	evhttp_connection_free(r->evcon);
+	if (!r->shares_evcon)
+		evhttp_connection_free(r->evcon);
 	g_free(r->key);
 	g_free(r);
 }
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -65,6 +65,8 @@
 	GPtrArray *runs; /* run_t */
 	ms_t left_at;	 /* the store held that it drains or left; 0: no */
 	gboolean drains;
+	const char *limit; /* Server-Limit in its answers, or NULL */
+	gboolean leaving;  /* Server-Leaving in its answers */
 } server_t;
 
 server_t *server_start(world_t *w, const char *id, const char *service,
@@ -87,7 +89,12 @@
 	ms_t sent_at, ended_at;
 	int status; /* at the caller; 0: none yet, -1: no answer */
 	guint arrivals, runs, answers, cut;
+	gboolean told; /* its answer names a limit */
+	gboolean told_leaving;
+	ms_t work_ms; /* that it takes at a server; 0: the server's usual */
 	struct evhttp_connection *evcon;
+	gboolean shares_evcon; /* the connection belongs to another request */
+	ms_t budget_ms;
 } request_t;
 
 /**
@@ -101,6 +108,12 @@
 request_t *caller_send(world_t *w, int host, enum evhttp_cmd_type method,
     const char *path, const char *key);
 
+/** caller_send_kept() - Send one more request on the connection of another one,
+ * which was answered.
+ */
+request_t *caller_send_kept(request_t *before, enum evhttp_cmd_type method,
+    const char *path, ms_t budget_ms, ms_t work_ms);
+
 /* ---- the hosts and the whole ---- */
 
 typedef struct {
@@ -124,6 +137,8 @@
 	guint sent;
 	/* A server gets a request that it does not answer with 421. */
 	void (*on_arrival)(server_t *s, request_t *r);
+	/* A caller has got an answer. */
+	void (*on_answer)(request_t *r, struct evhttp_request *req);
 };
 
 /* A place of a host. */
