review: case 8, hosts of a zone miss a datagram of changes

A host that lists the table of servers sends changes in the order of their keys, but names versions as if they were in that order; the host that passes them on drops those that do not advance. A fifth of 480 servers leaves and the store forgets its history.

--- a/review/8/play.c
+++ b/review/8/play.c
@@ -1,66 +1,116 @@
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "world.h"
 
 /*
- * A new manifest splits a route by weights that are fractions, withdraws a key
- * and adds a route.
+ * A fifth of the servers leaves, the newest first. Right after that the store
+ * forgets its history, so that the host that reads the table for its region
+ * lists it. The changes fill three datagrams to the other hosts.
  */
 
-#define CONFIG_APPLY_MS 2500
-#define CHANGE_AT_MS 4000
-#define RUN_MS 20000
-#define SEND_EVERY_MS 25
+#define DRAIN_TIMEOUT_MS 2500
+#define CONTACT_WINDOW_MS 3000
+/* The leaving servers end this long after the store has accepted that. */
+#define SERVES_ON_MS 9000
+#define SERVERS 480
+#define LEAVING 96
+#define SEND_EVERY_MS 3
+#define LEAVE_AT_MS 6000
+/* The others leave this long after the first one. */
+#define LEAVE_GAP_MS 60
+#define FORGET_AFTER_MS 20
 
 static const place_t places[] = {
     {"mi-bovisa", "milano"},
+    {"mi-bovisa", "milano"},
+    {"mi-bovisa", "milano"},
+    {"mi-lambrate", "milano"},
+    {"mi-lambrate", "milano"},
     {"mi-lambrate", "milano"},
 };
 
-#define ROUTE(name, prefix, target) \
-	"{\"name\":\"" name \
-	"\",\"host\":\"school.example\",\"prefix\":\"" prefix \
-	"\",\"kind\":\"idempotent\",\"timeout_ms\":2500," \
-	"\"target_latency_ms\":600,\"priority\":2," target "," \
-	"\"max_attempts\":2,\"public\":false,\"sticky_sessions\":false," \
-	"\"allowed_regions\":[]}"
-#define SERVICE(name) \
-	"{\"name\":\"" name "\",\"health_path\":\"/health\"," \
-	"\"max_connections\":330,\"warmup_s\":3.0,\"warmup_per_s\":2.5}"
-#define REST(keys) \
-	"\"services\":[" SERVICE("lettore") "," SERVICE( \
-	    "raccolta") "]," \
-			"\"limits\":{\"max_header_bytes\":16384,\"max_body_" \
-			"bytes\":67108864," \
-			"\"header_timeout_ms\":3000,\"idle_timeout_ms\":" \
-			"15000}," \
-			"\"tenants\":[{\"name\":\"school\",\"api_keys\":" \
-			"[" keys "]," \
-			"\"priority\":0,\"rate_per_s\":0,\"burst\":0," \
-			"\"allowed_regions\":[]}]}"
-#define SPLIT(a, b) \
-	"\"backends\":[{\"service\":\"lettore\",\"weight\":" a "}," \
-	"{\"service\":\"raccolta\",\"weight\":" b "}]"
-
-static const char before[] = "{\"version\":7,\"routes\":[" ROUTE("views",
-    "/views/", "\"service\":\"lettore\"") "]," REST("\"key-old\",\"key-new\"");
-static const char after_fractions[] = "{\"version\":9,\"routes\":[" ROUTE(
-    "views", "/views/", SPLIT("0.9", "0.1")) "," ROUTE("clips", "/clips/",
-    "\"service\":\"lettore\"") "]," REST("\"key-new\"");
-static const char after_whole[] = "{\"version\":9,\"routes\":[" ROUTE(
-    "views", "/views/", SPLIT("90", "10")) "," ROUTE("clips", "/clips/",
-    "\"service\":\"lettore\"") "]," REST("\"key-new\"");
+static const char manifest[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"views\",\"host\":\"school.example\",\"prefix\":\"/views/\","
+    "\"kind\":\"idempotent\",\"timeout_ms\":2500,\"target_latency_ms\":600,"
+    "\"priority\":2,\"service\":\"lettore\",\"max_attempts\":2,"
+    "\"public\":false,\"sticky_sessions\":false,\"allowed_regions\":[]},"
+    "{\"name\":\"seats\",\"host\":\"school.example\",\"prefix\":\"/seats/\","
+    "\"kind\":\"non_idempotent\",\"timeout_ms\":2500,"
+    "\"target_latency_ms\":800,\"priority\":1,\"service\":\"lettore\","
+    "\"max_attempts\":2,\"public\":false,\"sticky_sessions\":false,"
+    "\"allowed_regions\":[]}],"
+    "\"services\":["
+    "{\"name\":\"lettore\",\"health_path\":\"/health\","
+    "\"max_connections\":330,\"warmup_s\":3.0,\"warmup_per_s\":2.5}],"
+    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
+    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+    "\"tenants\":[{\"name\":\"school\",\"api_keys\":[\"key-school\"],"
+    "\"priority\":0,\"rate_per_s\":0,\"burst\":0,\"allowed_regions\":[]}]}";
 
 static world_t w;
-static ms_t confirmed_at;
+static server_t *leaving[LEAVING]; /* the newest first */
+static guint late, cut;
+
+static void
+on_arrival(server_t *s, request_t *r)
+{
+	ms_t now = world_now(&w);
+
+	world_note(&w, "arrive %s at %s from host %d", r->id, s->id, r->host);
+	/* The store was stable as it accepted that the server leaves; since
+	 * then the hosts are in touch again. */
+	if (s->left_at == 0 || now <= s->left_at + DRAIN_TIMEOUT_MS ||
+	    (w.store.disturbed_at != 0 &&
+		now <= w.store.disturbed_at + CONTACT_WINDOW_MS))
+		return;
+	late++;
+	world_note(&w,
+	    "DRAIN: %s reaches %s, %d ms after the store held that it leaves",
+	    r->id, s->id, (int)(now - s->left_at));
+}
 
 static void
-change(void *arg)
+leave(void *arg)
 {
-	store_put(&w.store, "op", "config", arg);
-	confirmed_at = world_now(&w);
-	world_note(&w, "manifest 9 is accepted by the store");
+	server_t *s = arg;
+
+	s->drains = TRUE;
+	server_report(s, TRUE);
+	world_note(&w, "%s leaves: accepted by the store", s->id);
+}
+
+static void
+forget(void *arg)
+{
+	(void)arg;
+	store_drop_history(&w.store);
+	world_note(&w, "the store forgets its history");
+}
+
+static void
+leave_others(void *arg)
+{
+	int i;
+
+	(void)arg;
+	for (i = 1; i < LEAVING; i++)
+		leave(leaving[i]);
+}
+
+static void
+end_all(void *arg)
+{
+	int i;
+
+	(void)arg;
+	for (i = 0; i < LEAVING; i++) {
+		server_report(leaving[i], FALSE);
+		server_end(leaving[i]);
+	}
+	world_note(&w, "the servers that leave have ended");
 }
 
 static void
@@ -70,81 +120,82 @@
 	int host = n % w.nhosts;
 
 	(void)arg;
-	switch (n++ / 2 % 4) {
-	case 0:
-		caller_send(&w, host, EVHTTP_REQ_GET, "/views/1", "key-old");
-		break;
-	case 1:
-		caller_send(&w, host, EVHTTP_REQ_GET, "/clips/1", "key-new");
-		break;
-	default:
-		caller_send(&w, host, EVHTTP_REQ_GET, "/views/1", "key-new");
-		break;
-	}
+	if (n++ % 4 == 0)
+		caller_send(
+		    &w, host, EVHTTP_REQ_POST, "/seats/1", "key-school");
+	else
+		caller_send(&w, host, EVHTTP_REQ_GET, "/views/1", "key-school");
 	world_at(&w, SEND_EVERY_MS, send_next, NULL);
 }
 
-/* Return: the number of requests that were handled as only the older version
- * allows. */
-static guint
+static void
+start_servers(void)
+{
+	char id[16];
+	server_t *s;
+	int i;
+
+	for (i = 0; i < SERVERS; i++) {
+		g_snprintf(id, sizeof(id), "i-%04d", i);
+		s = server_start(&w, id, "lettore", places[i % 6].zone, "v1");
+		server_report(s, TRUE);
+		if (i % (SERVERS / LEAVING) == 0)
+			leaving[LEAVING - 1 - i / (SERVERS / LEAVING)] = s;
+	}
+}
+
+static void
 report(void)
 {
 	GHashTableIter it;
 	gpointer value;
-	guint n = 0, old_key = 0, new_route = 0;
+	guint lost = 0, answered = 0;
 
 	g_hash_table_iter_init(&it, w.requests);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const request_t *r = value;
 
-		if (r->sent_at <= confirmed_at + CONFIG_APPLY_MS)
-			continue;
-		n++;
-		old_key += strcmp(r->key, "key-old") == 0 && r->runs > 0;
-		new_route += strcmp(r->key, "key-new") == 0 &&
-		    (r->status == 404 || r->status == 401);
+		answered += r->status == 200;
+		cut += r->cut;
+		lost += r->cut > 0 && r->status != 200;
 	}
 	world_note(&w,
-	    "%u requests sent later than %d ms after manifest 9: %u ran with "
-	    "the dropped key, %u were refused with 401 or 404",
-	    n, CONFIG_APPLY_MS, old_key, new_route);
-	printf("%u requests sent later than %d ms after manifest 9: %u ran "
-	       "with the dropped key, %u were refused with 401 or 404\n",
-	    n, CONFIG_APPLY_MS, old_key, new_route);
-	return old_key + new_route;
+	    "%u requests, %u answered, %u late, %u cut at a server "
+	    "that ended, %u of them lost",
+	    w.sent, answered, late, cut, lost);
+	printf("%u requests reached a leaving server more than %d ms after the "
+	       "store held that it leaves; %u were cut as it ended\n",
+	    late, DRAIN_TIMEOUT_MS, cut);
 }
 
 int
 main(int argc, char **argv)
 {
 	const char *trouble = getenv("TROUBLE");
-	gboolean calm = trouble != NULL && strcmp(trouble, "0") == 0;
-	char id[16];
-	guint bad;
 	int i;
 
 	if (argc != 4)
 		return 2;
 	world_init(&w, argv, places, G_N_ELEMENTS(places));
-	store_put(&w.store, "op", "config", before);
-	for (i = 0; i < 12; i++) {
-		g_snprintf(id, sizeof(id), "i-%04d", i);
-		server_report(
-		    server_start(&w, id, i < 8 ? "lettore" : "raccolta",
-			places[i % 2].zone, "v1"),
-		    TRUE);
-	}
+	w.on_arrival = on_arrival;
+	store_put(&w.store, "op", "config", manifest);
+	start_servers();
 	for (i = 0; i < w.nhosts; i++)
 		world_start_host(&w, i);
 	if (!world_wait_ready(&w, 15000)) {
 		world_finish(&w);
 		return 2;
 	}
+	world_note(&w, "all hosts are ready");
 	send_next(NULL);
-	world_at(&w, CHANGE_AT_MS, change,
-	    (char *)(calm ? after_whole : after_fractions));
-	world_run(&w, RUN_MS);
-	bad = report();
+	world_at(&w, LEAVE_AT_MS, leave, leaving[0]);
+	world_at(&w, LEAVE_AT_MS + LEAVE_GAP_MS, leave_others, NULL);
+	world_at(&w, LEAVE_AT_MS + SERVES_ON_MS, end_all, NULL);
+	if (trouble == NULL || strcmp(trouble, "0") != 0)
+		world_at(&w, LEAVE_AT_MS + LEAVE_GAP_MS + FORGET_AFTER_MS,
+		    forget, NULL);
+	world_run(&w, LEAVE_AT_MS + SERVES_ON_MS + 3000);
+	report();
 	world_finish(&w);
-	return bad > 0 ? 1 : 0;
+	return late > 0 ? 1 : 0;
 }
--- a/review/standins-2/store.c
+++ b/review/standins-2/store.c
@@ -373,10 +373,17 @@
 	const char *query = evhttp_uri_get_query(uri);
 	struct evkeyvalq args;
 
+	if (s->cut[host_of(s, req)])
+		return;
 	if (s->refuses[host_of(s, req)]) {
 		answer(s, req, 503, json_object());
 		return;
 	}
+	if (strcmp(path, "/rows-tx") != 0 && strcmp(path, "/rows-get") != 0 &&
+	    strcmp(path, "/rows-feed") != 0) {
+		answer(s, req, 404, json_object());
+		return;
+	}
 	evhttp_parse_query_str(query != NULL ? query : "", &args);
 	if (strcmp(path, "/rows-tx") == 0)
 		serve_tx(s, req);
@@ -437,6 +444,20 @@
 	return c != NULL ? c->value : NULL;
 }
 
+void
+store_cut(store_t *s, int host, gboolean cut)
+{
+	guint i;
+
+	s->cut[host] = cut;
+	for (i = s->feeds->len; i > 0 && cut; i--) {
+		feed_t *f = g_ptr_array_index(s->feeds, i - 1);
+
+		if (host_of(s, f->req) == host)
+			feed_free(f);
+	}
+}
+
 void
 store_drop_history(store_t *s)
 {
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -35,6 +35,7 @@
 	GPtrArray *feeds;	/* that wait for changes */
 	int ports[WORLD_HOSTS_MAX];
 	gboolean refuses[WORLD_HOSTS_MAX]; /* 503 to this host */
+	gboolean cut[WORLD_HOSTS_MAX];	   /* its calls get no answer */
 	ms_t disturbed_at;		   /* end of its last disturbance */
 } store_t;
 
@@ -48,6 +49,13 @@
 /** store_get() - Value of a row, or NULL. */
 const char *store_get(const store_t *s, const char *table, const char *key);
 
+/**
+ * store_cut() - Cut a host off from the store, or end that.
+ *
+ * Calls that are sent while it lasts, and those that wait, are never answered.
+ */
+void store_cut(store_t *s, int host, gboolean cut);
+
 /** store_drop_history() - Forget all changes up to now. */
 void store_drop_history(store_t *s);
 
