--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,7 +6,11 @@
 play=build/review-2/play-$case
 [ -x "$play" ] && [ -x target/src/cmd/greengageloomd ] || exit 2
 dir=$(mktemp -d) || exit 2
-"$play" target/src/cmd/greengageloomd "$dir" "review/$case/record.txt"
+"$play" target/src/cmd/greengageloomd "$dir" "review/$case/record.txt" &
+pid=$!
+# The hosts end with the process that started them.
+trap 'kill "$pid" 2>/dev/null; rm -rf "$dir"; exit 2' INT TERM
+wait "$pid"
 status=$?
 if [ -n "${KEEP_LOGS:-}" ]; then
 	echo "logs: $dir"
