Keep claims about versions of a table true

A listing of several pages sent the rows of its last page only, with a claim up to the listing's version, and datagrams named the version of their last row although rows were not in the order of versions. A collector dropped datagrams behind a higher version.

Changes are now queued over all pages of a listing and sent in the order of their versions; rows of one version are not divided. A collector passes on every datagram that is not within the versions it has passed on. A page of changes that ends early leads to its last whole version only.

--- a/src/coordination/fanout.c
+++ b/src/coordination/fanout.c
@@ -18,11 +18,21 @@
 }
 
 gboolean
-fanout_advances(fanout_t *f, uint32_t table, uint64_t to)
+fanout_advances(fanout_t *f, uint32_t table, uint64_t from, uint64_t to)
 {
-	if (table >= FANOUT_TABLES_MAX || to <= f->passed[table])
+	fanout_passed_t *p;
+
+	if (table >= FANOUT_TABLES_MAX || to == 0)
+		return FALSE;
+	p = &f->passed[table];
+	if (to < p->from || (to <= p->to && from >= p->from))
 		return FALSE;
-	f->passed[table] = to;
+	if (from > p->to) {
+		*p = (fanout_passed_t){from, to};
+		return TRUE;
+	}
+	p->from = MIN(p->from, from);
+	p->to = MAX(p->to, to);
 	return TRUE;
 }
 
--- a/src/coordination/fanout.h
+++ b/src/coordination/fanout.h
@@ -18,9 +18,14 @@
 /* Number of tables. */
 #define FANOUT_TABLES_MAX 4
 
+/* Versions of a table between which all changes were passed on. */
+typedef struct {
+	uint64_t from, to;
+} fanout_passed_t;
+
 typedef struct {
 	bucket_t bytes;
-	uint64_t passed[FANOUT_TABLES_MAX]; /* version passed on, by table */
+	fanout_passed_t passed[FANOUT_TABLES_MAX];
 } fanout_t;
 
 typedef enum {
@@ -41,12 +46,17 @@
  * fanout_advances() - Whether an update is to be passed on at all.
  * @f: the state
  * @table: number of the table
- * @to: version of the table to which the update leads
+ * @from: version of the table from which the update leads
+ * @to: version of the table to which it leads
+ *
+ * Datagrams may arrive in any order. One that is behind a gap is passed on, and
+ * so is the one that closes the gap.
  *
- * Return: FALSE if rows or a notice up to that version were passed on. The
- * answer TRUE is given once for each version.
+ * Return: FALSE if rows or a notice between these versions were passed on. The
+ * answer TRUE is given once for each.
  */
-gboolean fanout_advances(fanout_t *f, uint32_t table, uint64_t to);
+gboolean fanout_advances(
+    fanout_t *f, uint32_t table, uint64_t from, uint64_t to);
 
 /**
  * fanout_choose() - Decide about a datagram, and count what it takes.
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -28,9 +28,6 @@
 #define FEED_BEHIND_MS 1000
 /* Rows of a page that are logged one by one. */
 #define LOGGED_ROWS_MAX 16
-/* Changes are sent to the other hosts again for this time. */
-#define RESEND_MS 1500
-#define RESEND_ROWS_MAX 32
 #define TICK_MS BALANCE_TICK_MS
 
 static const struct {
@@ -131,7 +128,7 @@
 
 	if (!t->listing) {
 		apply_changes(t, page);
-		t->ver = MAX(t->ver, page->ver);
+		t->ver = MAX(t->ver, table_page_end(page));
 		return;
 	}
 	s->many_changes = TRUE;
@@ -152,68 +149,30 @@
 	    log_num(clock_now() - t->called_at), NULL);
 }
 
-static void
-forget_all(synced_table_t *t)
-{
-	g_ptr_array_set_size(t->for_peers, 0);
-	g_array_set_size(t->batches, 0);
-}
-
-/* Drops the first @n batches with their rows. */
-static void
-forget_batches(synced_table_t *t, guint n)
-{
-	guint gone = n < t->batches->len
-	    ? g_array_index(t->batches, sent_batch_t, n).first
-	    : t->for_peers->len;
-
-	g_ptr_array_remove_range(t->for_peers, 0, gone);
-	g_array_remove_range(t->batches, 0, n);
-	for (n = 0; n < t->batches->len; n++)
-		g_array_index(t->batches, sent_batch_t, n).first -= gone;
-}
-
-/* Drops rows that were sent for the last time. Many rows are sent only once. */
-static void
-forget_sent(synced_table_t *t, msec_t now)
-{
-	guint n = 0;
-
-	while (n < t->batches->len &&
-	    now - g_array_index(t->batches, sent_batch_t, n).at >= RESEND_MS)
-		n++;
-	if (t->for_peers->len > RESEND_ROWS_MAX)
-		n = t->batches->len;
-	if (n > 0)
-		forget_batches(t, n);
-}
-
 /*
- * Sends the changes since @from to the hosts of the region, after those of the
- * last RESEND_MS: a datagram may have been lost, and a host that has just
- * listed the table may know a somewhat older version than this one.
+ * Sends the changes since @from to the hosts of the region. During a listing
+ * they are kept until its end: only then do they lead to a later version.
  */
 static void
-send_page(synced_table_t *t, uint64_t from, guint first)
+send_changes(synced_table_t *t, uint64_t from)
 {
 	store_sync_t *s = t->sync;
-	const sent_batch_t batch = {t->answered_at, from, first};
 	table_update_t update = {
 	    .table = t->kind,
-	    .from = from,
-	    .to = t->ver,
 	    .lapse_left_ms = MAX(s->lapse_until - clock_now(), 0),
-	    .rows = t->for_peers,
 	};
 
-	if (!t->complete || from == 0) {
-		forget_all(t);
+	if (!t->complete)
+		return;
+	if (from == 0) {
+		table_queue_clear(&t->for_peers);
 		return;
 	}
-	g_array_append_val(t->batches, batch);
-	update.from = g_array_index(t->batches, sent_batch_t, 0).from;
+	table_queue_update(
+	    &t->for_peers, from, t->ver, t->answered_at, &update);
 	if (s->send != NULL)
 		s->send(s->send_arg, &update);
+	g_ptr_array_free(update.rows, TRUE);
 }
 
 static void
@@ -270,21 +229,19 @@
 {
 	synced_table_t *t = arg;
 	uint64_t from;
-	guint first;
 
 	t->call = NULL;
 	switch (outcome) {
 	case TABLE_DONE:
 		note_answer(t, page);
 		from = t->ver;
-		forget_sent(t, t->answered_at);
-		first = t->for_peers->len;
+		table_queue_expire(&t->for_peers, t->answered_at);
 		apply_page(t, page);
 		note_up_to_date(t);
 		t->fresh_at = t->answered_at;
 		t->had_changes = page->rows->len > 0;
 		if (table_defs[t->kind].shared)
-			send_page(t, from, first);
+			send_changes(t, from);
 		break;
 	case TABLE_HISTORY_LOST:
 		note_answer(t, NULL);
@@ -397,7 +354,7 @@
 	s->lapse_until = MAX(s->lapse_until, now + update->lapse_left_ms);
 	t->called_at = now;
 	apply_changes(t, page);
-	forget_all(t);
+	table_queue_clear(&t->for_peers);
 	t->ver = MAX(t->ver, update->to);
 	t->fresh_at = now;
 	note_up_to_date(t);
@@ -490,8 +447,7 @@
 		t->sync = s;
 		t->kind = (synced_table_kind_t)i;
 		table_view_init(&t->view);
-		t->for_peers = g_ptr_array_new_with_free_func(table_row_free);
-		t->batches = g_array_new(FALSE, FALSE, sizeof(sent_batch_t));
+		table_queue_init(&t->for_peers);
 		t->timer = evtimer_new(base, on_timer, t);
 		/* The fleet's table is listed after this host's row was
 		 * written.
@@ -517,8 +473,7 @@
 			table_call_cancel(t->call);
 		event_free(t->timer);
 		g_free(t->next_key);
-		g_ptr_array_free(t->for_peers, TRUE);
-		g_array_free(t->batches, TRUE);
+		table_queue_finish(&t->for_peers);
 		table_view_finish(&t->view);
 	}
 	store_sync_cancel_writes(s);
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -7,6 +7,7 @@
 #include "platform/table_store.h"
 #include "protocol/beacon.h"
 #include "protocol/fleet_rows.h"
+#include "protocol/table_queue.h"
 #include "protocol/table_update.h"
 #include "protocol/table_view.h"
 
@@ -28,13 +29,6 @@
 
 typedef struct store_sync store_sync_t;
 
-/* Rows of one answer that were sent to the other hosts. */
-typedef struct {
-	msec_t at;
-	uint64_t from; /* version of the table before them */
-	guint first;   /* index of the first of them in for_peers */
-} sent_batch_t;
-
 typedef struct {
 	store_sync_t *sync;
 	synced_table_kind_t kind;
@@ -45,8 +39,7 @@
 	gboolean listing;     /* TRUE: lists the table; FALSE: awaits changes */
 	char *next_key;	      /* key at which a listing continues */
 	table_call_t *call;   /* in flight, or NULL */
-	GPtrArray *for_peers; /* table_row_t, to be sent to peers */
-	GArray *batches;      /* sent_batch_t: those already sent once */
+	table_queue_t for_peers; /* changes to be sent to peers */
 	struct event *timer;
 	msec_t called_at;   /* last call, or last changes from a peer */
 	msec_t own_call_at; /* last call of this host */
--- a/src/gateway/store_sync_rows.c
+++ b/src/gateway/store_sync_rows.c
@@ -112,7 +112,7 @@
 static void
 queue_for_peers(synced_table_t *t, const table_row_t *row)
 {
-	g_ptr_array_add(t->for_peers, table_row_copy(row));
+	table_queue_add(&t->for_peers, row);
 }
 
 /* Return: whether the entry says more than that the server is alive. */
--- a/src/gateway/table_sync.c
+++ b/src/gateway/table_sync.c
@@ -61,7 +61,7 @@
 		return;
 	}
 	if (update.relay &&
-	    fanout_advances(&s->fanout, update.table, update.to)) {
+	    fanout_advances(&s->fanout, update.table, update.from, update.to)) {
 		table_update_t passed = update;
 
 		passed.relay = FALSE;
--- a/src/protocol/table_msg.c
+++ b/src/protocol/table_msg.c
@@ -49,6 +49,21 @@
 	return row;
 }
 
+uint64_t
+table_page_end(const table_page_t *page)
+{
+	const table_row_t *first, *last;
+
+	if (!page->more || page->rows->len == 0)
+		return page->ver;
+	first = g_ptr_array_index(page->rows, 0);
+	last = g_ptr_array_index(page->rows, page->rows->len - 1);
+	/* A page of a single transaction has to lead on, or the same page would
+	 * be read for ever. */
+	return MIN(
+	    page->ver, last->ver > first->ver ? last->ver - 1 : last->ver);
+}
+
 void
 table_write_put(
     table_write_t *w, const char *table, const char *key, const char *value)
--- a/src/protocol/table_msg.h
+++ b/src/protocol/table_msg.h
@@ -31,6 +31,13 @@
 void table_page_finish(table_page_t *page);
 table_row_t *table_page_add(table_page_t *page);
 
+/**
+ * table_page_end() - Version up to which a page of changes holds all of them.
+ *
+ * If more changes follow, the page may end within a transaction.
+ */
+uint64_t table_page_end(const table_page_t *page);
+
 /* A row to be written, optionally only if it is unchanged since it was read. */
 typedef struct {
 	const char *table;
--- a/src/protocol/table_update.c
+++ b/src/protocol/table_update.c
@@ -87,6 +87,16 @@
 	return key + row->len + ROW_OVERHEAD_BYTES;
 }
 
+static uint64_t
+row_ver(const GPtrArray *rows, guint i)
+{
+	return ((const table_row_t *)g_ptr_array_index(rows, i))->ver;
+}
+
+/*
+ * The rows from @first on that fit. Rows of one version are not divided between
+ * datagrams: the first of them could not say up to which version it leads.
+ */
 static guint
 fitting_rows_end(const GPtrArray *rows, guint first)
 {
@@ -94,13 +104,26 @@
 	guint i;
 
 	for (i = first; i < rows->len && i - first < ROWS_MAX; i++) {
-		const table_row_t *row = g_ptr_array_index(rows, i);
-		size_t need = row_size(row);
+		size_t need = row_size(g_ptr_array_index(rows, i));
 
 		if (need > room)
 			break;
 		room -= need;
 	}
+	while (i > first && i < rows->len &&
+	    row_ver(rows, i) == row_ver(rows, i - 1))
+		i--;
+	return i;
+}
+
+/* Skips rows that can't be sent. */
+static guint
+same_version_end(const GPtrArray *rows, guint first)
+{
+	guint i = first + 1;
+
+	while (i < rows->len && row_ver(rows, i) == row_ver(rows, first))
+		i++;
 	return i;
 }
 
@@ -133,15 +156,11 @@
 
 	if (too_big) {
 		/* The receivers see that they miss a row and ask the store. */
-		head.from =
-		    ((table_row_t *)g_ptr_array_index(update->rows, first))
-			->ver;
+		head.from = row_ver(update->rows, first);
 		head.to = head.from;
-		last++;
+		last = same_version_end(update->rows, first);
 	} else if (last < update->rows->len) {
-		head.to =
-		    ((table_row_t *)g_ptr_array_index(update->rows, last - 1))
-			->ver;
+		head.to = row_ver(update->rows, last) - 1;
 	}
 	*len = peer_msg_write(xdr_body, &body, secret, out, PEER_MSG_MAX_BYTES);
 	update->from = head.to;
--- a/src/protocol/table_update.h
+++ b/src/protocol/table_update.h
@@ -19,7 +19,7 @@
 	msec_t lapse_left_ms;
 	gboolean
 	    relay; /* a collector passes it on to the hosts of its domain */
-	GPtrArray *rows; /* table_row_t */
+	GPtrArray *rows; /* table_row_t, in the order of their versions */
 } table_update_t;
 
 #define TABLE_LAPSE_MAX_MS 60000
@@ -27,15 +27,14 @@
 /**
  * table_update_encode() - Encode as many rows as fit in one datagram.
  * @update: the changes; its @from is set to the version to which this
- *	datagram leads: the version of its last row if more rows remain, else
- *	@to
+ *	datagram leads: all rows up to it are in this or an earlier datagram
  * @first: index of the first row to encode
  * @secret: secret shared by the hosts
  * @out: buffer of PEER_MSG_MAX_BYTES
  * @len: set to the number of bytes written
  *
- * In place of a row that is too big for a datagram, the datagram says that a
- * change is missing.
+ * In place of a row that is too big for a datagram, or of rows of one version
+ * that together are, the datagram says that a change is missing.
  *
  * Return: index of the next row to encode.
  */
--- a/tests/test_fanout.c
+++ b/tests/test_fanout.c
@@ -43,7 +43,7 @@
 {
 	double *sent = &r->sent[now / TICK_MS];
 
-	if (!fanout_advances(f, TABLE, to))
+	if (!fanout_advances(f, TABLE, to - 1, to))
 		return;
 	switch (fanout_choose(f, ROWS_BYTES, NOTICE_BYTES, l->hosts, now)) {
 	case FANOUT_ROWS:
@@ -119,23 +119,30 @@
 {
 	static const struct {
 		uint32_t table;
-		uint64_t to;
+		uint64_t from, to;
 		gboolean advances;
 	} steps[] = {
-	    {TABLE, 5, TRUE},
-	    {TABLE, 5, FALSE},	   /* another reader */
-	    {TABLE, 4, FALSE},	   /* late */
-	    {TABLE + 1, 4, TRUE},  /* another table */
-	    {TABLE, 6, TRUE},	   /* sent again with a new change */
-	    {TABLE + 1, 0, FALSE}, /* no version */
-	    {FANOUT_TABLES_MAX, 9, FALSE},
+	    {TABLE, 3, 5, TRUE},
+	    {TABLE, 3, 5, FALSE},     /* another reader */
+	    {TABLE, 4, 5, FALSE},     /* a part of it */
+	    {TABLE, 1, 2, FALSE},     /* late, with a gap behind it */
+	    {TABLE + 1, 3, 4, TRUE},  /* another table */
+	    {TABLE, 3, 6, TRUE},      /* sent again with a new change */
+	    {TABLE, 8, 9, TRUE},      /* the one before is late or lost */
+	    {TABLE, 6, 8, TRUE},      /* it was late */
+	    {TABLE, 6, 8, FALSE},     /* and comes twice */
+	    {TABLE, 8, 9, FALSE},     /* passed on before it */
+	    {TABLE, 12, 12, TRUE},    /* a notice */
+	    {TABLE, 9, 12, TRUE},     /* the rows after the notice */
+	    {TABLE + 1, 0, 0, FALSE}, /* no version */
+	    {FANOUT_TABLES_MAX, 8, 9, FALSE},
 	};
 	fanout_t f;
 	size_t i;
 
 	fanout_init(&f, 100, 0);
 	for (i = 0; i < G_N_ELEMENTS(steps); i++)
-		ck_assert_msg(fanout_advances(&f, steps[i].table,
+		ck_assert_msg(fanout_advances(&f, steps[i].table, steps[i].from,
 				  steps[i].to) == steps[i].advances,
 		    "step %zu", i);
 }
@@ -143,7 +150,7 @@
 static const suite_case_t cases[] = {
     {"changes of tables leave the link free",
 	test_table_changes_leave_link_free},
-    {"each version is passed on once", test_versions},
+    {"all changes are passed on once", test_versions},
 };
 
 int
