Pass on updates of tables that have no news

Cause: a collector passed an update on only if it led to a newer version. In calm seconds the hosts of the domains without a reader heard nothing, so each of them asked the store for the servers every 2.4 s and for the hosts every 6 s. Changes that were sent again never reached them either. Change: an update up to the newest version is passed on again after 0.6 s. test_fanout's new steps fail before.

--- a/src/coordination/fanout.c
+++ b/src/coordination/fanout.c
@@ -6,6 +6,10 @@
 #define LINK_SHARE 0.25
 /* Bytes that accrue in this time may be sent at once. */
 #define BURST_SEC 1.0
+/* An update without news is passed on again after this time, which is shorter
+ * than the interval of a reader: it tells the hosts of the domain that their
+ * tables are up to date, else each of them asks the store. */
+#define REPEAT_MS 600
 #define BYTES_PER_MBIT 125000.0
 
 void
@@ -18,21 +22,27 @@
 }
 
 gboolean
-fanout_advances(fanout_t *f, uint32_t table, uint64_t from, uint64_t to)
+fanout_is_due(
+    fanout_t *f, uint32_t table, uint64_t from, uint64_t to, msec_t now)
 {
 	fanout_passed_t *p;
+	gboolean known;
 
 	if (table >= FANOUT_TABLES_MAX || to == 0)
 		return FALSE;
 	p = &f->passed[table];
-	if (to < p->from || (to <= p->to && from >= p->from))
+	if (to < p->from)
+		return FALSE;
+	known = to <= p->to && from >= p->from;
+	if (known && (to < p->to || now - p->at < REPEAT_MS))
 		return FALSE;
 	if (from > p->to) {
-		*p = (fanout_passed_t){from, to};
+		*p = (fanout_passed_t){from, to, now};
 		return TRUE;
 	}
 	p->from = MIN(p->from, from);
 	p->to = MAX(p->to, to);
+	p->at = now;
 	return TRUE;
 }
 
--- a/src/coordination/fanout.h
+++ b/src/coordination/fanout.h
@@ -21,6 +21,7 @@
 /* Versions of a table between which all changes were passed on. */
 typedef struct {
 	uint64_t from, to;
+	msec_t at; /* when an update of the table was last passed on */
 } fanout_passed_t;
 
 typedef struct {
@@ -43,20 +44,21 @@
 void fanout_init(fanout_t *f, double link_mbps, msec_t now);
 
 /**
- * fanout_advances() - Whether an update is to be passed on at all.
+ * fanout_is_due() - Whether an update is to be passed on at all.
  * @f: the state
  * @table: number of the table
  * @from: version of the table from which the update leads
  * @to: version of the table to which it leads
+ * @now: time
  *
  * Datagrams may arrive in any order. One that is behind a gap is passed on, and
  * so is the one that closes the gap.
  *
- * Return: FALSE if rows or a notice between these versions were passed on. The
- * answer TRUE is given once for each.
+ * Return: FALSE if rows or a notice between these versions were passed on. An
+ * update up to the newest version is passed on again after a while.
  */
-gboolean fanout_advances(
-    fanout_t *f, uint32_t table, uint64_t from, uint64_t to);
+gboolean fanout_is_due(
+    fanout_t *f, uint32_t table, uint64_t from, uint64_t to, msec_t now);
 
 /**
  * fanout_choose() - Decide about a datagram, and count what it takes.
--- a/src/gateway/table_sync.c
+++ b/src/gateway/table_sync.c
@@ -61,7 +61,8 @@
 		return;
 	}
 	if (update.relay &&
-	    fanout_advances(&s->fanout, update.table, update.from, update.to)) {
+	    fanout_is_due(&s->fanout, update.table, update.from, update.to,
+		clock_now())) {
 		table_update_t passed = update;
 
 		passed.relay = FALSE;
--- a/tests/test_fanout.c
+++ b/tests/test_fanout.c
@@ -43,7 +43,7 @@
 {
 	double *sent = &r->sent[now / TICK_MS];
 
-	if (!fanout_advances(f, TABLE, to - 1, to))
+	if (!fanout_is_due(f, TABLE, to - 1, to, now))
 		return;
 	switch (fanout_choose(f, ROWS_BYTES, NOTICE_BYTES, l->hosts, now)) {
 	case FANOUT_ROWS:
@@ -120,30 +120,37 @@
 	static const struct {
 		uint32_t table;
 		uint64_t from, to;
-		gboolean advances;
+		gboolean is_due;
+		msec_t now;
 	} steps[] = {
-	    {TABLE, 3, 5, TRUE},
-	    {TABLE, 3, 5, FALSE},     /* another reader */
-	    {TABLE, 4, 5, FALSE},     /* a part of it */
-	    {TABLE, 1, 2, FALSE},     /* late, with a gap behind it */
-	    {TABLE + 1, 3, 4, TRUE},  /* another table */
-	    {TABLE, 3, 6, TRUE},      /* sent again with a new change */
-	    {TABLE, 8, 9, TRUE},      /* the one before is late or lost */
-	    {TABLE, 6, 8, TRUE},      /* it was late */
-	    {TABLE, 6, 8, FALSE},     /* and comes twice */
-	    {TABLE, 8, 9, FALSE},     /* passed on before it */
-	    {TABLE, 12, 12, TRUE},    /* a notice */
-	    {TABLE, 9, 12, TRUE},     /* the rows after the notice */
-	    {TABLE + 1, 0, 0, FALSE}, /* no version */
-	    {FANOUT_TABLES_MAX, 8, 9, FALSE},
+	    {TABLE, 3, 5, TRUE, 0},
+	    {TABLE, 3, 5, FALSE, 0},	 /* another reader */
+	    {TABLE, 4, 5, FALSE, 0},	 /* a part of it */
+	    {TABLE, 1, 2, FALSE, 0},	 /* late, with a gap behind it */
+	    {TABLE + 1, 3, 4, TRUE, 0},	 /* another table */
+	    {TABLE, 3, 6, TRUE, 0},	 /* sent again with a new change */
+	    {TABLE, 8, 9, TRUE, 0},	 /* the one before is late or lost */
+	    {TABLE, 6, 8, TRUE, 0},	 /* it was late */
+	    {TABLE, 6, 8, FALSE, 0},	 /* and comes twice */
+	    {TABLE, 8, 9, FALSE, 0},	 /* passed on before it */
+	    {TABLE, 12, 12, TRUE, 0},	 /* a notice */
+	    {TABLE, 9, 12, TRUE, 0},	 /* the rows after the notice */
+	    {TABLE + 1, 0, 0, FALSE, 0}, /* no version */
+	    {FANOUT_TABLES_MAX, 8, 9, FALSE, 0},
+	    /* An update without news keeps the other hosts from asking the
+	     * store. */
+	    {TABLE, 12, 12, FALSE, 500}, {TABLE, 12, 12, TRUE, 800},
+	    {TABLE, 12, 12, FALSE, 900}, /* another reader */
+	    {TABLE, 9, 12, TRUE, 1600},	 /* with changes sent again */
+	    {TABLE, 9, 11, FALSE, 2400}, /* not up to the newest version */
 	};
 	fanout_t f;
 	size_t i;
 
 	fanout_init(&f, 100, 0);
 	for (i = 0; i < G_N_ELEMENTS(steps); i++)
-		ck_assert_msg(fanout_advances(&f, steps[i].table, steps[i].from,
-				  steps[i].to) == steps[i].advances,
+		ck_assert_msg(fanout_is_due(&f, steps[i].table, steps[i].from,
+				  steps[i].to, steps[i].now) == steps[i].is_due,
 		    "step %zu", i);
 }
 
--- a/tests/test_table_queue.c
+++ b/tests/test_table_queue.c
@@ -116,7 +116,7 @@
 		    d->data, d->len, &secret, &update, &page));
 		i = c->order ? k : n - 1 - k;
 		if (i + 1 != c->lost &&
-		    fanout_advances(&f, TABLE, update.from, update.to) &&
+		    fanout_is_due(&f, TABLE, update.from, update.to, 0) &&
 		    update.from <= known) {
 			for (r = 0; r < page.rows->len; r++) {
 				const table_row_t *row =
