Placement uses the speed that servers report

Cause: the fourth value of X-Server-Load was not read, so that a server whose machine is slow at the moment got work as before. Change: the value is decoded and checked, kept for each server, and counts as more load while it holds; how long it holds is learned for each service.

--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -247,7 +247,8 @@
 		}
 		out->servers[out->n++] = (placing_candidate_t){
 		    .server = b,
-		    .load = backend_load(b, now),
+		    .load = backend_load(b, now) *
+			server_speed_factor(&b->speed, &known->speed_hold, now),
 		    .same_region = same_region,
 		    .throttled = now < b->limited_until ||
 			is_throttled(d, job->admission->service, b, now),
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -266,6 +266,12 @@
 	    metrics_add(m, METRIC_COUNTER, "server_limits_reached_total",
 		"times that a request was placed elsewhere as a server's limit "
 		"was reached");
+	relays->speeds_named = metrics_add(m, METRIC_COUNTER,
+	    "server_speeds_named_total",
+	    "answers that tell how long work takes on their server's machine");
+	relays->speeds_invalid =
+	    metrics_add(m, METRIC_COUNTER, "server_speeds_invalid_total",
+		"answers whose speed is not one decimal number in range");
 	relays->answers_invalid =
 	    metrics_add(m, METRIC_COUNTER, "answers_invalid_total",
 		"answers of servers that break the protocol or a bound");
--- a/src/gateway/relay_try.c
+++ b/src/gateway/relay_try.c
@@ -75,6 +75,27 @@
 	return NULL;
 }
 
+static void
+take_speed(relay_t *r, backend_t *server, const wire_answer_t *a)
+{
+	relays_t *relays = r->relays;
+
+	switch (a->speed) {
+	case WIRE_SPEED_NONE:
+		break;
+	case WIRE_SPEED_NAMED:
+		metrics_count(relays->metrics, relays->speeds_named, 1);
+		server_speed_report(&server->speed,
+		    &server->service->speed_hold, a->speed_factor, clock_now());
+		break;
+	case WIRE_SPEED_INVALID:
+		metrics_count(relays->metrics, relays->speeds_invalid, 1);
+		log_event(LOG_WARN, "server.speed_refused", "server",
+		    server->id, "id", r->id, NULL);
+		break;
+	}
+}
+
 static void
 take_answer(relay_t *r, http_call_t *call, int status,
     const struct evkeyvalq *headers, struct evbuffer *body)
@@ -87,8 +108,10 @@
 	r->unusable_reason = answer_fault(r, status, &a);
 	if (a.has_load && !a.other_server)
 		backend_report(server, a.running + a.waiting, clock_now());
-	if (!a.other_server)
+	if (!a.other_server) {
 		relay_read_limit(r, server, &a);
+		take_speed(r, server, &a);
+	}
 	r->server_has_room = a.has_load && a.running + a.waiting < a.slots;
 	if (a.not_run)
 		r->wait_ms = dispatch_retry_ms(r->server_has_room);
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "state/server_speed.h"
 #include "state/server_word.h"
 
 /*
@@ -41,7 +42,8 @@
 	/* Part of the objects requested in this host's region that stay there,
 	 * 0..1; the others run in any region. */
 	double local_part;
-	msec_t local_since; /* when @local_part was first set; 0: never */
+	msec_t local_since;	 /* when @local_part was first set; 0: never */
+	speed_hold_t speed_hold; /* of the speeds that its servers report */
 } registry_service_t;
 
 struct backend {
@@ -84,7 +86,8 @@
 	msec_t limited_until;	/* no token for it before then */
 	double limit_offloaded; /* part of its objects beyond the limit, 0..1 */
 
-	server_word_t word; /* of this start, in its answers */
+	server_word_t word;   /* of this start, in its answers */
+	server_speed_t speed; /* of this start's machine */
 
 	/* Failures. */
 	uint32_t failures; /* in a row */
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -391,6 +391,51 @@
 	}
 }
 
+/* Guards against a speed that is believed though it is none. */
+static void
+test_server_speeds(void)
+{
+	static const struct {
+		const char *load;
+		gboolean has_load;
+		wire_speed_t speed;
+		double factor;
+	} rows[] = {
+	    {"3,1,8", TRUE, WIRE_SPEED_NONE, 0},
+	    {"3,1,8,100", TRUE, WIRE_SPEED_NAMED, 1},
+	    {"3,1,8,250", TRUE, WIRE_SPEED_NAMED, 2.5},
+	    {"3,1,8,10000", TRUE, WIRE_SPEED_NAMED, 100},
+	    {"3,1,8,10001", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1,8,99999999999999999999999", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1,8,0", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1,8,-100", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1,8,+100", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1,8,1.5", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1,8,1e2", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1,8,fast", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1,8,", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1,8, 100", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1,8,100,1", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1,8;100", TRUE, WIRE_SPEED_INVALID, 0},
+	    {"3,1", FALSE, WIRE_SPEED_NONE, 0},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct evkeyvalq h = TAILQ_HEAD_INITIALIZER(h);
+		wire_answer_t a;
+
+		evhttp_add_header(&h, "X-Server-Load", rows[i].load);
+		wire_answer_read(200, &h, &a);
+		ck_assert_msg(
+		    a.has_load == rows[i].has_load && a.speed == rows[i].speed,
+		    "%s: read as %d", rows[i].load, (int)a.speed);
+		if (a.speed == WIRE_SPEED_NAMED)
+			ck_assert_double_eq(a.speed_factor, rows[i].factor);
+		evhttp_clear_headers(&h);
+	}
+}
+
 static void
 test_server_limits(void)
 {
@@ -532,6 +577,7 @@
 }
 
 static const suite_case_t cases[] = {
+    {"speeds of servers", test_server_speeds},
     {"orders", test_orders},
     {"server rows", test_servers},
     {"pages of rows", test_page},
