request_reader: chunks are taken in blocks and count with their lines

Cause: a client that sends chunks of 4 bytes without an end got no refusal within 20 s (test_gateway_closing, 'chunks over the memory'): operations on the input for each chunk, and only the data counted as held. Change: a block of the input is read by a loop of its own; the bytes of all chunks with their lines count, as they did with evhttp.

--- a/src/transport/request_reader.c
+++ b/src/transport/request_reader.c
@@ -153,47 +153,54 @@
 	return r->left == 0 ? REQUEST_WHOLE : REQUEST_PART;
 }
 
-/* Takes bytes of a line of the chunked coding, at most to its end. */
-static const char *
-take_chunk_line(request_reader_t *r, struct evbuffer *input)
+/* Takes bytes of one line or chunk. Return: their number; 0: a fault. */
+static size_t
+take_chunk_part(request_reader_t *r, const char *bytes, size_t n)
 {
-	struct evbuffer_iovec part;
 	const char *end, *fault;
-	size_t n;
 
-	evbuffer_peek(input, -1, NULL, &part, 1);
-	end = memchr(part.iov_base, '\n', part.iov_len);
-	n = end != NULL ? (size_t)(end - (const char *)part.iov_base) + 1
-			: part.iov_len;
-	fault = http_framing_take(&r->chunks, part.iov_base, n);
-	evbuffer_drain(input, n);
-	return fault;
+	if (r->chunks.state == HTTP_FRAMING_CHUNK) {
+		n = (size_t)MIN((uint64_t)n, r->chunks.left);
+		if (evbuffer_get_length(r->body) + n > r->max_body) {
+			fail(r, STATUS_BODY_TOO_LARGE, "the body is too large");
+			return 0;
+		}
+		evbuffer_add(r->body, bytes, n);
+		http_framing_skip(&r->chunks, n);
+		return n;
+	}
+	end = memchr(bytes, '\n', n);
+	if (end != NULL)
+		n = (size_t)(end - bytes) + 1;
+	fault = http_framing_take(&r->chunks, bytes, n);
+	if (fault != NULL)
+		fail(r, STATUS_BAD_REQUEST, fault);
+	else if (r->chunks.head > r->max_head)
+		fail(r, STATUS_FIELDS_TOO_LARGE, "the trailer is too large");
+	return r->wrong == NULL ? n : 0;
 }
 
-/* Trailer fields are checked and dropped. */
+/* Trailer fields are checked and dropped. Data is copied from the input in
+ * whole blocks: with chunks of some bytes, operations on the input for each of
+ * them took most of the time. */
 static request_state_t
 read_chunks(request_reader_t *r, struct evbuffer *input)
 {
-	const char *fault;
-	size_t n;
+	struct evbuffer_iovec part;
+	size_t at, n;
 
 	while (r->chunks.state != HTTP_FRAMING_WHOLE &&
-	    (n = evbuffer_get_length(input)) > 0) {
-		if (r->chunks.state != HTTP_FRAMING_CHUNK) {
-			fault = take_chunk_line(r, input);
-			if (fault != NULL)
-				return fail(r, STATUS_BAD_REQUEST, fault);
-			if (r->chunks.head > r->max_head)
-				return fail(r, STATUS_FIELDS_TOO_LARGE,
-				    "the trailer is too large");
-			continue;
+	    evbuffer_peek(input, -1, NULL, &part, 1) > 0) {
+		for (at = 0;
+		     at < part.iov_len && r->chunks.state != HTTP_FRAMING_WHOLE;
+		     at += n) {
+			n = take_chunk_part(r, (const char *)part.iov_base + at,
+			    part.iov_len - at);
+			if (n == 0)
+				return REQUEST_FAULT;
 		}
-		n = (size_t)MIN((uint64_t)n, r->chunks.left);
-		if (evbuffer_get_length(r->body) + n > r->max_body)
-			return fail(
-			    r, STATUS_BODY_TOO_LARGE, "the body is too large");
-		evbuffer_remove_buffer(input, r->body, n);
-		http_framing_skip(&r->chunks, n);
+		evbuffer_drain(input, at);
+		r->chunk_bytes += at;
 	}
 	return r->chunks.state == HTTP_FRAMING_WHOLE ? REQUEST_WHOLE
 						     : REQUEST_PART;
@@ -244,6 +251,7 @@
 size_t
 request_reader_held(const request_reader_t *r)
 {
-	return request_head_held(&r->head) +
-	    (r->body != NULL ? evbuffer_get_length(r->body) : 0);
+	size_t body = r->body != NULL ? evbuffer_get_length(r->body) : 0;
+
+	return request_head_held(&r->head) + MAX(body, r->chunk_bytes);
 }
--- a/src/transport/request_reader.h
+++ b/src/transport/request_reader.h
@@ -36,6 +36,7 @@
 	uint64_t left;	       /* of a body with a length */
 	gboolean is_chunked;
 	http_framing_t chunks;
+	size_t chunk_bytes;	 /* of all chunks, with their lines */
 	gboolean wants_continue; /* the client waits with the body */
 	int status;
 	const char *wrong;
@@ -74,7 +75,8 @@
 gboolean request_reader_has_begun(
     const request_reader_t *r, const struct evbuffer *input);
 
-/** request_reader_held() - Bytes of the current request beside the input. */
+/** request_reader_held() - Bytes of the current request beside the input.
+ * The lines of chunks count, too: small chunks cost time. */
 size_t request_reader_held(const request_reader_t *r);
 
 #endif
