--- a/src/transport/request_head.c
+++ b/src/transport/request_head.c
@@ -151,6 +151,20 @@
 	return TRUE;
 }
 
+/* http_parser, as packaged, takes a carriage return at the start of a line for
+ * the end of the head, whatever follows it. */
+static gboolean
+has_lone_return(const char *fields)
+{
+	const char *at;
+
+	for (at = fields; (at = strchr(at, '\r')) != NULL; at++) {
+		if (at[1] != '\n')
+			return TRUE;
+	}
+	return FALSE;
+}
+
 static int
 on_field(http_parser *parser, const char *at, size_t len)
 {
@@ -292,7 +306,12 @@
 	if (line_end > bytes && line_end[-1] == '\r')
 		line_end--;
 	if (!read_request_line(h, bytes, (size_t)(line_end - bytes)) ||
-	    !unfold(h, fields) || !index_fields(h, fields))
+	    !unfold(h, fields))
+		return FALSE;
+	if (has_lone_return(fields))
+		return refuse(h, STATUS_BAD_REQUEST,
+		    "a header value holds control characters");
+	if (!index_fields(h, fields))
 		return FALSE;
 	wrong = check(h);
 	if (wrong != NULL)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -385,6 +385,11 @@
     {"chunk size with a sign",
 	POST "Transfer-Encoding: chunked\r\n\r\n+3\r\nabc\r\n0\r\n\r\n" NEXT,
 	"400<invalid chunk size> closed", ""},
+    /* The parser took it for the end of the head. */
+    {"lone carriage return", GET "\r\r\n\r\n" NEXT,
+	"400<a header value holds control characters> closed", ""},
+    {"carriage return in a value", GET "X-A: \rb\r\n\r\n" NEXT,
+	"400<a header value holds control characters> closed", ""},
     {"control character", GET "X-A: a\001b\r\n\r\n" NEXT,
 	"400<a header value holds control characters> closed", ""},
 };
