--- a/tests/test_tls.c
+++ b/tests/test_tls.c
@@ -111,7 +111,7 @@
 typedef struct {
 	struct event_base *base;
 	http_server_t *http;
-	http_exchange_t *held;
+	http_exchange_t *held, *behind; /* the first, and one behind it */
 	uint16_t port;
 } test_server_t;
 
@@ -140,7 +140,18 @@
 {
 	test_server_t *s = arg;
 
-	s->held = x;
+	if (s->held == NULL)
+		s->held = x;
+	else
+		s->behind = x;
+}
+
+static gboolean
+may_run_beside(void *arg, const http_exchange_t *x)
+{
+	(void)arg;
+	(void)x;
+	return TRUE;
 }
 
 static char *
@@ -163,6 +174,7 @@
 	    .max_connections = 10,
 	    .receive_ms = 5000,
 	    .tls = tls,
+	    .concurrent = may_run_beside,
 	};
 
 	memset(s, 0, sizeof(*s));
@@ -182,16 +194,22 @@
 }
 
 static void
-answer(test_server_t *s, const char *text)
+answer_one(http_exchange_t **x, const char *text)
 {
 	struct evbuffer *body = evbuffer_new();
 
 	evbuffer_add_printf(body, "%s", text);
-	http_reply(s->held, 200, NULL, body);
-	s->held = NULL;
+	http_reply(*x, 200, NULL, body);
+	*x = NULL;
 	evbuffer_free(body);
 }
 
+static void
+answer(test_server_t *s, const char *text)
+{
+	answer_one(&s->held, text);
+}
+
 static void
 on_client_event(struct bufferevent *bev, short what, void *arg)
 {
@@ -339,10 +357,48 @@
 	stop_serving(&s);
 }
 
+/* Also a refusal arrives whole, behind the answers, before the close. */
+static void
+pipelined_requests_are_answered_in_order(void)
+{
+	static const char *const parts[] = {"first", "second", " 400 "};
+	test_server_t s;
+	const char *at;
+	client_t c;
+	int i;
+
+	serve(&s, "old");
+	client_init(&c, &s, TLS1_3_VERSION);
+	send_request(&s, &c);
+	evbuffer_add_printf(bufferevent_get_output(c.bev),
+	    "GET /2 HTTP/1.1\r\n\r\ngarbage\r\n\r\n");
+	for (i = 0; i < LOOP_RUNS_MAX && s.behind == NULL; i++)
+		run_loop(&s);
+	ck_assert_ptr_nonnull(s.behind);
+	answer_one(&s.behind, "second");
+	for (i = 0; i < 5; i++)
+		run_loop(&s);
+	ck_assert_uint_eq(evbuffer_get_length(bufferevent_get_input(c.bev)), 0);
+	answer(&s, "first");
+	for (i = 0; i < LOOP_RUNS_MAX && !c.closed; i++)
+		run_loop(&s);
+	ck_assert(c.closed);
+	evbuffer_add(bufferevent_get_input(c.bev), "", 1);
+	at = (char *)evbuffer_pullup(bufferevent_get_input(c.bev), -1);
+	for (i = 0; i < (int)G_N_ELEMENTS(parts); i++) {
+		at = strstr(at, parts[i]);
+		ck_assert_msg(at != NULL, "no %s in its place", parts[i]);
+	}
+	client_finish(&c);
+	stop_serving(&s);
+}
+
 int
 main(void)
 {
 	static const suite_case_t cases[] = {
+	    {"pipelined requests are answered in order",
+		pipelined_requests_are_answered_in_order},
 	    {"errors name the invalid file", errors_name_the_invalid_file},
 	    {"expiry is reported", expiry_is_reported},
 	    {"versions before 1.2 are refused",
