--- a/src/protocol/peer_msg.h
+++ b/src/protocol/peer_msg.h
@@ -28,6 +28,8 @@
 	PEER_TABLE,
 	PEER_SUSPECTS,
 	PEER_SUMMARIES,
+	PEER_USAGE,
+	PEER_USAGE_ACK,
 } peer_kind_t;
 
 /* Encodes or decodes a message, beginning with its kind. */
