Usage reports: count, collect and report in the gateway composition

The counts, the duty and the rows were pure code without a user. relay_try counts each try and corrects the count when it is known whether and when it ran. usage_sync sends the counts to the domain's collectors and writes a row for each window; usage_report and usage_call hold the duty, store reports and send them. [usage] address turns it on; without it nothing is allocated, sent or logged. fleet_reader_rank() accepts NULL for all regions.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -22,7 +22,7 @@
 /**
  * clock_wall() - Read the time of day.
  *
- * For logs and audit only; no decision depends on it.
+ * For logs, audit and the windows of usage reports. No lease depends on it.
  *
  * Return: milliseconds since the Unix epoch.
  */
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -485,7 +485,8 @@
 	for (i = 0; i < f->hosts->len; i++) {
 		const fleet_host_t *h = g_ptr_array_index(f->hosts, i);
 
-		rank += strcmp(h->region, region) == 0 && may_read(h, now) &&
+		rank += (region == NULL || strcmp(h->region, region) == 0) &&
+		    may_read(h, now) &&
 		    precedes(h->strength, h->seed, f->strength, f->self);
 	}
 	return rank;
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -192,7 +192,8 @@
 guint fleet_rank(const fleet_t *f, msec_t now);
 
 /**
- * fleet_reader_rank() - Rank among the hosts of a region that reach the store.
+ * fleet_reader_rank() - Rank among the hosts of a region that reach the store;
+ * region NULL: of all regions.
  */
 guint fleet_reader_rank(const fleet_t *f, const char *region, msec_t now);
 
--- a/src/coordination/usage_duty.c
+++ b/src/coordination/usage_duty.c
@@ -9,6 +9,11 @@
 #define RENEW_NUM 2
 #define RENEW_DEN 5
 
+/* The hosts of these ranks read the row often enough to see a lease end at
+ * once. The others are for the case that the first can't take the duty, so they
+ * read seldom. */
+#define NEXT_RANKS 2
+
 void
 usage_duty_init(usage_duty_t *d, const usage_duty_conf_t *conf)
 {
@@ -35,6 +40,12 @@
 	    d->conf.lease_ms + d->conf.slack_ms + (msec_t)rank * USAGE_RANK_MS;
 }
 
+static msec_t
+read_period(const usage_duty_t *d, guint rank)
+{
+	return rank < NEXT_RANKS ? d->conf.lease_ms / 2 : 2 * d->conf.lease_ms;
+}
+
 usage_duty_step_t
 usage_duty_next(const usage_duty_t *d, gboolean eligible, guint rank,
     gboolean pending, msec_t now)
@@ -50,7 +61,7 @@
 		    : USAGE_DUTY_WAIT;
 	if (!eligible || rank > USAGE_RANK_MAX || now < d->barred_until)
 		return USAGE_DUTY_WAIT;
-	if (!d->known || now - d->read_at >= d->conf.lease_ms / 2)
+	if (!d->known || now - d->read_at >= read_period(d, rank))
 		return USAGE_DUTY_READ;
 	return is_free(d, rank, now) ? USAGE_DUTY_TAKE : USAGE_DUTY_WAIT;
 }
@@ -99,6 +110,7 @@
 	d->seen_at = now;
 	d->lease_from = d->write_at;
 	d->floor = MAX(d->floor, d->row.epoch);
+	d->sent_seen = MAX(d->sent_seen, d->row.sent);
 	d->holding = TRUE;
 	d->busy = FALSE;
 	d->taking = FALSE;
@@ -132,6 +144,7 @@
 	d->row = *row;
 	d->ver = ver;
 	d->floor = MAX(d->floor, row->epoch);
+	d->sent_seen = MAX(d->sent_seen, row->sent);
 	return held && !d->holding;
 }
 
--- a/src/coordination/usage_duty.h
+++ b/src/coordination/usage_duty.h
@@ -27,11 +27,11 @@
 /* Longest time of one call. */
 #define USAGE_CALL_MS 1000
 /* A host of this rank or a lower one follows the duty's row. */
-#define USAGE_RANK_MAX 1
+#define USAGE_RANK_MAX 3
 /* Additional wait for each rank. */
 #define USAGE_RANK_MS 1000
 /* A holder whose calls got no response gives the duty up for this long. */
-#define USAGE_GIVE_UP_MS 20000
+#define USAGE_GIVE_UP_MS 30000
 
 /* The duty's row. */
 typedef struct {
@@ -79,6 +79,7 @@
 	msec_t lease_from; /* when the last write that succeeded was sent */
 	msec_t act_from;   /* no call before it */
 	uint64_t floor;	   /* highest epoch that was seen */
+	int64_t sent_seen; /* highest window that was seen as accepted */
 	msec_t barred_until;
 } usage_duty_t;
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -142,6 +142,8 @@
 	metrics_set(m, g->store_failures, (int64_t)store->failures);
 	set_memory_metrics(g);
 	status_sync_set_metrics(&g->status_sync);
+	if (g->relays.usage != NULL)
+		usage_sync_set_metrics(&g->usage);
 	text = metrics_render(m);
 	reply_text(x, 200, "text/plain", text);
 	g_free(text);
@@ -281,6 +283,8 @@
 	log_event(LOG_INFO, "host.stopping", "signal", log_num(sig),
 	    "under_way", log_num(g->relays.in_flight->len), NULL);
 	http_server_close_after_reply(g->caller_server);
+	if (g->relays.usage != NULL)
+		usage_report_leave(&g->usage_report);
 	status_sync_leave(&g->status_sync);
 	store_sync_leave(&g->store_sync);
 	event_add(g->drain_timer, &tick);
@@ -389,6 +393,17 @@
 	    "calls to the store without a usable answer");
 }
 
+static void
+begin_usage(gateway_t *g)
+{
+	usage_sync_init(&g->usage, &g->view, &g->store_sync, &g->status_sync,
+	    g->base, &g->metrics);
+	usage_report_init(
+	    &g->usage_report, &g->usage, g->store_client, g->base);
+	g->relays.usage = &g->usage;
+	g->status_sync.usage = &g->usage;
+}
+
 gboolean
 gateway_init(
     gateway_t *g, gateway_settings_t *settings, const char *path, GError **err)
@@ -427,6 +442,8 @@
 	if (!status_sync_init(&g->status_sync, &g->view, &g->store_sync,
 		&g->suspects, g->base, &g->metrics, err))
 		return FALSE;
+	if (settings->usage.address != NULL)
+		begin_usage(g);
 	g->caller_server =
 	    open_server(g, settings->callers, serve_callers, err);
 	if (g->caller_server == NULL)
@@ -453,6 +470,10 @@
 			http_server_free(servers[i]);
 	}
 	suspects_finish(&g->suspects);
+	if (g->relays.usage != NULL) {
+		usage_report_finish(&g->usage_report);
+		usage_sync_finish(&g->usage);
+	}
 	status_sync_finish(&g->status_sync);
 	store_sync_finish(&g->store_sync);
 	for (i = 0; i < G_N_ELEMENTS(g->signals); i++)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/store_sync.h"
 #include "gateway/suspects.h"
+#include "gateway/usage_report.h"
 #include "gateway/view.h"
 
 /*
@@ -25,6 +26,8 @@
 	suspects_t suspects;
 	status_sync_t status_sync;
 	relays_t relays;
+	usage_sync_t usage; /* in use only if the settings have an API */
+	usage_report_t usage_report;
 	metrics_t metrics;
 	metric_id_t lookups, ready, hosts_heard, servers_known;
 	metric_id_t tokens_asked, tokens_unanswered;
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -9,7 +9,7 @@
 #define KIND_TABLE "table"
 
 static const char *const groups[] = {
-    "host", "store", "domains", "bounds", "limits", "log"};
+    "host", "store", "domains", "bounds", "limits", "usage", "log"};
 
 /* Defaults for absent settings. With them a host exceeds none of the bounds. */
 #define DEFAULT_DRAIN_SEC 6
@@ -24,6 +24,13 @@
 #define DEFAULT_REPLY_MEMORY (48 * 1024 * 1024)
 #define DEFAULT_LOG_LINES 200
 
+#define DEFAULT_USAGE_WINDOW_SEC 5
+#define DEFAULT_USAGE_LATE_SEC 10
+#define DEFAULT_USAGE_LEASE_MS 3000
+#define DEFAULT_USAGE_THAW_MS 300
+#define DEFAULT_USAGE_CALLS_PER_SEC 50
+#define DEFAULT_USAGE_TOLERANCE 0.05
+
 /* Part of the tolerance of workspaces' rates that is lent. The rest covers
  * short times in which two regions compute different parts. */
 #define RATES_LENT_PART 0.5
@@ -154,6 +161,61 @@
 		ini_group(ini, "limits", fields, G_N_ELEMENTS(fields));
 }
 
+/* The platform fills the settings in, so a flag may be spelled in several ways.
+ */
+static void
+read_fenced(gateway_settings_t *s, const ini_t *ini, const char *text)
+{
+	static const char *const yes[] = {"true", "yes", "1", NULL};
+	static const char *const no[] = {"false", "no", "0", NULL};
+	char *lower;
+
+	if (text == NULL)
+		return;
+	lower = g_ascii_strdown(text, -1);
+	s->usage.fenced = g_strv_contains(yes, lower);
+	if (!s->usage.fenced && !g_strv_contains(no, lower))
+		ini_error(ini, "usage", "fencing_enforced",
+		    "fencing_enforced: expected true or false, found \"%s\"",
+		    text);
+	g_free(lower);
+}
+
+static void
+read_usage(gateway_settings_t *s, const ini_t *ini)
+{
+	usage_settings_t *u = &s->usage;
+	double window_sec = DEFAULT_USAGE_WINDOW_SEC;
+	double late_sec = DEFAULT_USAGE_LATE_SEC;
+	double lease_ms = DEFAULT_USAGE_LEASE_MS;
+	double thaw_ms = DEFAULT_USAGE_THAW_MS;
+	char *fenced = NULL;
+	const ini_field_t fields[] = {
+	    {"address", INI_STRING, FALSE, 1, NAME_CHARS, &u->address},
+	    {"window_sec", INI_DECIMAL, FALSE, 0.5, 3600, &window_sec},
+	    {"late_sec", INI_DECIMAL, FALSE, 1, 3600, &late_sec},
+	    {"lease_ms", INI_DECIMAL, FALSE, 500, 60000, &lease_ms},
+	    {"thaw_slack_ms", INI_DECIMAL, FALSE, 0, 60000, &thaw_ms},
+	    {"calls_per_sec", INI_DECIMAL, FALSE, 0.1, 1e6, &u->calls_per_sec},
+	    {"tolerance", INI_DECIMAL, FALSE, 0, 1, &u->tolerance},
+	    {"fencing_enforced", INI_STRING, FALSE, 1, NAME_CHARS, &fenced},
+	};
+
+	u->calls_per_sec = DEFAULT_USAGE_CALLS_PER_SEC;
+	u->tolerance = DEFAULT_USAGE_TOLERANCE;
+	if (!g_key_file_has_group(ini->file, "usage"))
+		return;
+	ini_group(ini, "usage", fields, G_N_ELEMENTS(fields));
+	if (u->address != NULL)
+		ini_address(ini, "usage", "address", u->address);
+	u->window_ms = (msec_t)(window_sec * MSEC_PER_SEC);
+	u->late_ms = (msec_t)(late_sec * MSEC_PER_SEC);
+	u->lease_ms = (msec_t)lease_ms;
+	u->thaw_slack_ms = (msec_t)thaw_ms;
+	read_fenced(s, ini, fenced);
+	g_free(fenced);
+}
+
 static void
 read_log(gateway_settings_t *s, const ini_t *ini)
 {
@@ -197,6 +259,7 @@
 		read_domains(s, &ini);
 		read_bounds(s, &ini);
 		read_limits(s, &ini);
+		read_usage(s, &ini);
 		read_log(s, &ini);
 	}
 	ini_finish(&ini);
@@ -214,6 +277,7 @@
 	g_free(s->operators);
 	g_free(s->peers);
 	g_free(s->store);
+	g_free(s->usage.address);
 	g_hash_table_destroy(s->regions);
 	memset(s, 0, sizeof(*s));
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -8,6 +8,19 @@
 #include "coordination/dispatch.h"
 #include "coordination/rate_lender.h"
 
+/* [usage]: reports to the platform's cloud API. */
+typedef struct {
+	char *address; /* "IP:PORT"; NULL: nothing is counted or reported */
+	msec_t window_ms;
+	msec_t late_ms; /* a report is due this long after its window */
+	msec_t lease_ms;
+	msec_t thaw_slack_ms;
+	double calls_per_sec; /* of all hosts */
+	double tolerance;     /* of a count, as a part of it */
+	gboolean
+	    fenced; /* the API refuses a token lower than one it has seen */
+} usage_settings_t;
+
 /* Settings of an entry host whose fleet keeps its state in a table store. */
 typedef struct {
 	/* [host] */
@@ -34,6 +47,8 @@
 	gint64 reply_memory_bytes;  /* replies that callers have not read */
 	double link_mbps;	    /* bandwidth of this host's link */
 	double cpu_share;	    /* fraction of a core that this host has */
+	/* [usage] */
+	usage_settings_t usage;
 	/* [log] */
 	log_level_t log_level;
 	gint64 log_lines; /* maximum lines per second */
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -4,6 +4,7 @@
 #include "base/metrics.h"
 #include "gateway/suspects.h"
 #include "gateway/tokens.h"
+#include "gateway/usage_sync.h"
 #include "gateway/view.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -20,6 +21,7 @@
 	tokens_t *tokens;
 	suspects_t *suspects;
 	server_words_t *words;
+	usage_sync_t *usage; /* NULL: the usage is not reported */
 	struct event_base *base;
 	GPtrArray *in_flight; /* relay_t */
 	uint64_t last_number; /* number of the last request */
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -45,6 +45,9 @@
 	poison_run_id_t run;
 	gboolean server_has_room; /* according to its last answer */
 	msec_t sent_at;
+	int64_t sent_wall;   /* for the usage; 0: not counted */
+	double server_queue; /* requests waiting there, by the answer */
+	double server_slots; /* 0: not known */
 
 	/* The answer for the caller; valid while its callback runs. */
 	int status;
--- a/src/gateway/relay_try.c
+++ b/src/gateway/relay_try.c
@@ -13,6 +13,37 @@
 /* Maximum size of an answer, which is held in memory. */
 #define ANSWER_MAX_BYTES (16 * 1024 * 1024)
 
+static const char *
+workspace_name(const relay_t *r)
+{
+	const manifest_workspace_t *w = r->admission.workspace;
+
+	return w != NULL ? w->name : NULL;
+}
+
+/* Estimates whether and when the server began to run the request. */
+static void
+end_usage(relay_t *r, dispatch_end_t end, msec_t now)
+{
+	const backend_t *b = r->server;
+	msec_t took = now - r->sent_at, start;
+	gboolean ran = end != DISPATCH_UNREACHABLE && end != DISPATCH_FULL &&
+	    end != DISPATCH_WRONG_SERVER;
+
+	if (end == DISPATCH_ANSWERED) {
+		start =
+		    usage_plan_start(took, r->server_queue, r->server_slots);
+	} else {
+		/* A request that was given up in the queue did not run. */
+		start = usage_plan_start((msec_t)b->service_ms,
+		    backend_load(b, now) - b->slots, b->slots);
+		ran = ran && took >= start;
+	}
+	usage_sync_ended(
+	    r->relays->usage, workspace_name(r), r->sent_wall, ran, start);
+	r->sent_wall = 0;
+}
+
 static void
 end_try(relay_t *r, dispatch_end_t end)
 {
@@ -33,6 +64,8 @@
 		metrics_observe(
 		    r->relays->metrics, r->relays->server_ms, result.took_ms);
 	suspects_ended(r->relays->suspects, r->run, r->server, end, r->sent_at);
+	if (r->sent_wall != 0)
+		end_usage(r, end, now);
 	dispatch_ended(
 	    &r->relays->view->dispatch, &r->job, r->server, &result, now);
 	r->server = NULL;
@@ -89,6 +122,8 @@
 		backend_report(server, a.running + a.waiting, clock_now());
 	if (!a.other_server)
 		relay_read_limit(r, server, &a);
+	r->server_queue = a.waiting;
+	r->server_slots = a.has_load ? a.slots : 0;
 	r->server_has_room = a.has_load && a.running + a.waiting < a.slots;
 	if (a.not_run)
 		r->wait_ms = dispatch_retry_ms(r->server_has_room);
@@ -201,11 +236,10 @@
 	struct evhttp_request *req = http_exchange_request(r->x);
 	struct evkeyvalq headers = TAILQ_HEAD_INITIALIZER(headers);
 	struct evbuffer *body = evbuffer_new();
-	const admission_t *a = &r->admission;
 	const wire_forward_t forward = {
 	    .left_ms = left_ms,
 	    .server = server->id,
-	    .workspace = a->workspace != NULL ? a->workspace->name : NULL,
+	    .workspace = workspace_name(r),
 	};
 	const http_request_t request = {
 	    .address = server->address,
@@ -230,6 +264,7 @@
 	dispatch_sent(&relays->view->dispatch, &r->job, server, r->sent_at);
 	r->run = suspects_sent(relays->suspects, &r->fingerprint, server);
 	r->call = http_call(relays->http, &request, &handler);
+	r->sent_wall = usage_sync_count(relays->usage, workspace_name(r));
 	r->first_request = r->call != NULL && http_call_is_first(r->call);
 	evhttp_clear_headers(&headers);
 	evbuffer_free(body);
--- a/src/gateway/status_sync.c
+++ b/src/gateway/status_sync.c
@@ -4,6 +4,7 @@
 #include "gateway/status_send.h"
 #include "gateway/status_sync.h"
 #include "gateway/table_sync.h"
+#include "gateway/usage_sync.h"
 #include "protocol/beacon.h"
 
 /* Period of the check whether something is due. */
@@ -428,6 +429,12 @@
 	case PEER_SUSPECTS:
 		receive_suspects(s, data, len);
 		break;
+	case PEER_USAGE:
+	case PEER_USAGE_ACK:
+		if (s->usage == NULL ||
+		    !usage_sync_receive(s->usage, data, len))
+			metrics_count(s->metrics, s->rejected, 1);
+		break;
 	default:
 		receive_token_msg(s, data, len);
 		break;
--- a/src/gateway/status_sync.h
+++ b/src/gateway/status_sync.h
@@ -12,6 +12,8 @@
 #include "protocol/summary_msg.h"
 #include "transport/datagram.h"
 
+typedef struct usage_sync usage_sync_t;
+
 /*
  * Exchanges datagrams with the other hosts. A host sends its status (demand of
  * workspaces, requests at servers, shifts) to the collectors of its failure
@@ -25,6 +27,7 @@
 	view_t *view;
 	store_sync_t *store_sync;
 	suspects_t *suspects;
+	usage_sync_t *usage; /* NULL: the usage is not reported */
 	collector_t collector;
 	fanout_t fanout;
 	datagram_t socket;
--- a/src/protocol/table_msg.h
+++ b/src/protocol/table_msg.h
@@ -40,7 +40,7 @@
 	uint64_t expected; /* version that the row must have; 0: absent */
 } table_change_t;
 
-#define TABLE_CHANGES_MAX 4
+#define TABLE_CHANGES_MAX 16
 
 typedef struct {
 	table_change_t changes[TABLE_CHANGES_MAX];
