--- a/tests/test_usage_duty.c
+++ b/tests/test_usage_duty.c
@@ -157,6 +157,21 @@
 	ck_assert_int_eq(usage_duty_call_ms(&d, 10110), 1000);
 }
 
+/* A host that dies soon after it took the duty must not hide the open calls of
+ * the one before it from its successor. */
+static void
+settling_holder_is_not_quiet(void)
+{
+	const usage_duty_offer_t idle = {.sent = 100, .idle = TRUE};
+	usage_duty_t d = holder(FALSE, FALSE);
+
+	ck_assert(!usage_duty_offer(&d, USAGE_DUTY_RENEW, &idle, d.act_from - 1)
+		       ->quiet);
+	usage_duty_written(&d, 3, d.act_from);
+	ck_assert(
+	    usage_duty_offer(&d, USAGE_DUTY_RENEW, &idle, d.act_from)->quiet);
+}
+
 static void
 holder_is_lost(void)
 {
@@ -505,6 +520,7 @@
 	    {"rows are taken", rows_are_taken},
 	    {"a holder calls within its lease", holder_calls_within_its_lease},
 	    {"a quiet holder does not call", quiet_holder_does_not_call},
+	    {"a settling holder is not quiet", settling_holder_is_not_quiet},
 	    {"a holder is lost", holder_is_lost},
 	    {"a refusal ends the epoch", refusal_ends_the_epoch},
 	    {"random runs keep the order", random_runs_keep_the_order},
