--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -64,6 +64,16 @@
 		"answer_memory_bytes"},
 	    {HOST STORE DOMAINS "[limits]\nreply_memory_bytes = 1\n",
 		"reply_memory_bytes"},
+	    /* An empty group is what the template yields without an API. */
+	    {HOST STORE DOMAINS "[usage]\n", ""},
+	    {HOST STORE DOMAINS "[usage]\naddress = 10.0.0.7:9\n"
+				"window_sec = 5\nfencing_enforced = True\n",
+		""},
+	    {HOST STORE DOMAINS "[usage]\naddress = here\n",
+		"address: expected IP:PORT, found \"here\""},
+	    {HOST STORE DOMAINS "[usage]\nfencing_enforced = maybe\n",
+		"fencing_enforced: expected true or false, found \"maybe\""},
+	    {HOST STORE DOMAINS "[usage]\nlease_ms = 0\n", "lease_ms"},
 	};
 	size_t i;
 
--- a/tests/test_gateway_usage.c
+++ b/tests/test_gateway_usage.c
@@ -328,6 +328,44 @@
 	end();
 }
 
+/* A host whose store calls fail has its counts written by the other domains. A
+ * holder whose writes are performed late, or whose answers are lost, reports
+ * what is stored. */
+static void
+store_fails_for_some(void)
+{
+	static const store_fault_t faults[] = {
+	    STORE_LATE, STORE_LOSES_ANSWERS, STORE_BUSY};
+	int cut;
+	size_t i;
+
+	begin(USAGE("fencing_enforced = true\n"), TRUE);
+	g.world.store.late = g_rand_new_with_seed(1);
+	send_requests(15, -1);
+	wait_more_reports(2);
+	cut = (holder() + 1) % HOSTS_N;
+	g.world.store.fault[cut] = STORE_RESET;
+	send_requests(30, -1);
+	gateway_world_run(&g, COUNTS_MS);
+	wait_more_reports(3);
+	g.world.store.fault[cut] = STORE_HEALTHY;
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		cut = holder();
+		g.world.store.fault[cut] = faults[i];
+		send_requests(30, -1);
+		gateway_world_run(&g, 1000);
+		g.world.store.fault[cut] = STORE_HEALTHY;
+		wait_more_reports(3);
+	}
+	wait_more_reports(6);
+	ck_assert(gateway_world_logs(&g, 0, "usage.counts_relayed") ||
+	    gateway_world_logs(&g, 1, "usage.counts_relayed") ||
+	    gateway_world_logs(&g, 2, "usage.counts_relayed"));
+	check_all();
+	g_rand_free(g.world.store.late);
+	end();
+}
+
 static void
 nothing_without_the_setting(void)
 {
@@ -347,6 +385,7 @@
 {
 	static const suite_case_t cases[] = {
 	    {"nothing without the setting", nothing_without_the_setting},
+	    {"a store that fails for some", store_fails_for_some},
 	    {"a killed holder loses no count", killed_holder_loses_no_count},
 	    {"a paused holder sends no lower token",
 		paused_holder_sends_no_lower_token},
