Usage reports: fewer messages, an earlier report, less memory of the holder

A window that runs is sent every 2 s, the report is made at 0.4 of its time, the first two hosts in rank read the duty each third of a lease: a holder that dies just before its write leaves a successor about 5 s, of 6 s. Rows are merged for one window at a time, not into this host's own counts.

--- a/src/coordination/usage_duty.c
+++ b/src/coordination/usage_duty.c
@@ -43,19 +43,30 @@
 static msec_t
 read_period(const usage_duty_t *d, guint rank)
 {
-	return rank < NEXT_RANKS ? d->conf.lease_ms / 2 : 2 * d->conf.lease_ms;
+	return rank < NEXT_RANKS ? d->conf.lease_ms / 3 : 2 * d->conf.lease_ms;
+}
+
+/* Whether the row has to be written for the sake of its flag. */
+static gboolean
+must_flag(const usage_duty_t *d, usage_duty_load_t load, msec_t now)
+{
+	if (load == USAGE_DUTY_PENDING)
+		return d->row.quiet || d->unsure;
+	/* It saves a successor the wait for open calls. */
+	return load == USAGE_DUTY_IDLE && !d->conf.fenced && !d->row.quiet &&
+	    now >= d->act_from;
 }
 
 usage_duty_step_t
 usage_duty_next(const usage_duty_t *d, gboolean eligible, guint rank,
-    gboolean pending, msec_t now)
+    usage_duty_load_t load, msec_t now)
 {
 	msec_t age = now - d->lease_from;
 
 	if (d->busy)
 		return USAGE_DUTY_WAIT;
 	if (d->holding)
-		return (pending && (d->row.quiet || d->unsure)) ||
+		return must_flag(d, load, now) ||
 			age >= d->conf.lease_ms * RENEW_NUM / RENEW_DEN
 		    ? USAGE_DUTY_RENEW
 		    : USAGE_DUTY_WAIT;
@@ -90,7 +101,8 @@
 		d->offered.epoch =
 		    MAX(MAX(d->floor, d->row.epoch) + 1, in->epoch_hint);
 	} else {
-		d->offered.quiet = in->idle && now >= d->act_from;
+		d->offered.quiet =
+		    in->load == USAGE_DUTY_IDLE && now >= d->act_from;
 	}
 	d->busy = TRUE;
 	d->writing = TRUE;
--- a/src/coordination/usage_duty.h
+++ b/src/coordination/usage_duty.h
@@ -83,6 +83,12 @@
 	msec_t barred_until;
 } usage_duty_t;
 
+typedef enum {
+	USAGE_DUTY_IDLE,    /* nothing, and no call may be open */
+	USAGE_DUTY_OPEN,    /* nothing, but a call may be open */
+	USAGE_DUTY_PENDING, /* reports to send */
+} usage_duty_load_t;
+
 typedef struct {
 	/* A new epoch is no lower. The time of day in seconds keeps it from
 	 * going back if the store does. */
@@ -90,9 +96,9 @@
 	/* The reports up to this window were accepted. For USAGE_DUTY_TAKE it
 	 * is used only if there is no row. */
 	int64_t sent;
-	/* The holder has nothing to send, and each of its calls ended with a
-	 * response or USAGE_CALL_SETTLE_MS ago. */
-	gboolean idle;
+	/* A call counts as open until it ends with a response, or for
+	 * USAGE_CALL_SETTLE_MS after it ended without one. */
+	usage_duty_load_t load;
 } usage_duty_offer_t;
 
 void usage_duty_init(usage_duty_t *d, const usage_duty_conf_t *conf);
@@ -102,11 +108,11 @@
  * @d: the state
  * @eligible: this host is ready, reaches the store and is not leaving
  * @rank: of this host among those that may take the duty
- * @pending: it has reports to send
+ * @load: what the holder has to do
  * @now: time
  */
 usage_duty_step_t usage_duty_next(const usage_duty_t *d, gboolean eligible,
-    guint rank, gboolean pending, msec_t now);
+    guint rank, usage_duty_load_t load, msec_t now);
 
 /** usage_duty_reading() - A read of the row begins. */
 void usage_duty_reading(usage_duty_t *d, msec_t now);
--- a/src/coordination/usage_plan.c
+++ b/src/coordination/usage_plan.c
@@ -3,10 +3,11 @@
 /* Parts of the time until a report is due, in percent. The collector writes
  * first when the counts of most hosts have come, and once more if some came
  * late. The report is made when the second write is over. The rest is for a new
- * holder, which has to see a lease end (3.3 s of 10 s), and for the calls. */
-#define ROW_PERCENT 13
+ * holder: 1 s until it reads the row, 3.3 s until it sees the lease end, and
+ * some round trips. */
+#define ROW_PERCENT 10
 #define ROW_AGAIN_PERCENT 20
-#define REPORT_PERCENT 45
+#define REPORT_PERCENT 40
 #define OVER_PERCENT 150
 
 int64_t
--- a/src/coordination/usage_plan.h
+++ b/src/coordination/usage_plan.h
@@ -12,7 +12,10 @@
  * in ms; they differ slightly between hosts.
  */
 
-/* Time between two datagrams with the same host's counts of a window. */
+/* Time between two datagrams with the same host's counts of a window, while it
+ * runs and afterwards. The former only limit what a host that is killed loses.
+ */
+#define USAGE_SEND_RUNNING_MS 2000
 #define USAGE_SEND_MS 1000
 /* Writes of a domain's counts of one window. */
 #define USAGE_ROW_WRITES_MAX 2
--- a/src/gateway/usage_report.c
+++ b/src/gateway/usage_report.c
@@ -232,6 +232,28 @@
 	    r->duty.sent_seen);
 }
 
+/* The counts that this host has itself may be newer than its domain's row. */
+static void
+merge_own(usage_report_t *r, int64_t window)
+{
+	GPtrArray *cells = usage_counts_cells(&r->sync->counts, window, NULL);
+	guint i;
+
+	for (i = 0; i < cells->len; i++)
+		usage_counts_merge(
+		    &r->merged, window, g_ptr_array_index(cells, i));
+	g_ptr_array_free(cells, TRUE);
+}
+
+static usage_duty_load_t
+load_of(const usage_report_t *r, msec_t now)
+{
+	if (g_hash_table_size(r->reports) > 0)
+		return USAGE_DUTY_PENDING;
+	return r->post != NULL || now < r->open_until ? USAGE_DUTY_OPEN
+						      : USAGE_DUTY_IDLE;
+}
+
 /* Writes the duty's row, with the report of @window unless that is 0. */
 static void
 write_duty(usage_report_t *r, usage_duty_step_t step, int64_t window)
@@ -240,8 +262,7 @@
 	const usage_duty_offer_t offer = {
 	    .epoch_hint = (uint64_t)(clock_wall() / MSEC_PER_SEC),
 	    .sent = step == USAGE_DUTY_TAKE ? first_sent(r) : r->sent,
-	    .idle = window == 0 && r->post == NULL && now >= r->open_until &&
-		g_hash_table_size(r->reports) == 0,
+	    .load = window != 0 ? USAGE_DUTY_PENDING : load_of(r, now),
 	};
 	const usage_duty_row_t *row =
 	    usage_duty_offer(&r->duty, step, &offer, now);
@@ -255,7 +276,8 @@
 	table_write_put_if(
 	    &w, USAGE_DUTY_TABLE, USAGE_DUTY_KEY, value, r->duty.ver);
 	if (window != 0) {
-		totals = usage_counts_totals(&r->sync->counts, window);
+		merge_own(r, window);
+		totals = usage_counts_totals(&r->merged, window);
 		r->storing_body = wire_usage_body(window, totals);
 		g_array_free(totals, TRUE);
 		table_write_put_if(&w, USAGE_TABLE, key, r->storing_body, 0);
@@ -280,8 +302,8 @@
 		add_report(r, window, row->value);
 		break;
 	case USAGE_ROW_COUNTS:
-		if (window > r->sent &&
-		    !usage_rows_merge_counts(row, window, &r->sync->counts))
+		if (window == r->listing &&
+		    !usage_rows_merge_counts(row, window, &r->merged))
 			log_event(LOG_WARN, "usage.row_unreadable", "key",
 			    row->key, NULL);
 		break;
@@ -351,6 +373,10 @@
 	if (r->listing != window)
 		g_clear_pointer(&r->next_key, g_free);
 	r->listing = window;
+	if (r->next_key == NULL) {
+		usage_counts_finish(&r->merged);
+		usage_counts_init(&r->merged);
+	}
 	r->call = table_store_read(&r->sync->store_sync->store, USAGE_TABLE,
 	    r->next_key != NULL ? r->next_key : key, on_rows, r);
 	g_free(key);
@@ -409,8 +435,7 @@
 	if (r->call != NULL || now < r->store_retry_at)
 		return;
 	step = usage_duty_next(&r->duty, is_eligible(r),
-	    fleet_reader_rank(&v->fleet, NULL, now),
-	    usage_report_of(r, r->sent + 1) != NULL, now);
+	    fleet_reader_rank(&v->fleet, NULL, now), load_of(r, now), now);
 	switch (step) {
 	case USAGE_DUTY_READ:
 		read_duty(r);
@@ -479,6 +504,7 @@
 	r->sync = sync;
 	r->http = http;
 	usage_duty_init(&r->duty, &conf);
+	usage_counts_init(&r->merged);
 	r->reports =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	r->stale = g_ptr_array_new_with_free_func(g_free);
@@ -495,6 +521,7 @@
 	if (r->post != NULL)
 		http_call_cancel(r->post);
 	event_free(r->timer);
+	usage_counts_finish(&r->merged);
 	g_free(r->next_key);
 	g_free(r->storing_body);
 	g_hash_table_destroy(r->reports);
--- a/src/gateway/usage_report.h
+++ b/src/gateway/usage_report.h
@@ -23,7 +23,8 @@
 	int64_t listing; /* window from which on rows are listed */
 	int64_t storing; /* window of the report in the write; 0: none */
 	char *storing_body;
-	guint removing; /* of the first rows in @stale, in the write */
+	usage_counts_t merged; /* of @listing: all domains' rows */
+	guint removing;	       /* of the first rows in @stale, in the write */
 	msec_t store_retry_at;
 	msec_t store_lost_at; /* 0: the last call had an answer */
 
--- a/src/gateway/usage_sync.c
+++ b/src/gateway/usage_sync.c
@@ -353,6 +353,14 @@
 		relay_counts(u, p, w->changes);
 }
 
+static msec_t
+send_period(const usage_sync_t *u, int64_t window, int64_t wall)
+{
+	return usage_plan_age(window, wall, u->settings->window_ms) < 0
+	    ? USAGE_SEND_RUNNING_MS
+	    : USAGE_SEND_MS;
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -376,7 +384,8 @@
 		usage_progress_t *p =
 		    &g_array_index(u->progress, usage_progress_t, i);
 
-		if (is_to_send(p) && now - p->sent_at >= USAGE_SEND_MS)
+		if (is_to_send(p) &&
+		    now - p->sent_at >= send_period(u, p->id, wall))
 			send_own(u, p, now);
 		if (u->status->collector.acting)
 			collect(u, p, wall, now);
--- a/src/protocol/usage_rows.h
+++ b/src/protocol/usage_rows.h
@@ -7,8 +7,8 @@
 
 /* Rows of the usage reports: the duty, and by window the counts of each failure
  * domain and the report. */
-#define USAGE_DUTY_TABLE "usage-duty"
-#define USAGE_DUTY_KEY "duty"
+#define USAGE_DUTY_TABLE "duty"
+#define USAGE_DUTY_KEY "usage"
 #define USAGE_TABLE "usage"
 #define USAGE_KEY_REPORT "report/"
 /* After the reports in the order of keys, so that one read from a window
