--- a/tests/test_gateway_usage.c
+++ b/tests/test_gateway_usage.c
@@ -373,8 +373,7 @@
 	send_requests(10, -1);
 	gateway_world_run(&g, 2000);
 	ck_assert(g_hash_table_lookup(g.world.store.tables, "usage") == NULL);
-	ck_assert(
-	    g_hash_table_lookup(g.world.store.tables, "duty") == NULL);
+	ck_assert(g_hash_table_lookup(g.world.store.tables, "duty") == NULL);
 	ck_assert(!gateway_world_logs(&g, 0, "usage."));
 	ck_assert_uint_eq(api.calls, 0);
 	end();
