http_conn: send ended replies before a hang-up ends the connection

Cause: a hang-up destroyed the connection also when every reply had ended and only waited to be written. Change: replies that have ended are moved to the output first; only exchanges that still run end by the hang-up. The new row passes with the old code, too, since the loop happens to write first.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -319,10 +319,15 @@
 		http_conn_destroy(conn);
 }
 
+/* A reply that has just ended is sent before the connection ends. */
 void
 http_conn_on_hangup(void *arg)
 {
-	http_conn_destroy(arg);
+	http_conn_t *conn = arg;
+
+	if (!conn->dead)
+		http_replies_advance(conn);
+	on_end_of_input(conn);
 }
 
 /* Connections that were refused, or that only linger, don't count. */
--- a/tests/test_http_pipeline.c
+++ b/tests/test_http_pipeline.c
@@ -515,6 +515,31 @@
 	finish();
 }
 
+/* Whichever of the close and the ended reply the loop sees first. */
+static void
+ended_replies_are_sent_to_a_client_that_sends_no_more(void)
+{
+	client_t c;
+	char *got;
+
+	start(0, 0);
+	client_open(&c);
+	client_send(&c, C("1") C("2"));
+	run_loop(STEP_MS);
+	reply('2', 0);
+	reply('1', 0);
+	shutdown(bufferevent_getfd(c.bev), SHUT_WR);
+	run_loop(LEAVE_MS);
+	got = summary(&c);
+	ck_assert_str_eq(got, "200<1> 200<2> closed");
+	ck_assert_str_eq(gone->str, "");
+	g_free(got);
+	client_leave(&c, FALSE);
+	check_nothing_is_left("a client that sends no more");
+	g_string_free(c.in, TRUE);
+	finish();
+}
+
 int
 main(void)
 {
@@ -524,6 +549,8 @@
 	    {"versions are answered in a known one",
 		versions_are_answered_in_a_known_one},
 	    {"arrival is before the turn", arrival_is_before_the_turn},
+	    {"ended replies are sent to a client that sends no more",
+		ended_replies_are_sent_to_a_client_that_sends_no_more},
 	};
 
 	signal(SIGPIPE, SIG_IGN);
