Notice that the store was restored from a copy

A store that was away may return from a copy some seconds old; version numbers go back and are used again, and nothing read the header Store-Era. Hosts ignored the rows written after that, or took older rows over.

Versions now have the store's era above the store's own number, wherever they are compared, kept or sent; in era 0 nothing changes. In a new era each host lists its tables again, keeps what only an older copy denies (drains, departures, roll-backs), and writes again what the store lost of its own rows, the secret and the rows of shifts. Datagrams of an older era change nothing; those of a newer one show a gap, which is read from the store.

--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -145,6 +145,26 @@
 	h->row_ver = row->row_ver;
 }
 
+gboolean
+fleet_knows_newer(
+    const fleet_t *f, const char *name, uint64_t incarnation, msec_t started_at)
+{
+	uint64_t seed = registry_hash(name);
+	const fleet_host_t *h = fleet_find(f, seed);
+	guint i;
+
+	if (h != NULL)
+		return h->incarnation > incarnation;
+	for (i = 0; i < f->departed->len; i++) {
+		const fleet_departed_t *d =
+		    &g_array_index(f->departed, fleet_departed_t, i);
+
+		if (d->seed == seed)
+			return started_at <= d->left_at;
+	}
+	return FALSE;
+}
+
 void
 fleet_remove(fleet_t *f, const char *name)
 {
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -115,6 +115,18 @@
 /** fleet_put() - Apply a host's row; this host's own row is ignored. */
 void fleet_put(fleet_t *f, const fleet_row_t *row, msec_t now);
 
+/**
+ * fleet_knows_newer() - Is a host known to have left, or a newer start of it?
+ * @f: the fleet
+ * @name: name of the host
+ * @incarnation: of the start in question
+ * @started_at: time of that start
+ *
+ * Rows of older starts come back with a copy of the store.
+ */
+gboolean fleet_knows_newer(const fleet_t *f, const char *name,
+    uint64_t incarnation, msec_t started_at);
+
 /** fleet_remove() - Remove a host whose row was deleted. */
 void fleet_remove(fleet_t *f, const char *name);
 
--- a/src/coordination/shifts.c
+++ b/src/coordination/shifts.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "coordination/shifts_internal.h"
+#include "coordination/store_era.h"
 
 /* Number of windows over which a good version is judged bad with at most the
  * given probability. */
@@ -36,6 +37,7 @@
 void
 shifts_init(shifts_t *s)
 {
+	s->copy_end = 0;
 	s->by_service =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, shift_free);
 	s->versions =
@@ -149,6 +151,33 @@
 	shift->to = NULL;
 }
 
+/* Whether a row of a newer era undoes a decision that is known: the copy of the
+ * store is older than it. */
+static gboolean
+undoes(const shifts_t *s, const shift_t *shift, const shift_row_t *row,
+    uint64_t row_ver)
+{
+	if (!shift->has_row || row == NULL ||
+	    store_era_of(row_ver) == store_era_of(shift->row_ver))
+		return FALSE;
+	if (strcmp(row->to, shift->row.to) == 0)
+		return row->state == SHIFT_RUNNING &&
+		    shift->row.state != SHIFT_RUNNING;
+	return row_ver <= s->copy_end && shift->to != NULL &&
+	    strcmp(shift->to, shift->row.to) == 0;
+}
+
+void
+shifts_row_lost(shifts_t *s, const char *service, uint64_t stored)
+{
+	shift_t *shift = find(s, service);
+
+	if (shift == NULL || !shift->has_row)
+		return;
+	shift->row_ver = stored;
+	shift->rewrite = TRUE;
+}
+
 void
 shifts_apply_row(
     shifts_t *s, const char *service, const shift_row_t *row, uint64_t row_ver)
@@ -157,7 +186,13 @@
 
 	if (row_ver <= shift->row_ver)
 		return;
+	if (undoes(s, shift, row, row_ver)) {
+		shift->row_ver = row_ver;
+		shift->rewrite = TRUE;
+		return;
+	}
 	row_clear(&shift->row);
+	shift->rewrite = FALSE;
 	shift->row_ver = row_ver;
 	shift->has_row = row != NULL;
 	shift->due_since = 0;
--- a/src/coordination/shifts.h
+++ b/src/coordination/shifts.h
@@ -34,6 +34,9 @@
 typedef struct {
 	GHashTable *by_service; /* service to shift_t */
 	GHashTable *versions;	/* service to table of version to msec_t */
+	/* Rows up to this version may be older copies: the store was restored.
+	 * 0: it was not. */
+	uint64_t copy_end;
 } shifts_t;
 
 /* Which versions a request may go to. */
@@ -67,6 +70,16 @@
 void shifts_apply_row(
     shifts_t *s, const char *service, const shift_row_t *row, uint64_t row_ver);
 
+/**
+ * shifts_row_lost() - The store was restored without a shift's row.
+ * @s: the shifts
+ * @service: its service
+ * @stored: version of the older row in its place; 0: none
+ *
+ * The row stays in force and is written again.
+ */
+void shifts_row_lost(shifts_t *s, const char *service, uint64_t stored);
+
 /**
  * shifts_note_version() - Record that a server of a version exists.
  * @s: the shifts
--- a/src/coordination/shifts_internal.h
+++ b/src/coordination/shifts_internal.h
@@ -27,6 +27,9 @@
 	msec_t counted_from;   /* store's clock; 0: not yet */
 	gboolean may_grow;     /* enough good answers for the share to grow */
 
+	/* The store lost the row and has another one, or none: it has to be
+	 * written again. */
+	gboolean rewrite;
 	msec_t due_since; /* since when a row has to be written; 0: none */
 	msec_t written_at;
 };
--- a/src/coordination/shifts_judge.c
+++ b/src/coordination/shifts_judge.c
@@ -176,6 +176,10 @@
 		};
 		return TRUE;
 	}
+	if (shift->rewrite && shift_row_holds(shift)) {
+		*row = shift->row;
+		return TRUE;
+	}
 	if (is_over(shift))
 		return FALSE;
 	*row = shift->row;
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -4,6 +4,7 @@
 #include "coordination/balance.h"
 #include "coordination/poll_schedule.h"
 #include "gateway/store_sync.h"
+#include "gateway/store_sync_era.h"
 #include "gateway/store_sync_rows.h"
 #include "gateway/store_sync_write.h"
 #include "platform/wire_entries.h"
@@ -131,6 +132,7 @@
 		t->ver = MAX(t->ver, table_page_end(page));
 		return;
 	}
+	store_sync_begin_page(t, page);
 	s->many_changes = TRUE;
 	table_view_page(&t->view, page, handlers[t->kind], s);
 	s->many_changes = FALSE;
@@ -143,6 +145,7 @@
 	}
 	t->complete = TRUE;
 	t->ver = t->view.listed_ver;
+	store_sync_era_listed(t);
 	log_event(LOG_INFO, "store.listed", "table", table_defs[t->kind].name,
 	    "rows", log_num((long long)g_hash_table_size(t->view.known)),
 	    "version", log_num((long long)t->ver), "took_ms",
@@ -192,6 +195,32 @@
 	}
 }
 
+/* A host knows that it lacks changes: what leads on from them does not join
+ * what it has. */
+static void
+note_gap(synced_table_t *t, const table_update_t *update)
+{
+	if (t->gap_at == 0) {
+		t->gap_at = clock_now();
+		t->sync->counts.gaps++;
+	}
+	log_event(LOG_INFO, "store.changes_missed", "table",
+	    table_defs[t->kind].name, "known", log_num((long long)t->ver),
+	    "from", log_num((long long)update->from), NULL);
+}
+
+static void
+note_gap_closed(synced_table_t *t)
+{
+	if (t->gap_at == 0 || !t->complete)
+		return;
+	log_event(LOG_INFO, "store.changes_read", "table",
+	    table_defs[t->kind].name, "version", log_num((long long)t->ver),
+	    "took_ms", log_num(clock_now() - t->gap_at), NULL);
+	t->sync->counts.gaps_closed++;
+	t->gap_at = 0;
+}
+
 static msec_t
 shared_delay(const synced_table_t *t, msec_t now)
 {
@@ -231,6 +260,10 @@
 	uint64_t from;
 
 	t->call = NULL;
+	if (store_sync_check_era(t->sync, &outcome)) {
+		note_answer(t, page);
+		return;
+	}
 	switch (outcome) {
 	case TABLE_DONE:
 		note_answer(t, page);
@@ -238,6 +271,7 @@
 		table_queue_expire(&t->for_peers, t->answered_at);
 		apply_page(t, page);
 		note_up_to_date(t);
+		note_gap_closed(t);
 		t->fresh_at = t->answered_at;
 		t->had_changes = page->rows->len > 0;
 		if (table_defs[t->kind].shared)
@@ -283,9 +317,8 @@
 	}
 }
 
-/* Replaces the call in flight, if any. */
-static void
-restart_call(synced_table_t *t)
+void
+store_sync_restart_call(synced_table_t *t)
 {
 	if (t->call != NULL)
 		table_call_cancel(t->call);
@@ -325,7 +358,7 @@
 		synced_table_t *t = &s->tables[i];
 
 		if (is_to_repeat(t, now))
-			restart_call(t);
+			store_sync_restart_call(t);
 	}
 }
 
@@ -339,16 +372,12 @@
 	if (update->table >= SYNCED_TABLES || !table_defs[update->table].shared)
 		return;
 	t = &s->tables[update->table];
-	if (!t->complete || t->listing)
-		return;
-	if (update->from > t->ver && t->call != NULL)
+	if (!t->complete || t->listing || store_era_of(update->to) < s->era.era)
 		return;
 	if (update->from > t->ver) {
-		log_event(LOG_INFO, "store.changes_missed", "table",
-		    table_defs[t->kind].name, "known",
-		    log_num((long long)t->ver), "from",
-		    log_num((long long)update->from), NULL);
-		start_call(t);
+		note_gap(t, update);
+		if (t->call == NULL)
+			start_call(t);
 		return;
 	}
 	s->lapse_until = MAX(s->lapse_until, now + update->lapse_left_ms);
@@ -356,6 +385,7 @@
 	apply_changes(t, page);
 	table_queue_clear(&t->for_peers);
 	t->ver = MAX(t->ver, update->to);
+	note_gap_closed(t);
 	t->fresh_at = now;
 	note_up_to_date(t);
 	/* Changes from peers don't put off the retry of a failed call. */
@@ -378,7 +408,7 @@
 	    log_num((long long)s->view->orders_ver), "peer",
 	    log_num((long long)orders_ver), NULL);
 	table_store_reconnect(&s->store);
-	restart_call(t);
+	store_sync_restart_call(t);
 }
 
 gboolean
@@ -447,6 +477,8 @@
 		t->sync = s;
 		t->kind = (synced_table_kind_t)i;
 		table_view_init(&t->view);
+		/* Servers write their entries again in a moment. */
+		t->view.holds_lost = t->kind != SYNCED_SERVERS;
 		table_queue_init(&t->for_peers);
 		t->timer = evtimer_new(base, on_timer, t);
 		/* The fleet's table is listed after this host's row was
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -36,6 +36,7 @@
 	uint64_t ver;	      /* changes up to it are known; 0: none */
 	gboolean complete;    /* listed to its end since changes were lost */
 	gboolean had_changes; /* the last call returned changes */
+	gboolean new_era;     /* the store was restored: to be listed again */
 	gboolean listing;     /* TRUE: lists the table; FALSE: awaits changes */
 	char *next_key;	      /* key at which a listing continues */
 	table_call_t *call;   /* in flight, or NULL */
@@ -45,10 +46,18 @@
 	msec_t own_call_at; /* last call of this host */
 	msec_t answered_at;
 	msec_t fresh_at; /* changes were last read here or sent by a peer */
+	msec_t gap_at;	 /* when missed changes were noticed; 0: none */
 	guint failures;	 /* consecutive failed calls */
 	msec_t lost_at;	 /* when the first of them failed */
 } synced_table_t;
 
+typedef struct {
+	uint64_t gaps;	      /* changes that were missed and noticed */
+	uint64_t gaps_closed; /* and then read */
+	uint64_t era_changes;
+	uint64_t rows_rewritten; /* that the store lost */
+} store_sync_counts_t;
+
 /* Sends changes of a table to the hosts of the region. */
 typedef void (*store_sync_send_t)(void *arg, table_update_t *update);
 
@@ -67,6 +76,9 @@
 	peer_secret_t secret;
 	peer_secret_t offered_secret; /* in the write in flight */
 	uint64_t secret_ver;
+	gboolean secret_due; /* the store lost it */
+	store_era_t era;
+	store_sync_counts_t counts;
 	fleet_host_times_t times; /* in this host's row */
 	own_row_t own_row;
 	gboolean row_due;	  /* a write of it has not been confirmed */
@@ -94,6 +106,9 @@
  */
 void store_sync_retry_failed(store_sync_t *s);
 
+/** store_sync_restart_call() - Replace a table's call in flight, if any. */
+void store_sync_restart_call(synced_table_t *t);
+
 /** store_sync_leave() - Write into this host's row that it leaves. */
 void store_sync_leave(store_sync_t *s);
 
--- a/src/gateway/store_sync_rows.c
+++ b/src/gateway/store_sync_rows.c
@@ -195,6 +195,11 @@
 		store_sync_take_own_row(s, r, row_ver);
 		return;
 	}
+	if (row_ver <= s->tables[SYNCED_FLEET].view.copy_end && !left &&
+	    !r->removed &&
+	    fleet_knows_newer(&v->fleet, r->name, r->u.host.incarnation,
+		local_time(v, (int64_t)r->u.host.incarnation)))
+		return;
 	r->u.host.joined_at = local_time(v, r->times.joined_ms);
 	if (r->removed)
 		fleet_remove(&v->fleet, r->name);
@@ -230,6 +235,7 @@
 		break;
 	case FLEET_ROW_SECRET:
 		s->has_secret = !r.removed;
+		s->secret_due = FALSE;
 		if (s->has_secret)
 			s->secret = r.u.secret;
 		s->secret_ver = row->ver;
--- a/src/gateway/store_sync_write.c
+++ b/src/gateway/store_sync_write.c
@@ -3,6 +3,7 @@
 #include <sodium.h>
 
 #include "base/log.h"
+#include "gateway/store_sync_era.h"
 #include "gateway/store_sync_rows.h"
 #include "gateway/store_sync_write.h"
 #include "platform/wire_entries.h"
@@ -51,9 +52,11 @@
 	store_sync_t *s = arg;
 
 	s->join_write = NULL;
+	store_sync_check_era(s, &outcome);
 	if (outcome == TABLE_DONE) {
 		s->secret = s->offered_secret;
 		s->has_secret = TRUE;
+		s->secret_due = FALSE;
 	} else if (outcome == TABLE_CONFLICT) {
 		take_first_secret(s, page);
 	}
@@ -63,7 +66,7 @@
 		: outcome == TABLE_CONFLICT ? "another host was first"
 					    : "failed",
 	    "error", err != NULL ? err->message : NULL, NULL);
-	if (!s->has_secret && !s->view->leaving)
+	if ((!s->has_secret || s->secret_due) && !s->view->leaving)
 		schedule(s->join_timer, SECRET_STEPS * SECRET_STEP_MS);
 }
 
@@ -73,8 +76,13 @@
 	table_write_t w = {.n = 0};
 	char *value;
 
-	randombytes_buf(
-	    s->offered_secret.bytes, sizeof(s->offered_secret.bytes));
+	/* A secret that the store lost is in use. */
+	if (s->has_secret)
+		s->offered_secret = s->secret;
+	else
+		randombytes_buf(
+		    s->offered_secret.bytes, sizeof(s->offered_secret.bytes));
+	s->counts.rows_rewritten += s->secret_due;
 	value = fleet_rows_secret(&s->offered_secret);
 	table_write_put_if(
 	    &w, FLEET_TABLE, FLEET_KEY_SECRET, value, s->secret_ver);
@@ -180,6 +188,7 @@
 	store_sync_t *s = arg;
 
 	s->join_write = NULL;
+	store_sync_check_era(s, &outcome);
 	if (outcome == TABLE_CONFLICT) {
 		on_row_conflict(s, page);
 		return;
@@ -197,8 +206,13 @@
 	    s->view->leaving ? "host.left_written" : "host.joined",
 	    "incarnation", log_num((long long)s->view->incarnation),
 	    "joined_ms", log_num(s->times.joined_ms), NULL);
-	if (s->view->leaving || s->view->joined)
+	if (s->view->leaving)
+		return;
+	if (s->view->joined) {
+		if (s->secret_due)
+			store_sync_write_soon(s);
 		return;
+	}
 	s->view->joined = TRUE;
 	fleet_join(&s->view->fleet, s->times.joined_ms - s->view->store_offset);
 	schedule(s->tables[SYNCED_FLEET].timer, LIST_DELAY_MS);
@@ -253,10 +267,22 @@
 		schedule(s->join_timer, JOIN_POLL_MS);
 	else if (!s->view->joined || s->row_due)
 		write_host_row(s);
-	else if (!s->has_secret)
+	else if (!s->has_secret || s->secret_due)
 		write_secret(s);
 }
 
+void
+store_sync_write_soon(store_sync_t *s)
+{
+	/* Hosts write one after the other, so that most of them find the
+	 * secret written. */
+	schedule(s->join_timer,
+	    s->row_due ? 0
+		       : LIST_DELAY_MS +
+		    (msec_t)(s->view->fleet.self % SECRET_STEPS) *
+			SECRET_STEP_MS);
+}
+
 void
 store_sync_leave(store_sync_t *s)
 {
@@ -290,6 +316,7 @@
 	};
 
 	(void)page;
+	store_sync_check_era(w->sync, &outcome);
 	log_event(LOG_INFO, "shift.written", "service", w->service, "state",
 	    log_num(w->state), "outcome", outcomes[outcome], "error",
 	    err != NULL ? err->message : NULL, NULL);
--- a/src/gateway/store_sync_write.h
+++ b/src/gateway/store_sync_write.h
@@ -21,6 +21,9 @@
 void store_sync_take_own_row(
     store_sync_t *s, const fleet_rows_t *r, uint64_t ver);
 
+/** store_sync_write_soon() - Write what is due of the own row and secret. */
+void store_sync_write_soon(store_sync_t *s);
+
 /** store_sync_write_shift() - Write a shift's row and its status. */
 void store_sync_write_shift(store_sync_t *s, const shift_write_t *write);
 
--- a/src/protocol/table_msg.c
+++ b/src/protocol/table_msg.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "coordination/store_era.h"
 #include "protocol/table_msg.h"
 
 table_row_t *
@@ -64,6 +65,20 @@
 	    page->ver, last->ver > first->ver ? last->ver - 1 : last->ver);
 }
 
+gboolean
+table_page_set_era(table_page_t *page, uint64_t era)
+{
+	gboolean ok = store_era_compose(era, page->ver, &page->ver);
+	guint i;
+
+	for (i = 0; i < page->rows->len; i++) {
+		table_row_t *row = g_ptr_array_index(page->rows, i);
+
+		ok &= store_era_compose(era, row->ver, &row->ver);
+	}
+	return ok;
+}
+
 void
 table_write_put(
     table_write_t *w, const char *table, const char *key, const char *value)
--- a/src/protocol/table_msg.h
+++ b/src/protocol/table_msg.h
@@ -38,6 +38,13 @@
  */
 uint64_t table_page_end(const table_page_t *page);
 
+/**
+ * table_page_set_era() - Put the store's era into all versions of a page.
+ *
+ * Return: FALSE if a version or the era is out of range.
+ */
+gboolean table_page_set_era(table_page_t *page, uint64_t era);
+
 /* A row to be written, optionally only if it is unchanged since it was read. */
 typedef struct {
 	const char *table;
--- a/src/protocol/table_view.c
+++ b/src/protocol/table_view.c
@@ -1,9 +1,20 @@
 #include "protocol/table_view.h"
 
-typedef struct {
-	uint64_t ver;
-	gboolean removed;
-} known_t;
+/* FNV-1a. 0 stands for a removed row. */
+static uint64_t
+content_of(const table_row_t *row)
+{
+	uint64_t h = UINT64_C(0xcbf29ce484222325);
+	size_t i;
+
+	if (row->value == NULL)
+		return 0;
+	for (i = 0; i < row->len; i++) {
+		h ^= (unsigned char)row->value[i];
+		h *= UINT64_C(0x100000001b3);
+	}
+	return MAX(h, 1);
+}
 
 void
 table_view_init(table_view_t *v)
@@ -25,16 +36,15 @@
 apply_row(table_view_t *v, const table_row_t *row, table_change_fn_t on_change,
     void *arg)
 {
-	known_t *k = g_hash_table_lookup(v->known, row->key);
+	era_row_t *k = g_hash_table_lookup(v->known, row->key);
 
-	if (k != NULL && row->ver <= k->ver)
-		return;
 	if (k == NULL) {
-		k = g_new0(known_t, 1);
+		k = g_new0(era_row_t, 1);
 		g_hash_table_insert(v->known, g_strdup(row->key), k);
 	}
-	k->ver = row->ver;
-	k->removed = row->value == NULL;
+	if (era_row_seen(k, row->ver, content_of(row), v->copy_end) !=
+	    ERA_ROW_CHANGED)
+		return;
 	v->newest = MAX(v->newest, row->ver);
 	on_change(arg, row);
 }
@@ -79,21 +89,16 @@
 
 	g_hash_table_iter_init(&it, v->known);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
-		const known_t *k = value;
-
-		if (!k->removed && k->ver <= v->listed_ver &&
-		    !g_hash_table_contains(v->listed, key))
+		if (!g_hash_table_contains(v->listed, key) &&
+		    era_row_missing(value, v->listed_ver, v->holds_lost))
 			g_ptr_array_add(missing, key);
 	}
 	for (i = 0; i < missing->len; i++) {
-		known_t *k = g_hash_table_lookup(
-		    v->known, g_ptr_array_index(missing, i));
 		const table_row_t row = {
 		    .key = g_ptr_array_index(missing, i),
 		    .ver = v->listed_ver,
 		};
 
-		k->removed = TRUE;
 		on_change(arg, &row);
 	}
 	g_ptr_array_free(missing, TRUE);
@@ -107,6 +112,8 @@
 
 	if (v->listed_ver == 0)
 		v->listed_ver = page->ver;
+	if (store_era_of(page->ver) > store_era_of(v->copy_end))
+		v->copy_end = page->ver;
 	for (i = 0; i < page->rows->len; i++) {
 		const table_row_t *row = g_ptr_array_index(page->rows, i);
 
@@ -119,3 +126,27 @@
 	g_hash_table_destroy(v->listed);
 	v->listed = NULL;
 }
+
+gboolean
+table_view_is_stored(const table_view_t *v, const char *key)
+{
+	const era_row_t *k = g_hash_table_lookup(v->known, key);
+
+	return k != NULL && k->content != 0 &&
+	    !era_row_is_lost(k, store_era_of(v->copy_end));
+}
+
+void
+table_view_lost(const table_view_t *v, table_lost_fn_t on_lost, void *arg)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, v->known);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const era_row_t *k = value;
+
+		if (era_row_is_lost(k, store_era_of(v->copy_end)))
+			on_lost(arg, key, k->copy_ver);
+	}
+}
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -85,6 +85,7 @@
 	r->removed =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	r->words = g_array_new(FALSE, FALSE, sizeof(registry_word_t));
+	r->copy_end = 0;
 	r->regions = regions;
 }
 
@@ -195,16 +196,27 @@
 	    strcmp(b->version, row->version) != 0;
 }
 
+static gboolean
+may_be_copy(const registry_t *r, const registry_row_t *row)
+{
+	return row->row_ver <= r->copy_end;
+}
+
+/* A live server writes its entry again within REGISTRY_LAPSE_MS, so a copy of
+ * one that was removed is not needed. */
 static gboolean
 removed_since(const registry_t *r, const registry_row_t *row)
 {
 	const uint64_t *ver = g_hash_table_lookup(r->removed, row->id);
 
-	return ver != NULL && *ver >= row->row_ver;
+	return ver != NULL &&
+	    (*ver >= row->row_ver ||
+		(may_be_copy(r, row) &&
+		    !g_hash_table_contains(r->servers, row->id)));
 }
 
 static gboolean
-refresh(backend_t *b, const registry_row_t *row, msec_t now)
+refresh(backend_t *b, const registry_row_t *row, gboolean copy, msec_t now)
 {
 	msec_t cold_until = row->cold_ms > 0 ? now + row->cold_ms : 0;
 	gboolean was_cold = now < b->cold_until;
@@ -214,7 +226,7 @@
 
 	b->row_ver = row->row_ver;
 	b->slots = MAX(row->slots, 1);
-	b->draining = row->draining;
+	b->draining = row->draining || (copy && was_draining);
 	b->cold_until = cold_until;
 	b->lapsed_until = 0;
 	return was_draining != b->draining || was_cold != (row->cold_ms > 0) ||
@@ -232,6 +244,8 @@
 	if (b != NULL && row->row_ver <= b->row_ver)
 		return row->row_ver < b->row_ver ? REGISTRY_STALE
 						 : REGISTRY_SAME;
+	if (b != NULL && may_be_copy(r, row) && row->born < b->born)
+		return REGISTRY_STALE;
 	if (b != NULL && is_restart(b, row)) {
 		remove_backend(r, b, now);
 		b = NULL;
@@ -241,10 +255,10 @@
 		b = add_backend(r, row);
 		b->born = row->born;
 		restore_word(r, b);
-		refresh(b, row, now);
+		refresh(b, row, FALSE, now);
 		return change;
 	}
-	if (!refresh(b, row, now))
+	if (!refresh(b, row, may_be_copy(r, row), now))
 		return REGISTRY_SAME;
 	return REGISTRY_CHANGED;
 }
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -116,6 +116,9 @@
 	GHashTable *removed;  /* id to the version of its removal, uint64_t */
 	/* Words of servers whose entries were removed; they may be back. */
 	GArray *words; /* registry_word_t */
+	/* Rows up to this version may be older copies: the store was restored.
+	 * 0: it was not. */
+	uint64_t copy_end;
 } registry_t;
 
 /* What a row changed. */
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -58,7 +58,10 @@
 	struct evhttp *http;
 	GHashTable *tables;	     /* table by name */
 	uint64_t ver, history_since; /* feeds may start here or later */
-	GPtrArray *waiting;	     /* feeds without an answer yet */
+	uint64_t era;		     /* 0: the header is not sent */
+	GHashTable *copy;	     /* the tables when they were copied */
+	uint64_t copy_ver;
+	GPtrArray *waiting; /* feeds without an answer yet */
 	store_fault_t fault[HOSTS];
 	GRand *late; /* draws the delays of late writes; NULL: STORE_LATE_MS */
 } soak_store_t;
@@ -77,6 +80,12 @@
 /** soak_store_drop_history() - Drop old changes; feeds from there get 410. */
 void soak_store_drop_history(soak_store_t *s);
 
+/** soak_store_copy() - Take a copy of all tables. */
+void soak_store_copy(soak_store_t *s);
+
+/** soak_store_restore() - Return from the copy, in the next era. */
+void soak_store_restore(soak_store_t *s);
+
 /* ---- backend servers ---- */
 
 typedef enum {
--- a/tests/soak/soak_store.c
+++ b/tests/soak/soak_store.c
@@ -79,12 +79,19 @@
 	struct evhttp_request *req;
 	int status;
 	char *text;
+	uint64_t era;
 } delayed_answer_t;
 
 static void
-send_now(struct evhttp_request *req, int status, const char *text)
+send_now(struct evhttp_request *req, int status, const char *text, uint64_t era)
 {
 	struct evbuffer *body = evbuffer_new();
+	char number[24];
+
+	g_snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT, era);
+	if (era > 0)
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+		    "Store-Era", number);
 
 	evbuffer_add(body, text, strlen(text));
 	evhttp_send_reply(req, status, "-", body);
@@ -98,7 +105,7 @@
 
 	(void)fd;
 	(void)what;
-	send_now(d->req, d->status, d->text);
+	send_now(d->req, d->status, d->text, d->era);
 	free(d->text);
 	g_free(d);
 }
@@ -113,6 +120,7 @@
 	json_object_set_new(root, "ver", json_integer((json_int_t)s->ver));
 	json_object_set_new(root, "now_ms", json_integer(clock_now()));
 	d->req = req;
+	d->era = s->era;
 	d->status = status;
 	d->text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
@@ -188,7 +196,7 @@
 	    .rows = json_array()};
 	soak_store_t *s = f->store;
 
-	if (f->after < s->history_since) {
+	if (f->after < s->history_since || f->after > s->ver) {
 		json_decref(w.rows);
 		answer(s, f->req, 410, json_object(), 0);
 		feed_free(f);
@@ -447,6 +455,52 @@
 	evhttp_free(s->http);
 	g_ptr_array_free(s->waiting, TRUE);
 	g_hash_table_destroy(s->tables);
+	if (s->copy != NULL)
+		g_hash_table_destroy(s->copy);
+}
+
+static gboolean
+copy_cell(gpointer key, gpointer value, gpointer arg)
+{
+	const cell_t *c = value;
+	cell_t *copy = g_new(cell_t, 1);
+
+	*copy = (cell_t){g_strdup(c->value), c->ver};
+	g_tree_replace(arg, g_strdup(key), copy);
+	return FALSE;
+}
+
+void
+soak_store_copy(soak_store_t *s)
+{
+	GHashTableIter it;
+	gpointer name, table;
+
+	if (s->copy != NULL)
+		g_hash_table_destroy(s->copy);
+	s->copy =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, table_free);
+	g_hash_table_iter_init(&it, s->tables);
+	while (g_hash_table_iter_next(&it, &name, &table)) {
+		GTree *t = g_tree_new_full(compare, NULL, g_free, cell_free);
+
+		g_tree_foreach(table, copy_cell, t);
+		g_hash_table_insert(s->copy, g_strdup(name), t);
+	}
+	s->copy_ver = s->ver;
+}
+
+void
+soak_store_restore(soak_store_t *s)
+{
+	g_assert(s->copy != NULL);
+	g_hash_table_destroy(s->tables);
+	s->tables = s->copy;
+	s->copy = NULL;
+	s->ver = s->copy_ver;
+	s->history_since = 0;
+	s->era++;
+	wake_feeds(s);
 }
 
 void
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "coordination/store_era.h"
 #include "state/registry.h"
 #include "suite.h"
 
@@ -249,7 +250,63 @@
 	}
 }
 
+/* Entries that come back with an older copy of the store, as versions of its
+ * next era; the listing is of version 9. */
+static void
+test_copies(void)
+{
+	static const struct {
+		const char *name, *id;
+		uint64_t ver;
+		gboolean draining;
+		int64_t born;
+		registry_change_t change;
+		gboolean usable;
+	} rows[] = {
+	    {"a copy from before it drained", "drains", 9, FALSE, 100,
+		REGISTRY_SAME, FALSE},
+	    {"a copy of an earlier start", "serves", 9, TRUE, 50,
+		REGISTRY_STALE, TRUE},
+	    {"a copy of one that left", "left", 9, FALSE, 100, REGISTRY_STALE,
+		FALSE},
+	    {"it drains no more", "drains", 10, FALSE, 100, REGISTRY_CHANGED,
+		TRUE},
+	    {"it has started again", "left", 10, FALSE, 200, REGISTRY_NEW,
+		TRUE},
+	};
+	registry_t r;
+	registry_row_t row;
+	size_t i;
+
+	setup(&r);
+	row = row_of("drains", 20);
+	row.draining = TRUE;
+	registry_put(&r, &row, 1000);
+	row = row_of("serves", 21);
+	registry_put(&r, &row, 1000);
+	row = row_of("left", 22);
+	registry_put(&r, &row, 1000);
+	registry_remove(&r, "left", 23, 0, 1000);
+	ck_assert(store_era_compose(1, 9, &r.copy_end));
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		const backend_t *b;
+
+		row = row_of(rows[i].id, 0);
+		ck_assert(store_era_compose(1, rows[i].ver, &row.row_ver));
+		row.draining = rows[i].draining;
+		row.born = rows[i].born;
+		ck_assert_msg(registry_put(&r, &row, 2000) == rows[i].change,
+		    "%s", rows[i].name);
+		b = find(&r, rows[i].id);
+		ck_assert_msg(
+		    (b != NULL && backend_usable(b, 2000)) == rows[i].usable,
+		    "%s: usable", rows[i].name);
+	}
+	teardown(&r);
+}
+
 static const suite_case_t cases[] = {
+    {"entries of an older copy", test_copies},
     {"newer rows change a server, older rows don't", test_changes},
     {"a restart resets what is known", test_restart},
     {"removed, lapsed and drained servers", test_removal},
--- a/tests/test_table_view.c
+++ b/tests/test_table_view.c
@@ -6,7 +6,9 @@
 /*
  * A step is a page: "K=V@N" is row K with value V at version N, "K-@N" its
  * removal; "^N" is the page's version, "+" says that more pages follow.
- * Changes that the view reports are written in the same way.
+ * Changes that the view reports are written in the same way. In "read/1: ..."
+ * and "changes/1: ..." versions are of era 1. Lost rows are reported at the
+ * end, with the version of the older row in their place.
  */
 typedef struct {
 	const char *name;
@@ -53,7 +55,14 @@
 
 	g_string_append_printf(reported, "%s%s%s@%" G_GUINT64_FORMAT " ",
 	    row->key, row->value != NULL ? "=" : "-",
-	    row->value != NULL ? row->value : "", row->ver);
+	    row->value != NULL ? row->value : "", store_era_number(row->ver));
+}
+
+static void
+on_lost(void *arg, const char *key, uint64_t stored)
+{
+	g_string_append_printf(
+	    arg, "lost %s@%" G_GUINT64_FORMAT " ", key, store_era_number(stored));
 }
 
 static const scenario_t scenarios[] = {
@@ -81,6 +90,39 @@
 	"a=1@1 a-@2 a=2@3 a-@4 "},
     {"a missed removal is reported once",
 	{"read: a=1@1 ^1", "read: ^4", "read: ^5"}, "a=1@1 a-@4 "},
+    /* Failures in a new era: a row goes back to an older state, stays out
+     * although it was written anew, or its loss is not noticed. */
+    {"the same rows in a new era",
+	{"read: a=1@1 b=2@2 ^2", "read/1: a=1@1 b=2@2 ^2"}, "a=1@1 b=2@2 "},
+    {"an older row comes back",
+	{"read: a=1@1 ^1", "changes: a=2@5 ^5", "read/1: a=1@1 ^3"},
+	"a=1@1 a=2@5 lost a@1 "},
+    {"a renewed older row comes back",
+	{"read: a=1@1 ^1", "changes: a=2@5 ^5", "read/1: a=1@3 ^3"},
+	"a=1@1 a=2@5 lost a@3 "},
+    {"a removed row comes back",
+	{"read: a=1@1 ^1", "changes: a-@5 ^5", "read/1: a=1@1 ^3"},
+	"a=1@1 a-@5 "},
+    {"a row that a listing lacked comes back",
+	{"read: a=1@1 ^1", "read: ^5", "read/1: a=1@1 ^3"}, "a=1@1 a-@5 "},
+    {"a row is lost", {"read: a=1@1 b=1@2 ^2", "read/1: a=1@1 ^1"},
+	"a=1@1 b=1@2 lost b@0 "},
+    {"a lost row is removed",
+	{"read: a=1@1 b=1@2 ^2", "read/1: a=1@1 ^1", "changes/1: b-@2 ^2"},
+	"a=1@1 b=1@2 b-@2 "},
+    {"an older row is written anew",
+	{"read: a=1@1 ^1", "changes: a=2@5 ^5", "read/1: a=1@1 ^3",
+	    "changes/1: a=1@4 ^4"},
+	"a=1@1 a=2@5 a=1@4 "},
+    {"another row under a version that was used",
+	{"read: a=1@1 ^1", "changes: a=2@5 ^5", "read/1: a=3@4 ^4"},
+	"a=1@1 a=2@5 a=3@4 "},
+    {"a later row of the old era",
+	{"read: a=1@1 ^1", "read/1: a=1@1 ^1", "changes: a=2@9 ^9"}, "a=1@1 "},
+    {"two eras",
+	{"read: a=1@1 ^1", "changes: a=2@5 ^5", "read/2: a=1@1 ^1",
+	    "read/3: a=1@1 ^1"},
+	"a=1@1 a=2@5 lost a@1 "},
 };
 
 static void
@@ -88,13 +130,19 @@
 {
 	GString *reported = g_string_new(NULL);
 	table_view_t v;
+	uint64_t era;
 	table_page_t page;
 	gboolean reading = FALSE;
 	guint i;
 
 	table_view_init(&v);
+	v.holds_lost = TRUE;
 	for (i = 0; i < G_N_ELEMENTS(p->steps) && p->steps[i] != NULL; i++) {
 		parse_page(strchr(p->steps[i], ':') + 1, &page);
+		era = strchr(p->steps[i], '/') != NULL
+		    ? strtoull(strchr(p->steps[i], '/') + 1, NULL, 10)
+		    : 0;
+		ck_assert(table_page_set_era(&page, era));
 		if (g_str_has_prefix(p->steps[i], "read")) {
 			if (!reading)
 				table_view_begin(&v);
@@ -105,6 +153,7 @@
 		}
 		table_page_finish(&page);
 	}
+	table_view_lost(&v, on_lost, reported);
 	ck_assert_msg(strcmp(reported->str, p->reported) == 0,
 	    "%s: reported %s", p->name, reported->str);
 	table_view_finish(&v);
