Accept weights that are fractions

add_target() cut 0.9 and 0.1 to 0, so a manifest with such weights was refused as a whole: all weights were 0. Weights are now kept as they are written.

--- a/src/state/manifest.c
+++ b/src/state/manifest.c
@@ -154,7 +154,7 @@
 static const char *
 route_fault(const manifest_route_t *r)
 {
-	uint64_t weights = 0;
+	double weights = 0;
 	guint i;
 
 	if (r->host == NULL || *r->host == '\0')
@@ -171,7 +171,7 @@
 	for (i = 0; i < r->targets->len; i++)
 		weights +=
 		    g_array_index(r->targets, manifest_target_t, i).weight;
-	return weights == 0 ? "all weights are 0" : NULL;
+	return weights <= 0 ? "all weights are 0" : NULL;
 }
 
 static gint
--- a/src/state/manifest.h
+++ b/src/state/manifest.h
@@ -25,7 +25,7 @@
 /* A service that gets part of a route's requests, in proportion to weight. */
 typedef struct {
 	uint32_t service; /* index into services */
-	uint32_t weight;
+	double weight;
 } manifest_target_t;
 
 typedef struct {
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -28,7 +28,7 @@
 		    g_ptr_array_index(m->services, t->service);
 
 		g_string_append_printf(
-		    out, "%s%s:%u", i > 0 ? "," : "", s->name, t->weight);
+		    out, "%s%s:%g", i > 0 ? "," : "", s->name, t->weight);
 	}
 	g_string_append_c(out, '\n');
 	g_free(regions);
