Judge missing entries by the store, and rank lenders over all regions

Entries now may have lapsed only if no host reached the store for a second, as far as enough hosts are heard to tell, or if the store was restored.

Now the hosts of all regions are one rank, by which hosts ask and lend alike; hosts of other regions lend only the last resort's part while the region has a lender. A lender that was paused counts a window as lent.

--- a/src/coordination/rate_lender.c
+++ b/src/coordination/rate_lender.c
@@ -19,6 +19,8 @@
  * that this host knows its part. */
 #define START_PHASE_MS 2000
 #define REGIONS_MAX 16
+/* A host whose ticks are further apart was paused. */
+#define PAUSED_MS 1500
 /* A window of the bounds is counted in this many slices, plus one. */
 #define SLICES 25
 
@@ -161,21 +163,37 @@
 /* While hosts start together, none has been heard yet; all then choose among
  * the hosts that have rows. */
 static gboolean
-may_lend(const fleet_host_t *h, const char *region, msec_t now)
+may_lend(const fleet_host_t *h, msec_t now)
 {
-	if (strcmp(h->region, region) != 0)
-		return FALSE;
 	if (h->heard_at == 0)
 		return now - h->known_at < FLEET_SILENT_MS;
 	return fleet_is_live(h, now) && h->ready && !h->leaving;
 }
 
+/* Whether hosts of any region lend in place of those of a region. */
+static gboolean
+any_may_lend(const rate_lender_t *l, const char *region, msec_t now)
+{
+	guint i;
+
+	if (!l->all_regions || (l->ready && strcmp(region, l->region) == 0))
+		return FALSE;
+	for (i = 0; i < l->fleet->hosts->len; i++) {
+		const fleet_host_t *h = g_ptr_array_index(l->fleet->hosts, i);
+
+		if (strcmp(h->region, region) == 0 && may_lend(h, now))
+			return FALSE;
+	}
+	return TRUE;
+}
+
 const fleet_host_t *
 rate_lender_of(const rate_lender_t *l, const char *region, uint64_t name,
     guint rank, msec_t now)
 {
 	const fleet_host_t *first = NULL, *second = NULL;
-	gboolean self = l->ready && strcmp(region, l->region) == 0;
+	gboolean any = any_may_lend(l, region, now);
+	gboolean self = l->ready && (any || strcmp(region, l->region) == 0);
 	uint64_t own = self ? score(name, l->fleet->self) : 0;
 	uint64_t best = own, next = 0, s;
 	guint i;
@@ -183,7 +201,8 @@
 	for (i = 0; i < l->fleet->hosts->len; i++) {
 		const fleet_host_t *h = g_ptr_array_index(l->fleet->hosts, i);
 
-		if (!may_lend(h, region, now))
+		if ((!any && strcmp(h->region, region) != 0) ||
+		    !may_lend(h, now))
 			continue;
 		s = score(name, h->seed);
 		if (s > best) {
@@ -204,7 +223,6 @@
 	const char *names[REGIONS_MAX];
 	rate_region_t regions[REGIONS_MAX];
 	guint n;
-	GArray *lenders; /* uint64_t: seeds of this region's possible lenders */
 } regions_t;
 
 static rate_region_t *
@@ -230,7 +248,6 @@
 	guint i;
 
 	all->n = 0;
-	all->lenders = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	r = region_of(all, l->region);
 	r->hosts = 1;
 	r->live = 1;
@@ -240,8 +257,6 @@
 		r = region_of(all, l->all_regions ? l->region : h->region);
 		r->hosts++;
 		r->live += fleet_is_live(h, now);
-		if (may_lend(h, l->region, now))
-			g_array_append_val(all->lenders, h->seed);
 	}
 }
 
@@ -268,28 +283,35 @@
 /* Return: number of other hosts that come before this one as lenders, at most
  * RATE_LENDERS. */
 static guint
-lender_rank(const rate_lender_t *l, const regions_t *all, uint64_t workspace)
+lender_rank(const rate_lender_t *l, const rate_limit_t *limit, msec_t now)
 {
-	uint64_t own = l->ready ? score(workspace, l->fleet->self) : 0;
+	const char *region = limit->region != NULL ? limit->region : l->region;
+	gboolean any = any_may_lend(l, region, now);
+	uint64_t own = l->ready ? score(limit->name, l->fleet->self) : 0;
 	guint i, rank = 0;
 
-	for (i = 0; i < all->lenders->len && rank < RATE_LENDERS; i++)
-		rank += score(workspace,
-			    g_array_index(all->lenders, uint64_t, i)) > own;
+	if (!any && strcmp(region, l->region) != 0)
+		return RATE_LENDERS;
+	for (i = 0; i < l->fleet->hosts->len && rank < RATE_LENDERS; i++) {
+		const fleet_host_t *h = g_ptr_array_index(l->fleet->hosts, i);
+
+		rank += (any || strcmp(h->region, region) == 0) &&
+		    may_lend(h, now) && score(limit->name, h->seed) > own;
+	}
 	return rank;
 }
 
 static double
-part_of(const rate_lender_t *l, const limit_entry_t *e, double rate,
-    regions_t *all, msec_t now)
+part_of(const rate_lender_t *l, const limit_entry_t *e,
+    const rate_limit_t *limit, regions_t *all, msec_t now)
 {
 	double part;
 
 	sum_demands(l, e, all, now);
 	all->regions[0].demand += rate_demand_known(&e->demand);
-	part =
-	    rate_share_of(&all->regions[0], rate, all->regions + 1, all->n - 1);
-	switch (lender_rank(l, all, e->hash)) {
+	part = rate_share_of(
+	    &all->regions[0], limit->rate, all->regions + 1, all->n - 1);
+	switch (lender_rank(l, limit, now)) {
 	case 0:
 		return part;
 	case 1:
@@ -375,8 +397,12 @@
 	limit_entry_t *e = entry_of(l, limit->name, now);
 	double part;
 
+	/* While this host was paused, another may have lent. */
+	if (l->all_regions && e->ticked_at != 0 &&
+	    now - e->ticked_at > PAUSED_MS)
+		e->made_at = now;
 	rate_demand_tick(&e->demand, now);
-	part = part_of(l, e, limit->rate, regions, now);
+	part = part_of(l, e, limit, regions, now);
 	smooth_part(l, e, part, now);
 	e->window_max = window_tokens(l, limit) * e->part;
 	e->lent_rate = token_rate(l, limit) * part;
@@ -400,7 +426,6 @@
 	count_hosts(l, &regions, now);
 	for (i = 0; i < n; i++)
 		tick_limit(l, &limits[i], &regions, now);
-	g_array_free(regions.lenders, TRUE);
 }
 
 void
@@ -421,7 +446,7 @@
 
 		if (w->rate > 0)
 			limits[n++] = (rate_limit_t){
-			    registry_hash(w->name), w->rate, w->burst};
+			    registry_hash(w->name), w->rate, w->burst, NULL};
 	}
 	rate_lender_tick_limits(l, limits, n, now);
 	g_free(limits);
--- a/src/coordination/rate_lender.h
+++ b/src/coordination/rate_lender.h
@@ -39,6 +39,7 @@
 	uint64_t name; /* hash */
 	double rate;   /* per second */
 	double burst;
+	const char *region; /* of its lenders; NULL: this host's */
 } rate_limit_t;
 
 typedef struct {
@@ -86,14 +87,15 @@
 
 /**
  * rate_lender_of() - Find the host of a region that lends the tokens of a
- * limit.
+ * limit. If there is one lender for all regions and no host of the region may
+ * lend, the hosts of all regions take its place, in one rank.
  * @l: the lender
  * @region: the region
  * @name: hash of the limit's name
  * @rank: 0 for the lender, 1 for its deputy
  * @now: time
  *
- * Return: a host of the region, or NULL for this host.
+ * Return: the host, or NULL for this host.
  */
 const fleet_host_t *rate_lender_of(const rate_lender_t *l, const char *region,
     uint64_t name, guint rank, msec_t now);
--- a/src/coordination/server_limits.c
+++ b/src/coordination/server_limits.c
@@ -58,7 +58,7 @@
 lent_limit(const named_t *n)
 {
 	const rate_limit_t limit = {
-	    n->limit.server, MAX(n->limit.rate, RATE_MIN), 0};
+	    n->limit.server, MAX(n->limit.rate, RATE_MIN), 0, n->limit.region};
 
 	return limit;
 }
--- a/src/coordination/server_limits.h
+++ b/src/coordination/server_limits.h
@@ -19,9 +19,10 @@
 
 /* A server's limit, as a host knows it. */
 typedef struct {
-	uint64_t server; /* backend_limit_id() */
-	double rate;	 /* requests per second, of all hosts */
-	msec_t at;	 /* when the server named it */
+	uint64_t server;    /* backend_limit_id() */
+	double rate;	    /* requests per second, of all hosts */
+	msec_t at;	    /* when the server named it */
+	const char *region; /* interned; of the server; NULL: this host's */
 } server_limit_t;
 
 /* A lender's answer. */
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -20,9 +20,6 @@
 #define FLEET_WAIT_MS 5600
 #define ORDERS_EVERY_MS 200
 #define ORDERS_WAIT_MS 20000
-/* The store counts as unreachable after calls for a table have failed this
- * long. */
-#define UNREACHABLE_MS 1000
 /* If a peer has newer orders and the answer to the call for changes has not
  * begun to arrive, the call is restarted after this time: half of the shortest
  * time within which a new configuration must take effect. */
@@ -65,9 +62,9 @@
 		    log_num(now - t->lost_at), NULL);
 		s->store_back = TRUE;
 	}
-	if (t->failures > 0 && now - t->lost_at > UNREACHABLE_MS)
-		s->lapse_until = MAX(s->lapse_until, now + REGISTRY_LAPSE_MS);
 	t->failures = 0;
+	store_away_tick(&s->away, &s->view->fleet, TRUE, now);
+	s->lapse_until = MAX(s->lapse_until, store_away_lapse_until(&s->away));
 	t->answered_at = now;
 	if (page == NULL || page->store_ms == 0)
 		return;
@@ -437,6 +434,7 @@
 	(void)what;
 	registry_expire(&v->registry, now);
 	fleet_tick(&v->fleet, now);
+	store_away_tick(&s->away, &v->fleet, store_sync_is_reachable(s), now);
 	balance_tick(&v->registry, &v->fleet, now);
 	dispatch_tick(&v->dispatch, now);
 	/* If hosts are lost, ranks change: the new first host must read at
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -3,6 +3,7 @@
 
 #include "base/metrics.h"
 #include "coordination/own_row.h"
+#include "coordination/store_away.h"
 #include "gateway/view.h"
 #include "platform/table_store.h"
 #include "protocol/beacon.h"
@@ -69,8 +70,9 @@
 	gboolean many_changes; /* the page being applied is logged as a whole */
 	gboolean store_back;   /* a call succeeded after calls had failed */
 	msec_t lost_at;	       /* when calls last began to fail; 0: never */
+	store_away_t away;
 	/* Until then, a removed entry may only have lapsed: its server could
-	 * not renew it while the store was unreachable. */
+	 * not renew it while the store was away. */
 	msec_t lapse_until;
 	gboolean has_secret;
 	peer_secret_t secret;
--- a/src/gateway/tokens.c
+++ b/src/gateway/tokens.c
@@ -155,7 +155,7 @@
 get_limit(const token_msg_t *msg, msec_t now)
 {
 	const server_limit_t limit = {msg->name,
-	    (double)msg->rate / MSEC_PER_SEC, now - (msec_t)msg->age_ms};
+	    (double)msg->rate / MSEC_PER_SEC, now - (msec_t)msg->age_ms, NULL};
 
 	return limit;
 }
@@ -259,8 +259,9 @@
 tokens_take_of_server(tokens_t *t, const server_limit_t *limit,
     const char *region, token_done_t done, void *arg)
 {
-	const token_use_t use = {*limit, TRUE, region};
+	token_use_t use = {*limit, TRUE, region};
 
+	use.limit.region = g_intern_string(region);
 	return take(t, &use, done, arg);
 }
 
@@ -271,6 +272,23 @@
 	    request->tokens->pending, GUINT_TO_POINTER(request->id));
 }
 
+/* Region of the server that named a limit; "" if the server is unknown. */
+static const char *
+region_of(const view_t *v, uint64_t limit)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, v->registry.servers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const backend_t *b = value;
+
+		if (backend_limit_id(b) == limit)
+			return g_intern_string(b->region);
+	}
+	return "";
+}
+
 static void
 answer_request(tokens_t *t, const token_msg_t *msg)
 {
@@ -278,11 +296,13 @@
 	uint8_t data[TOKEN_MSG_BYTES];
 	token_msg_t reply = *msg;
 	msec_t now = clock_now();
-	const token_use_t use = {get_limit(msg, now), msg->is_server != 0, ""};
+	token_use_t use = {get_limit(msg, now), msg->is_server != 0, ""};
 	server_limit_answer_t answer;
 
 	if (h == NULL)
 		return;
+	if (use.is_server)
+		use.limit.region = region_of(t->view, msg->name);
 	lend(t, &use, &answer);
 	reply.kind = PEER_TOKEN_ANSWER;
 	reply.granted = answer.granted;
--- a/tests/test_server_limits.c
+++ b/tests/test_server_limits.c
@@ -29,7 +29,8 @@
 	double later;	      /* limit from 15 s on; -1: it names none */
 	gboolean replaced;    /* another server has the address from 15 s on */
 	gboolean restarts;    /* each host restarts once, 0.8 s apart */
-	gboolean leaves;      /* hosts of the server's region leave in turn */
+	/* Hosts of the server's region: 1: leave in turn; 2: are all lost. */
+	int leaves;
 	int cut_off;	 /* without contact to other hosts from 12 s on; -1 */
 	double min_used; /* of the limit, from 12 s on */
 } scenario_t;
@@ -121,8 +122,15 @@
 static gboolean
 is_leaving(const world_t *w, guint i, msec_t now)
 {
-	return w->scenario->leaves && i % w->scenario->regions == 0 && i > 0 &&
-	    now >= 11000 + 500 * (msec_t)i;
+	return w->scenario->leaves == 1 && i % w->scenario->regions == 0 &&
+	    i > 0 && now >= 11000 + 500 * (msec_t)i;
+}
+
+static gboolean
+is_lost(const world_t *w, guint i, msec_t now)
+{
+	return w->scenario->leaves == 2 && i % w->scenario->regions == 0 &&
+	    now >= 12000;
 }
 
 static void
@@ -206,7 +214,7 @@
 		const sim_host_t *h = &w->hosts[i];
 
 		expected -= 1;
-		if (!may_send(w, i, now))
+		if (is_lost(w, i, now) || !may_send(w, i, now))
 			continue;
 		w->got[now / STEP_MS]++;
 		w->counted[now / STEP_MS] += h->told_at != 0 &&
@@ -230,7 +238,8 @@
 			h->known.at = 0;
 			continue;
 		}
-		h->known = (server_limit_t){server_at(w, now), limit, now};
+		h->known = (server_limit_t){
+		    server_at(w, now), limit, now, w->regions[0]};
 		if (h->told_at == 0)
 			h->told_at = now;
 	}
@@ -292,6 +301,8 @@
 	world_init(&w, p, seed);
 	for (now = STEP_MS; now < END_MS; now += STEP_MS) {
 		for (i = 0; i < p->hosts; i++) {
+			if (is_lost(&w, i, now))
+				continue;
 			if (p->restarts && now == 12000 + (msec_t)i * 800) {
 				stop_host(&w.hosts[i]);
 				start_host(&w, i, 2);
@@ -326,6 +337,8 @@
     {"another server at the address", 10, 3, 2, 20, 8, 1, 0, 0, -1, 0.8},
     {"hosts restart in turn", 10, 3, 6.3, 30, 6.3, 0, 1, 0, -1, 0.9},
     {"lenders leave in turn", 10, 3, 6.3, 30, 6.3, 0, 0, 1, -1, 0.9},
+    {"all hosts of the server's region are lost", 9, 3, 10, 60, 10, 0, 0, 2, -1,
+	0.6},
     {"a host loses contact", 10, 3, 6.3, 30, 6.3, 0, 0, 0, 4, 0.8},
     {"a host of the server's region loses contact", 10, 3, 6.3, 30, 6.3, 0, 0,
 	0, 3, 0.8},
@@ -351,7 +364,7 @@
 	static const struct {
 		double demand, min, max; /* limit: 10 a second */
 	} rows[] = {{5, 0, 0}, {10, 0, 0.3}, {40, 0.4, 0.95}};
-	const server_limit_t limit = {77, 10, 1};
+	const server_limit_t limit = {77, 10, 1, NULL};
 	server_limit_answer_t answer = {0};
 	size_t i;
 
--- a/tests/test_tokens.c
+++ b/tests/test_tokens.c
@@ -99,7 +99,7 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
-		const server_limit_t limit = {77, 10, 1};
+		const server_limit_t limit = {77, 10, 1, NULL};
 		token_msg_t answer = {.kind = PEER_TOKEN_ANSWER,
 		    .id = 1,
 		    .name = limit.server,
