Keep versions that were rolled back out of later shifts

The row of a shift now names the versions that were rolled back before it, so hosts that start later know them, too. A version that the operator orders again is judged anew. Until the row of the next order is written, the version of the last row gets nothing unless it was completed.

--- a/src/coordination/shifts.c
+++ b/src/coordination/shifts.c
@@ -7,11 +7,14 @@
  * given probability. */
 #define WINDOWS 100
 #define FALSE_ALARM_PROBABILITY 0.01
+/* Versions that were rolled back and are kept in a row, besides the last. */
+#define WITHDRAWN_MAX 7
 
 static void
 row_clear(shift_row_t *row)
 {
 	g_free(row->to);
+	g_free(row->withdrawn);
 	memset(row, 0, sizeof(*row));
 }
 
@@ -22,6 +25,7 @@
 
 	g_free(shift->service);
 	g_free(shift->to);
+	g_free(shift->next_withdrawn);
 	row_clear(&shift->row);
 	g_ptr_array_free(shift->old_versions, TRUE);
 	judge_feed_finish(&shift->feed);
@@ -109,6 +113,56 @@
 	    (shift->to == NULL || strcmp(shift->to, shift->row.to) == 0);
 }
 
+static gboolean
+is_listed(const char *lines, const char *version)
+{
+	char **all = g_strsplit(lines != NULL ? lines : "", "\n", -1);
+	gboolean listed = g_strv_contains((const char *const *)all, version);
+
+	g_strfreev(all);
+	return listed;
+}
+
+gboolean
+shift_is_withdrawn(const shift_t *shift, const char *version)
+{
+	if (!shift->has_row || strcmp(version, shift_target(shift)) == 0)
+		return FALSE;
+	/* Until the row of the next order is written, this host may not have
+	 * read yet that the version was rolled back. */
+	return (shift->row.state != SHIFT_COMPLETED &&
+		   strcmp(version, shift->row.to) == 0) ||
+	    (shift->row.withdrawn != NULL &&
+		is_listed(shift->row.withdrawn, version));
+}
+
+/* An operator that orders a version again wants it judged anew. */
+char *
+shift_next_withdrawn(shift_t *shift)
+{
+	GString *next = g_string_new(NULL);
+	char **earlier =
+	    g_strsplit(shift->has_row && shift->row.withdrawn != NULL
+		    ? shift->row.withdrawn
+		    : "",
+		"\n", -1);
+	guint n = g_strv_length(earlier), i;
+
+	for (i = n > WITHDRAWN_MAX ? n - WITHDRAWN_MAX : 0; i < n; i++) {
+		if (*earlier[i] != '\0' && strcmp(earlier[i], shift->to) != 0)
+			g_string_append_printf(next, "%s%s",
+			    next->len > 0 ? "\n" : "", earlier[i]);
+	}
+	g_strfreev(earlier);
+	if (shift->has_row && shift->row.state == SHIFT_ROLLED_BACK &&
+	    strcmp(shift->row.to, shift->to) != 0)
+		g_string_append_printf(
+		    next, "%s%s", next->len > 0 ? "\n" : "", shift->row.to);
+	g_free(shift->next_withdrawn);
+	shift->next_withdrawn = g_string_free(next, next->len == 0);
+	return shift->next_withdrawn;
+}
+
 static void
 note_old_versions(shifts_t *s, shift_t *shift)
 {
@@ -207,6 +261,7 @@
 	}
 	shift->row = *row;
 	shift->row.to = g_strdup(row->to);
+	shift->row.withdrawn = g_strdup(row->withdrawn);
 }
 
 void
@@ -287,6 +342,8 @@
 
 	if (shift == NULL || shift_target(shift) == NULL)
 		return !is_unordered(s, b, now);
+	if (shift_is_withdrawn(shift, b->version))
+		return FALSE;
 	is_new = strcmp(b->version, shift_target(shift)) == 0;
 	switch (cohort) {
 	case SHIFT_COHORT_NEW:
@@ -347,7 +404,8 @@
 	if (n != NULL && *n > 0)
 		(*n)--;
 	shift = running_shift(s, b);
-	if (shift == NULL || sample == NULL)
+	if (shift == NULL || sample == NULL ||
+	    shift_is_withdrawn(shift, b->version))
 		return;
 	cell = &shift->own.routes[sample->route % FLEET_SHIFT_ROUTES];
 	count =
--- a/src/coordination/shifts.h
+++ b/src/coordination/shifts.h
@@ -27,6 +27,9 @@
 	msec_t began; /* ms on the store's clock */
 	msec_t duration_ms;
 	shift_state_t state;
+	/* Earlier versions that were rolled back, one a line; NULL: none. They
+	 * get no requests while they run beside the next shift. */
+	char *withdrawn;
 } shift_row_t;
 
 typedef struct shift shift_t;
--- a/src/coordination/shifts_internal.h
+++ b/src/coordination/shifts_internal.h
@@ -15,6 +15,7 @@
 	gboolean has_row;
 	shift_row_t row;
 	uint64_t row_ver;
+	char *next_withdrawn;	 /* for the row of the next shift */
 	GPtrArray *old_versions; /* versions in use when the shift began */
 
 	judge_t judge;
@@ -40,6 +41,16 @@
 /** shift_row_holds() - Whether the row belongs to the current order. */
 gboolean shift_row_holds(const shift_t *shift);
 
+/** shift_is_withdrawn() - Was a version rolled back before this shift? */
+gboolean shift_is_withdrawn(const shift_t *shift, const char *version);
+
+/**
+ * shift_next_withdrawn() - Versions that are rolled back when a shift begins.
+ *
+ * Return: the same as in a row; valid until the next call.
+ */
+char *shift_next_withdrawn(shift_t *shift);
+
 /** shift_is_new() - Whether a server runs the new version of the row. */
 gboolean shift_is_new(const shift_t *shift, const backend_t *b);
 
--- a/src/coordination/shifts_judge.c
+++ b/src/coordination/shifts_judge.c
@@ -135,7 +135,8 @@
 	for (i = 0; service != NULL && i < service->servers->len; i++) {
 		const backend_t *b = g_ptr_array_index(service->servers, i);
 
-		if (!backend_usable(b, now))
+		if (!backend_usable(b, now) ||
+		    shift_is_withdrawn(shift, b->version))
 			continue;
 		if (shift_is_new(shift, b))
 			in->new_slots += b->slots;
@@ -164,8 +165,8 @@
 
 /* Return: whether a row has to be written; then @row is set. */
 static gboolean
-next_row(const shift_t *shift, const registry_t *r, const fleet_t *f,
-    msec_t now, msec_t store_now, shift_row_t *row)
+next_row(shift_t *shift, const registry_t *r, const fleet_t *f, msec_t now,
+    msec_t store_now, shift_row_t *row)
 {
 	if (shift->to != NULL && !shift_row_holds(shift)) {
 		*row = (shift_row_t){
@@ -173,6 +174,7 @@
 		    .began = store_now,
 		    .duration_ms = shift->duration_ms,
 		    .state = SHIFT_RUNNING,
+		    .withdrawn = shift_next_withdrawn(shift),
 		};
 		return TRUE;
 	}
--- a/src/protocol/fleet_rows.c
+++ b/src/protocol/fleet_rows.c
@@ -36,9 +36,14 @@
 char *
 fleet_rows_shift(const shift_row_t *row)
 {
-	return dump(json_pack("{s:s, s:I, s:I, s:i}", "to", row->to, "began",
+	json_t *root = json_pack("{s:s, s:I, s:I, s:i}", "to", row->to, "began",
 	    (json_int_t)row->began, "duration_ms", (json_int_t)row->duration_ms,
-	    "state", (int)row->state));
+	    "state", (int)row->state);
+
+	if (row->withdrawn != NULL)
+		json_object_set_new(
+		    root, "withdrawn", json_string(row->withdrawn));
+	return dump(root);
 }
 
 char *
@@ -94,6 +99,8 @@
 	    !is_store_time(began) || duration <= 0 || duration > SHIFT_MAX_MS)
 		return FALSE;
 	out->u.shift = (shift_row_t){.to = (char *)to,
+	    .withdrawn =
+		(char *)json_string_value(json_object_get(root, "withdrawn")),
 	    .began = began,
 	    .duration_ms = duration,
 	    .state = (shift_state_t)state};
--- a/tests/test_shifts.c
+++ b/tests/test_shifts.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "coordination/shifts.h"
+#include "coordination/store_era.h"
 #include "fleet_alone.h"
 #include "suite.h"
 
@@ -431,7 +432,7 @@
 test_ended(void)
 {
 	scenario_t none = {.name = "none"};
-	shift_row_t row = {(char *)"v2", 0, 9000, SHIFT_COMPLETED};
+	shift_row_t row = {(char *)"v2", 0, 9000, SHIFT_COMPLETED, NULL};
 	backend_t *old_server, *new_server;
 	sim_host_t *p;
 	world_t w;
@@ -456,7 +457,126 @@
 	world_finish(&w);
 }
 
+static gboolean
+allows(const sim_host_t *p, const char *id, shift_cohort_t cohort)
+{
+	return shifts_allows(&p->shifts,
+	    g_hash_table_lookup(p->registry.servers, id), cohort, 9999);
+}
+
+/* Guards against requests to a version that was rolled back, once the next one
+ * is ordered (review/9) and after a restart of hosts. */
+static void
+test_rolled_back_stays_out(void)
+{
+	scenario_t none = {.name = "none"};
+	shift_row_t row = {(char *)"v2", 0, 9000, SHIFT_ROLLED_BACK, NULL};
+	shift_row_t none_bad = {(char *)"v2", 0, 9000, SHIFT_RUNNING, NULL};
+	GArray *writes = g_array_new(FALSE, TRUE, sizeof(shift_write_t));
+	shift_write_t *write;
+	sim_host_t *p, *next;
+	msec_t now;
+	world_t w;
+
+	world_init(&w, &none);
+	p = &w.sim_hosts[0];
+	next = &w.sim_hosts[1];
+	shifts_order(&p->shifts, "clips", "v2", 9000);
+	shifts_apply_row(&p->shifts, "clips", &row, 5);
+	shifts_order(&p->shifts, "clips", "v3", 9000);
+	ck_assert(allows(p, "s-0", SHIFT_COHORT_OLD));
+	ck_assert(!allows(p, "s-7", SHIFT_COHORT_OLD));
+	for (now = 0; writes->len == 0 && now < 20000; now += TICK_MS)
+		shifts_tick(
+		    &p->shifts, &p->registry, &p->fleet, now, now, writes);
+	ck_assert_uint_eq(writes->len, 1);
+	write = &g_array_index(writes, shift_write_t, 0);
+	ck_assert_str_eq(write->row.to, "v3");
+	ck_assert_str_eq(write->row.withdrawn, "v2");
+	/* A host that has just started knows the row only. */
+	shifts_order(&next->shifts, "clips", "v3", 9000);
+	shifts_apply_row(&next->shifts, "clips", &write->row, 6);
+	ck_assert(allows(next, "s-0", SHIFT_COHORT_OLD));
+	ck_assert(!allows(next, "s-7", SHIFT_COHORT_OLD));
+	ck_assert(!allows(next, "s-7", SHIFT_COHORT_ANY));
+	/* Ordered again, it is judged anew. */
+	shifts_order(&next->shifts, "clips", "v2", 9000);
+	g_array_set_size(writes, 0);
+	for (now = 0; writes->len == 0 && now < 20000; now += TICK_MS)
+		shifts_tick(&next->shifts, &next->registry, &next->fleet, now,
+		    now, writes);
+	ck_assert_uint_eq(writes->len, 1);
+	write = &g_array_index(writes, shift_write_t, 0);
+	ck_assert_ptr_null(write->row.withdrawn);
+	shifts_apply_row(&next->shifts, "clips", &none_bad, 7);
+	ck_assert(allows(next, "s-7", SHIFT_COHORT_NEW));
+	g_array_free(writes, TRUE);
+	world_finish(&w);
+}
+
+/* Decisions that an older copy of the store does not have. */
+static void
+test_copies(void)
+{
+	static const struct {
+		const char *name;
+		const char *to;
+		shift_state_t known, copy;
+		uint64_t number;
+		gboolean kept;
+	} copies[] = {
+	    {"rolled back since", "v2", SHIFT_ROLLED_BACK, SHIFT_RUNNING, 4,
+		TRUE},
+	    {"rolled back, begun again by a host that did not know", "v2",
+		SHIFT_ROLLED_BACK, SHIFT_RUNNING, 40, TRUE},
+	    {"completed since", "v2", SHIFT_COMPLETED, SHIFT_RUNNING, 4, TRUE},
+	    {"the shift before", "v1", SHIFT_RUNNING, SHIFT_COMPLETED, 4, TRUE},
+	    {"a decision that this host did not know", "v2", SHIFT_RUNNING,
+		SHIFT_ROLLED_BACK, 4, FALSE},
+	};
+	scenario_t none = {.name = "none"};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(copies); i++) {
+		GArray *writes =
+		    g_array_new(FALSE, TRUE, sizeof(shift_write_t));
+		shift_row_t known = {
+		    (char *)"v2", 0, 90000, copies[i].known, NULL};
+		shift_row_t copy = {
+		    (char *)copies[i].to, 0, 90000, copies[i].copy, NULL};
+		sim_host_t *p;
+		uint64_t ver;
+		msec_t now;
+		world_t w;
+
+		world_init(&w, &none);
+		p = &w.sim_hosts[0];
+		shifts_order(&p->shifts, "clips", "v2", 90000);
+		shifts_apply_row(&p->shifts, "clips", &known, 8);
+		ck_assert(store_era_compose(1, 9, &p->shifts.copy_end));
+		ck_assert(store_era_compose(1, copies[i].number, &ver));
+		shifts_apply_row(&p->shifts, "clips", &copy, ver);
+		for (now = 0; writes->len == 0 && now < 5000; now += TICK_MS)
+			shifts_tick(&p->shifts, &p->registry, &p->fleet, now,
+			    now, writes);
+		ck_assert_msg(
+		    (writes->len == 1) == copies[i].kept, "%s", copies[i].name);
+		if (writes->len == 1) {
+			const shift_write_t *write =
+			    &g_array_index(writes, shift_write_t, 0);
+
+			ck_assert_str_eq(write->row.to, "v2");
+			ck_assert_int_eq(write->row.state, copies[i].known);
+			ck_assert(write->expected == ver);
+		}
+		g_array_free(writes, TRUE);
+		world_finish(&w);
+	}
+}
+
 static const suite_case_t cases[] = {
+    {"a rolled back version stays out", test_rolled_back_stays_out},
+    {"an older copy of the store", test_copies},
     {"good and bad versions", test_scenarios},
     {"a new version without an order", test_unordered},
     {"after the end of a shift", test_ended},
