--- a/src/coordination/shifts.h
+++ b/src/coordination/shifts.h
@@ -57,6 +57,7 @@
 	judge_verdict_t verdict;
 	judge_count_t seen;  /* requests at the new version */
 	msec_t counted_from; /* store's clock; 0: not yet */
+	gboolean rewrite;    /* the store had it and lost it */
 } shift_write_t;
 
 void shifts_init(shifts_t *s);
--- a/src/coordination/shifts_judge.c
+++ b/src/coordination/shifts_judge.c
@@ -228,6 +228,7 @@
 		write.service = shift->service;
 		write.expected = shift->has_row ? shift->row_ver : 0;
 		write.verdict = judge_verdict(&shift->judge);
+		write.rewrite = shift->rewrite && shift_row_holds(shift);
 		write.seen = shift->seen;
 		write.counted_from = shift->counted_from;
 		g_array_append_val(writes, write);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -140,6 +140,7 @@
 	metrics_set(m, g->store_reads, (int64_t)store->reads);
 	metrics_set(m, g->store_writes, (int64_t)store->writes);
 	metrics_set(m, g->store_failures, (int64_t)store->failures);
+	store_sync_set_metrics(&g->store_sync, m);
 	set_memory_metrics(g);
 	status_sync_set_metrics(&g->status_sync);
 	text = metrics_render(m);
@@ -409,6 +410,7 @@
 	http_client_limit_memory(g->store_client, STORE_MEMORY_BYTES);
 	view_init(&g->view, settings);
 	store_sync_init(&g->store_sync, &g->view, g->base, g->store_client);
+	store_sync_add_metrics(&g->store_sync, &g->metrics);
 	suspects_init(
 	    &g->suspects, &g->view, g->server_client, g->base, &g->metrics);
 	relays_init(&g->relays, &g->view, g->server_client,
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -57,6 +57,8 @@
 	uint64_t gaps_closed; /* and then read */
 	uint64_t era_changes;
 	uint64_t rows_rewritten; /* that the store lost */
+	metric_id_t gaps_id, gaps_closed_id, era_id, era_changes_id;
+	metric_id_t rows_rewritten_id;
 } store_sync_counts_t;
 
 /* Sends changes of a table to the hosts of the region. */
@@ -96,6 +98,12 @@
     http_client_t *http);
 void store_sync_finish(store_sync_t *s);
 
+/** store_sync_add_metrics() - Register the counts; once. */
+void store_sync_add_metrics(store_sync_t *s, metrics_t *m);
+
+/** store_sync_set_metrics() - Set the counts' values before they are shown. */
+void store_sync_set_metrics(const store_sync_t *s, metrics_t *m);
+
 /** store_sync_is_reachable() - Did the last call for every table succeed? */
 gboolean store_sync_is_reachable(const store_sync_t *s);
 
--- a/src/gateway/store_sync_era.c
+++ b/src/gateway/store_sync_era.c
@@ -64,6 +64,13 @@
 		v->shifts.copy_end = page->ver;
 }
 
+void
+store_sync_count_rewrite(store_sync_t *s, const char *key)
+{
+	s->counts.rows_rewritten++;
+	log_event(LOG_INFO, "store.row_rewritten", "key", key, NULL);
+}
+
 static void
 on_lost(void *arg, const char *key, uint64_t stored)
 {
@@ -96,7 +103,7 @@
 	own = g_strconcat(FLEET_KEY_HOST, s->view->settings->id, NULL);
 	if (!table_view_is_stored(&t->view, own)) {
 		s->row_due = TRUE;
-		s->counts.rows_rewritten++;
+		store_sync_count_rewrite(s, own);
 	}
 	g_free(own);
 	s->secret_due =
@@ -104,3 +111,33 @@
 	if (s->row_due || s->secret_due)
 		store_sync_write_soon(s);
 }
+
+void
+store_sync_add_metrics(store_sync_t *s, metrics_t *m)
+{
+	store_sync_counts_t *c = &s->counts;
+
+	c->gaps_id = metrics_add(m, METRIC_COUNTER, "store_gaps_total",
+	    "times that changes of a table were missed and noticed");
+	c->gaps_closed_id = metrics_add(m, METRIC_COUNTER,
+	    "store_gaps_closed_total", "times that these were read");
+	c->era_id = metrics_add(m, METRIC_GAUGE, "store_era",
+	    "era of the store; it grows when the store returns from a copy");
+	c->era_changes_id = metrics_add(m, METRIC_COUNTER,
+	    "store_era_changes_total", "changes of the era that were noticed");
+	c->rows_rewritten_id =
+	    metrics_add(m, METRIC_COUNTER, "store_rows_rewritten_total",
+		"rows that the store lost and this host wrote again");
+}
+
+void
+store_sync_set_metrics(const store_sync_t *s, metrics_t *m)
+{
+	const store_sync_counts_t *c = &s->counts;
+
+	metrics_set(m, c->gaps_id, (int64_t)c->gaps);
+	metrics_set(m, c->gaps_closed_id, (int64_t)c->gaps_closed);
+	metrics_set(m, c->era_id, (int64_t)s->era.era);
+	metrics_set(m, c->era_changes_id, (int64_t)c->era_changes);
+	metrics_set(m, c->rows_rewritten_id, (int64_t)c->rows_rewritten);
+}
--- a/src/gateway/store_sync_era.h
+++ b/src/gateway/store_sync_era.h
@@ -19,6 +19,9 @@
 /** store_sync_begin_page() - A page of a table is about to be applied. */
 void store_sync_begin_page(synced_table_t *t, const table_page_t *page);
 
+/** store_sync_count_rewrite() - A row that the store lost is written again. */
+void store_sync_count_rewrite(store_sync_t *s, const char *key);
+
 /** store_sync_era_listed() - Write again what the store lost of a table. */
 void store_sync_era_listed(synced_table_t *t);
 
--- a/src/gateway/store_sync_write.c
+++ b/src/gateway/store_sync_write.c
@@ -82,7 +82,8 @@
 	else
 		randombytes_buf(
 		    s->offered_secret.bytes, sizeof(s->offered_secret.bytes));
-	s->counts.rows_rewritten += s->secret_due;
+	if (s->secret_due)
+		store_sync_count_rewrite(s, FLEET_KEY_SECRET);
 	value = fleet_rows_secret(&s->offered_secret);
 	table_write_put_if(
 	    &w, FLEET_TABLE, FLEET_KEY_SECRET, value, s->secret_ver);
@@ -346,6 +347,8 @@
 	w->state = write->row.state;
 	table_write_put_if(&tx, FLEET_TABLE, key, value, write->expected);
 	table_write_put(&tx, WIRE_TABLE_STATUS, status_key, status);
+	if (write->rewrite)
+		store_sync_count_rewrite(s, key);
 	log_event(LOG_INFO, "shift.decided", "service", write->service, "to",
 	    write->row.to, "state", log_num(write->row.state), "verdict",
 	    log_num(write->verdict), "seen", log_num(write->seen.requests),
