--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -369,13 +369,18 @@
 	if (update->table >= SYNCED_TABLES || !table_defs[update->table].shared)
 		return;
 	t = &s->tables[update->table];
-	if (!t->complete || t->listing || store_era_of(update->to) < s->era.era)
+	if (!t->complete || t->listing)
+		return;
+	switch (table_update_judge(update, t->ver)) {
+	case TABLE_UPDATE_OLD:
 		return;
-	if (update->from > t->ver) {
+	case TABLE_UPDATE_GAP:
 		note_gap(t, update);
 		if (t->call == NULL)
 			start_call(t);
 		return;
+	case TABLE_UPDATE_JOINS:
+		break;
 	}
 	s->lapse_until = MAX(s->lapse_until, now + update->lapse_left_ms);
 	t->called_at = now;
--- a/src/gateway/store_sync_rows.c
+++ b/src/gateway/store_sync_rows.c
@@ -125,8 +125,10 @@
 	backend_t *b = g_hash_table_lookup(v->registry.servers, entry->id);
 
 	if (b != NULL && change != REGISTRY_STALE)
-		shifts_note_version(
-		    &v->shifts, b, !s->tables[SYNCED_SERVERS].complete, now);
+		shifts_note_version(&v->shifts, b,
+		    !s->tables[SYNCED_SERVERS].complete &&
+			!s->tables[SYNCED_SERVERS].new_era,
+		    now);
 	/* A page of many changes is logged as a whole. */
 	if (change_name(change) != NULL && !s->many_changes)
 		log_event(LOG_INFO, change_name(change), "server", entry->id,
--- a/src/protocol/table_update.c
+++ b/src/protocol/table_update.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "coordination/store_era.h"
 #include "protocol/table_update.h"
 
 #define ROW_MAX_BYTES 4096
@@ -182,3 +183,11 @@
 		table_page_finish(page);
 	return ok;
 }
+
+table_update_verdict_t
+table_update_judge(const table_update_t *update, uint64_t ver)
+{
+	if (store_era_of(update->to) < store_era_of(ver))
+		return TABLE_UPDATE_OLD;
+	return update->from > ver ? TABLE_UPDATE_GAP : TABLE_UPDATE_JOINS;
+}
--- a/src/protocol/table_update.h
+++ b/src/protocol/table_update.h
@@ -49,4 +49,18 @@
 gboolean table_update_decode(const uint8_t *data, size_t len,
     const peer_secret_t *secret, table_update_t *update, table_page_t *page);
 
+typedef enum {
+	TABLE_UPDATE_JOINS, /* to be applied; then its @to is known */
+	TABLE_UPDATE_GAP,   /* changes before it are missing */
+	TABLE_UPDATE_OLD,   /* of an older era of the store */
+} table_update_verdict_t;
+
+/**
+ * table_update_judge() - Whether an update joins what a host has.
+ * @update: the update
+ * @ver: version up to which the host has all changes
+ */
+table_update_verdict_t table_update_judge(
+    const table_update_t *update, uint64_t ver);
+
 #endif
