--- a/src/coordination/shifts_judge.c
+++ b/src/coordination/shifts_judge.c
@@ -135,7 +135,8 @@
 	for (i = 0; service != NULL && i < service->servers->len; i++) {
 		const backend_t *b = g_ptr_array_index(service->servers, i);
 
-		if (!backend_usable(b, now))
+		if (!backend_usable(b, now) ||
+		    shift_is_withdrawn(shift, b->version))
 			continue;
 		if (shift_is_new(shift, b))
 			in->new_slots += b->slots;
@@ -164,8 +165,8 @@
 
 /* Return: whether a row has to be written; then @row is set. */
 static gboolean
-next_row(const shift_t *shift, const registry_t *r, const fleet_t *f,
-    msec_t now, msec_t store_now, shift_row_t *row)
+next_row(shift_t *shift, const registry_t *r, const fleet_t *f, msec_t now,
+    msec_t store_now, shift_row_t *row)
 {
 	if (shift->to != NULL && !shift_row_holds(shift)) {
 		*row = (shift_row_t){
@@ -173,9 +174,14 @@
 		    .began = store_now,
 		    .duration_ms = shift->duration_ms,
 		    .state = SHIFT_RUNNING,
+		    .withdrawn = shift_next_withdrawn(shift),
 		};
 		return TRUE;
 	}
+	if (shift->rewrite && shift_row_holds(shift)) {
+		*row = shift->row;
+		return TRUE;
+	}
 	if (is_over(shift))
 		return FALSE;
 	*row = shift->row;
@@ -222,6 +228,7 @@
 		write.service = shift->service;
 		write.expected = shift->has_row ? shift->row_ver : 0;
 		write.verdict = judge_verdict(&shift->judge);
+		write.rewrite = shift->rewrite && shift_row_holds(shift);
 		write.seen = shift->seen;
 		write.counted_from = shift->counted_from;
 		g_array_append_val(writes, write);
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -4,6 +4,7 @@
 #include "coordination/balance.h"
 #include "coordination/poll_schedule.h"
 #include "gateway/store_sync.h"
+#include "gateway/store_sync_era.h"
 #include "gateway/store_sync_rows.h"
 #include "gateway/store_sync_write.h"
 #include "platform/wire_entries.h"
@@ -19,9 +20,6 @@
 #define FLEET_WAIT_MS 5600
 #define ORDERS_EVERY_MS 200
 #define ORDERS_WAIT_MS 20000
-/* The store counts as unreachable after calls for a table have failed this
- * long. */
-#define UNREACHABLE_MS 1000
 /* If a peer has newer orders and the answer to the call for changes has not
  * begun to arrive, the call is restarted after this time: half of the shortest
  * time within which a new configuration must take effect. */
@@ -64,9 +62,9 @@
 		    log_num(now - t->lost_at), NULL);
 		s->store_back = TRUE;
 	}
-	if (t->failures > 0 && now - t->lost_at > UNREACHABLE_MS)
-		s->lapse_until = MAX(s->lapse_until, now + REGISTRY_LAPSE_MS);
 	t->failures = 0;
+	store_away_tick(&s->away, &s->view->fleet, TRUE, now);
+	s->lapse_until = MAX(s->lapse_until, store_away_lapse_until(&s->away));
 	t->answered_at = now;
 	if (page == NULL || page->store_ms == 0)
 		return;
@@ -131,6 +129,7 @@
 		t->ver = MAX(t->ver, table_page_end(page));
 		return;
 	}
+	store_sync_begin_page(t, page);
 	s->many_changes = TRUE;
 	table_view_page(&t->view, page, handlers[t->kind], s);
 	s->many_changes = FALSE;
@@ -143,6 +142,7 @@
 	}
 	t->complete = TRUE;
 	t->ver = t->view.listed_ver;
+	store_sync_era_listed(t);
 	log_event(LOG_INFO, "store.listed", "table", table_defs[t->kind].name,
 	    "rows", log_num((long long)g_hash_table_size(t->view.known)),
 	    "version", log_num((long long)t->ver), "took_ms",
@@ -192,6 +192,32 @@
 	}
 }
 
+/* A host knows that it lacks changes: what leads on from them does not join
+ * what it has. */
+static void
+note_gap(synced_table_t *t, const table_update_t *update)
+{
+	if (t->gap_at == 0) {
+		t->gap_at = clock_now();
+		t->sync->counts.gaps++;
+	}
+	log_event(LOG_INFO, "store.changes_missed", "table",
+	    table_defs[t->kind].name, "known", log_num((long long)t->ver),
+	    "from", log_num((long long)update->from), NULL);
+}
+
+static void
+note_gap_closed(synced_table_t *t)
+{
+	if (t->gap_at == 0 || !t->complete)
+		return;
+	log_event(LOG_INFO, "store.changes_read", "table",
+	    table_defs[t->kind].name, "version", log_num((long long)t->ver),
+	    "took_ms", log_num(clock_now() - t->gap_at), NULL);
+	t->sync->counts.gaps_closed++;
+	t->gap_at = 0;
+}
+
 static msec_t
 shared_delay(const synced_table_t *t, msec_t now)
 {
@@ -231,6 +257,10 @@
 	uint64_t from;
 
 	t->call = NULL;
+	if (store_sync_check_era(t->sync, &outcome)) {
+		note_answer(t, page);
+		return;
+	}
 	switch (outcome) {
 	case TABLE_DONE:
 		note_answer(t, page);
@@ -238,6 +268,7 @@
 		table_queue_expire(&t->for_peers, t->answered_at);
 		apply_page(t, page);
 		note_up_to_date(t);
+		note_gap_closed(t);
 		t->fresh_at = t->answered_at;
 		t->had_changes = page->rows->len > 0;
 		if (table_defs[t->kind].shared)
@@ -283,9 +314,8 @@
 	}
 }
 
-/* Replaces the call in flight, if any. */
-static void
-restart_call(synced_table_t *t)
+void
+store_sync_restart_call(synced_table_t *t)
 {
 	if (t->call != NULL)
 		table_call_cancel(t->call);
@@ -325,7 +355,7 @@
 		synced_table_t *t = &s->tables[i];
 
 		if (is_to_repeat(t, now))
-			restart_call(t);
+			store_sync_restart_call(t);
 	}
 }
 
@@ -341,21 +371,23 @@
 	t = &s->tables[update->table];
 	if (!t->complete || t->listing)
 		return;
-	if (update->from > t->ver && t->call != NULL)
+	switch (table_update_judge(update, t->ver)) {
+	case TABLE_UPDATE_OLD:
 		return;
-	if (update->from > t->ver) {
-		log_event(LOG_INFO, "store.changes_missed", "table",
-		    table_defs[t->kind].name, "known",
-		    log_num((long long)t->ver), "from",
-		    log_num((long long)update->from), NULL);
-		start_call(t);
+	case TABLE_UPDATE_GAP:
+		note_gap(t, update);
+		if (t->call == NULL)
+			start_call(t);
 		return;
+	case TABLE_UPDATE_JOINS:
+		break;
 	}
 	s->lapse_until = MAX(s->lapse_until, now + update->lapse_left_ms);
 	t->called_at = now;
 	apply_changes(t, page);
 	table_queue_clear(&t->for_peers);
 	t->ver = MAX(t->ver, update->to);
+	note_gap_closed(t);
 	t->fresh_at = now;
 	note_up_to_date(t);
 	/* Changes from peers don't put off the retry of a failed call. */
@@ -378,7 +410,7 @@
 	    log_num((long long)s->view->orders_ver), "peer",
 	    log_num((long long)orders_ver), NULL);
 	table_store_reconnect(&s->store);
-	restart_call(t);
+	store_sync_restart_call(t);
 }
 
 gboolean
@@ -407,6 +439,7 @@
 	(void)what;
 	registry_expire(&v->registry, now);
 	fleet_tick(&v->fleet, now);
+	store_away_tick(&s->away, &v->fleet, store_sync_is_reachable(s), now);
 	balance_tick(&v->registry, &v->fleet, now);
 	dispatch_tick(&v->dispatch, now);
 	/* If hosts are lost, ranks change: the new first host must read at
@@ -447,6 +480,8 @@
 		t->sync = s;
 		t->kind = (synced_table_kind_t)i;
 		table_view_init(&t->view);
+		/* Servers write their entries again in a moment. */
+		t->view.holds_lost = t->kind != SYNCED_SERVERS;
 		table_queue_init(&t->for_peers);
 		t->timer = evtimer_new(base, on_timer, t);
 		/* The fleet's table is listed after this host's row was
