tests: memory held by incomplete requests of untrusted clients

Clients that send heads, request lines, chunk extensions or pipelined requests without end made a host grow by hundreds of MB.

The settings request_memory_bytes, max_header_bytes and max_header_fields are read, but have no effect yet.

--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -22,6 +22,11 @@
 /* With the bodies, they fit into 260 MB: tests/test_gateway_memory.c. */
 #define DEFAULT_ANSWER_MEMORY (48 * 1024 * 1024)
 #define DEFAULT_REPLY_MEMORY (48 * 1024 * 1024)
+#define DEFAULT_REQUEST_MEMORY (16 * 1024 * 1024)
+#define DEFAULT_HEADER_BYTES 65536
+/* A head of 16,384 bytes, the most that manifests allow, has fewer fields: the
+ * shortest field takes 4 bytes, "a:" CR LF. */
+#define DEFAULT_HEADER_FIELDS 4096
 #define DEFAULT_LOG_LINES 200
 
 /* Part of the tolerance of workspaces' rates that is lent. The rest covers
@@ -146,6 +151,12 @@
 		&s->answer_memory_bytes},
 	    {"reply_memory_bytes", INI_NUMBER, FALSE, 1e5, 1e11,
 		&s->reply_memory_bytes},
+	    {"request_memory_bytes", INI_NUMBER, FALSE, 1e5, 1e11,
+		&s->request_memory_bytes},
+	    {"max_header_bytes", INI_NUMBER, FALSE, 1024, 1e6,
+		&s->max_header_bytes},
+	    {"max_header_fields", INI_NUMBER, FALSE, 16, 1e5,
+		&s->max_header_fields},
 	    {"link_mbps", INI_DECIMAL, FALSE, 0.1, 1e6, &s->link_mbps},
 	    {"cpu_share", INI_DECIMAL, FALSE, 0.001, 1000, &s->cpu_share},
 	};
@@ -186,6 +197,9 @@
 	s->body_memory_bytes = DEFAULT_BODY_MEMORY;
 	s->answer_memory_bytes = DEFAULT_ANSWER_MEMORY;
 	s->reply_memory_bytes = DEFAULT_REPLY_MEMORY;
+	s->request_memory_bytes = DEFAULT_REQUEST_MEMORY;
+	s->max_header_bytes = DEFAULT_HEADER_BYTES;
+	s->max_header_fields = DEFAULT_HEADER_FIELDS;
 	s->link_mbps = DEFAULT_LINK_MBPS;
 	s->cpu_share = DEFAULT_CPU_SHARE;
 	if (!ini_open(&ini, path, FILE_MAX_BYTES, errors))
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -30,10 +30,13 @@
 	/* [limits] */
 	gint64 max_connections;
 	gint64 body_memory_bytes;
-	gint64 answer_memory_bytes; /* answers of servers that arrive */
-	gint64 reply_memory_bytes;  /* replies that callers have not read */
-	double link_mbps;	    /* bandwidth of this host's link */
-	double cpu_share;	    /* fraction of a core that this host has */
+	gint64 answer_memory_bytes;  /* answers of servers that arrive */
+	gint64 reply_memory_bytes;   /* replies that callers have not read */
+	gint64 request_memory_bytes; /* heads of requests, of one port */
+	gint64 max_header_bytes;     /* request line and header fields */
+	gint64 max_header_fields;
+	double link_mbps; /* bandwidth of this host's link */
+	double cpu_share; /* fraction of a core that this host has */
 	/* [log] */
 	log_level_t log_level;
 	gint64 log_lines; /* maximum lines per second */
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -278,6 +278,7 @@
 	uint32_t seed;
 	int port;
 	const char *program, *dir;
+	const char *settings; /* further ones of hosts, with groups; or NULL */
 	msec_t began_at, ends_at, stops_at; /* faults stop, then requests end */
 	msec_t quiet_at, quiet_until;	    /* callers pause; 0: never */
 	double rate;			    /* requests per second */
--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -34,10 +34,11 @@
 	    "zone-3 = south\n"
 	    "[bounds]\nrate_overage = 0.1\nrate_slack = 20\n"
 	    "retry_ratio = 0.2\nretry_extra = 50\ncold_overage = 1.5\n"
-	    "cold_slack = 5\n",
+	    "cold_slack = 5\n%s",
 	    host, soak_region(host), host, port + PORT_CALLERS,
 	    port + PORT_LOOKUPS, port + PORT_OPERATORS, port + PORT_PEERS,
-	    DRAIN_SEC, port + PORT_STORE);
+	    DRAIN_SEC, port + PORT_STORE,
+	    w->settings != NULL ? w->settings : "");
 
 	g_file_set_contents(path, text, -1, NULL);
 	g_free(text);
