transport: account for the heads of incomplete requests

Cause: evhttp keeps a head parsed, at some 110 bytes a field beside its bytes, and nothing but the raw bytes was counted. It read on without a limit while it sent a reply, and waited without a limit for the end of a chunk line. The input of a refused connection stayed in memory while it lingered.

client_memory counts what each connection holds, with the cost of fields, on each port; over request_memory_bytes the incomplete request that holds most is refused. request_framing limits bytes and fields of a head with its trailers (431) and refuses empty lines and faulty chunk lines at once (400). Reading stops at 8 KB behind a whole request. What evhttp holds of a refused request is freed at once: freed in the next turn of the loop, one turn's reads took 9 MB. The limit of 128 fields moves from http_check to max_header_fields (gateway: 4,096, which a head of 16,384 bytes can't reach).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -11,7 +11,6 @@
 #include "platform/wire_http.h"
 
 #define MAX_IDLE_CONNECTIONS 16
-#define HEAD_MAX_BYTES 65536
 /* Time for a caller to send a whole request. */
 #define RECEIVE_TIMEOUT_MS 30000
 /* Memory of answers of the store while they arrive. */
@@ -101,13 +100,15 @@
 {
 	const http_server_t *const servers[] = {
 	    g->caller_server, g->lookup_server, g->operator_server};
-	guint64 given_up = 0;
-	size_t i, bodies = 0, unsent = 0;
+	guint64 given_up = 0, refused = 0;
+	size_t i, bodies = 0, unsent = 0, heads = 0;
 
 	for (i = 0; i < G_N_ELEMENTS(servers); i++) {
 		bodies += http_server_bodies(servers[i]);
 		unsent += http_server_unsent(servers[i]);
 		given_up += http_server_given_up(servers[i]);
+		heads += http_server_heads(servers[i]);
+		refused += http_server_refused_heads(servers[i]);
 	}
 	metrics_set(&g->metrics, g->answer_bytes,
 	    (int64_t)(http_client_held(g->server_client) +
@@ -120,6 +121,8 @@
 	metrics_set(&g->metrics, g->not_accepted,
 	    (int64_t)http_server_accepts_failed());
 	metrics_set(&g->metrics, g->replies_given_up, (int64_t)given_up);
+	metrics_set(&g->metrics, g->head_bytes, (int64_t)heads);
+	metrics_set(&g->metrics, g->heads_refused, (int64_t)refused);
 }
 
 static void
@@ -230,7 +233,11 @@
 	gboolean callers = address == s->callers;
 	const http_server_conf_t conf = {
 	    .address = address,
-	    .max_head_bytes = HEAD_MAX_BYTES,
+	    .max_head_bytes = (size_t)s->max_header_bytes,
+	    .max_head_fields = (unsigned int)s->max_header_fields,
+	    .request_memory_bytes = (size_t)(callers
+		    ? s->request_memory_bytes
+		    : MIN(s->request_memory_bytes, ADMIN_MEMORY_BYTES)),
 	    .max_body_bytes =
 		callers ? (size_t)s->body_memory_bytes : ADMIN_MAX_BODY_BYTES,
 	    .body_memory_bytes =
@@ -367,6 +374,10 @@
 	    m, METRIC_GAUGE, "tokens_asked", "token requests sent to lenders");
 	g->tokens_unanswered = metrics_add(m, METRIC_GAUGE, "tokens_unanswered",
 	    "token requests without an answer in time");
+	g->head_bytes = metrics_add(m, METRIC_GAUGE, "head_bytes",
+	    "heads of requests, and input behind them, in memory");
+	g->heads_refused = metrics_add(m, METRIC_COUNTER, "heads_refused_total",
+	    "connections closed for a head over a limit or for the memory");
 	g->body_bytes = metrics_add(m, METRIC_GAUGE, "body_bytes",
 	    "bytes of requests that arrive or are answered");
 	g->answer_bytes = metrics_add(m, METRIC_GAUGE, "answer_bytes",
--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -3,6 +3,7 @@
 #include "gateway/gateway_settings.h"
 #include "protocol/ini.h"
 #include "protocol/config_text.h"
+#include "transport/http_server.h"
 
 #define FILE_MAX_BYTES 65536
 #define NAME_CHARS 200
@@ -22,7 +23,6 @@
 /* With the bodies, they fit into 260 MB: tests/test_gateway_memory.c. */
 #define DEFAULT_ANSWER_MEMORY (48 * 1024 * 1024)
 #define DEFAULT_REPLY_MEMORY (48 * 1024 * 1024)
-#define DEFAULT_REQUEST_MEMORY (16 * 1024 * 1024)
 #define DEFAULT_HEADER_BYTES 65536
 /* A head of 16,384 bytes, the most that manifests allow, has fewer fields: the
  * shortest field takes 4 bytes, "a:" CR LF. */
@@ -197,7 +197,7 @@
 	s->body_memory_bytes = DEFAULT_BODY_MEMORY;
 	s->answer_memory_bytes = DEFAULT_ANSWER_MEMORY;
 	s->reply_memory_bytes = DEFAULT_REPLY_MEMORY;
-	s->request_memory_bytes = DEFAULT_REQUEST_MEMORY;
+	s->request_memory_bytes = HTTP_SERVER_REQUEST_MEMORY_BYTES;
 	s->max_header_bytes = DEFAULT_HEADER_BYTES;
 	s->max_header_fields = DEFAULT_HEADER_FIELDS;
 	s->link_mbps = DEFAULT_LINK_MBPS;
--- a/src/host/host_ports.c
+++ b/src/host/host_ports.c
@@ -14,7 +14,6 @@
 #include "host/peers.h"
 #include "host/tls_reload.h"
 
-#define HEAD_MAX_BYTES 32768
 #define RECEIVE_MS 30000
 /* Replies that wait for callers, or for operators, to read them. */
 #define REPLY_MEMORY_BYTES (64 * 1024 * 1024)
@@ -111,7 +110,9 @@
 	const settings_t *s = &h->settings;
 	http_server_conf_t conf = {
 	    .address = s->callers,
-	    .max_head_bytes = HEAD_MAX_BYTES,
+	    .max_head_bytes = (size_t)s->max_header_bytes,
+	    .max_head_fields = (unsigned int)s->max_header_fields,
+	    .request_memory_bytes = (size_t)s->request_memory_bytes,
 	    .max_body_bytes = (size_t)s->max_body_bytes,
 	    .body_memory_bytes = (size_t)s->body_memory_bytes,
 	    .reply_memory_bytes = REPLY_MEMORY_BYTES,
--- a/src/host/settings.c
+++ b/src/host/settings.c
@@ -3,10 +3,12 @@
 #include "host/settings.h"
 #include "protocol/ini.h"
 #include "protocol/config_text.h"
+#include "transport/http_server.h"
 
 #define FILE_MAX_BYTES 65536
 #define NAME_CHARS 64
 #define PATH_CHARS 4096
+#define DEFAULT_HEADER_BYTES 32768
 
 static const char *const groups[] = {
     "host", "store", "fleet", "limits", "tls", "measure", "log"};
@@ -71,6 +73,12 @@
 		&s->body_memory_bytes},
 	    {"max_connections", INI_NUMBER, FALSE, 1, 60000,
 		&s->max_connections},
+	    {"request_memory_bytes", INI_NUMBER, FALSE, 1e5, 1e11,
+		&s->request_memory_bytes},
+	    {"max_header_bytes", INI_NUMBER, FALSE, 1024, 1e6,
+		&s->max_header_bytes},
+	    {"max_header_fields", INI_NUMBER, FALSE, 16, 1e5,
+		&s->max_header_fields},
 	    {"max_queue", INI_NUMBER, FALSE, 0, 60000, &s->max_queue},
 	};
 
@@ -135,6 +143,9 @@
 	s->max_body_bytes = 8 * 1024 * 1024;
 	s->body_memory_bytes = 64 * 1024 * 1024;
 	s->max_connections = 2000;
+	s->request_memory_bytes = HTTP_SERVER_REQUEST_MEMORY_BYTES;
+	s->max_header_bytes = DEFAULT_HEADER_BYTES;
+	s->max_header_fields = HTTP_SERVER_HEAD_FIELDS;
 	s->max_queue = 256;
 	if (!ini_open(&ini, path, FILE_MAX_BYTES, errors))
 		return FALSE;
--- a/src/host/settings.h
+++ b/src/host/settings.h
@@ -24,6 +24,9 @@
 	gint64 max_body_bytes;
 	gint64 body_memory_bytes;
 	gint64 max_connections;
+	gint64 request_memory_bytes; /* heads of requests, of one port */
+	gint64 max_header_bytes;     /* request line and header fields */
+	gint64 max_header_fields;
 	gint64 max_queue; /* requests that may wait for a slot, per service */
 	/* [tls], both NULL where callers use plain HTTP */
 	char *certificate;
--- a/src/transport/http_check.c
+++ b/src/transport/http_check.c
@@ -5,7 +5,6 @@
 #include "transport/http_check.h"
 
 /* Limit for one message. */
-#define MAX_HEADERS 128
 
 static const char token_chars[] =
     "!#$%&'*+-.^_`|~0123456789"
@@ -103,12 +102,9 @@
 {
 	const struct evkeyval *h;
 	const char *wrong;
-	int n = 0;
 
 	TAILQ_FOREACH(h, headers, next)
 	{
-		if (++n > MAX_HEADERS)
-			return "too many headers";
 		if (!http_is_token(h->key, strlen(h->key)))
 			return "a header name is no token";
 		if (http_has_control(h->value, strlen(h->value)))
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -17,6 +17,7 @@
 #include "base/log.h"
 #include "state/reply_memory.h"
 #include "transport/body_memory.h"
+#include "transport/client_memory.h"
 #include "transport/hangup_watch.h"
 #include "transport/http_check.h"
 #include "transport/http_server.h"
@@ -28,6 +29,9 @@
 #define FIRST_REQUEST_MS 1000
 /* Connections over the limit that wait for their request to be refused. */
 #define REFUSED_MAX_CONNECTIONS 100
+/* Input behind a whole request at which reading stops; more than one read of
+ * libevent (4 KB). */
+#define BEHIND_MAX_BYTES 8192
 
 static const struct timeval sweep_period = {0, 100000};
 
@@ -47,9 +51,10 @@
 typedef struct {
 	http_server_t *server;
 	struct bufferevent *bev;
-	struct event *deadline; /* for receiving the complete request */
-	body_usage_t body;	/* memory of the current request */
-	reply_usage_t reply;	/* memory of replies that are not sent yet */
+	struct event *deadline;	    /* for receiving the complete request */
+	body_usage_t body;	    /* memory of the current request */
+	client_memory_entry_t head; /* memory of heads */
+	reply_usage_t reply; /* memory of replies that are not sent yet */
 	struct evhttp_connection *evcon; /* NULL before the first request */
 	http_exchange_t *x;		 /* the request being answered */
 	linger_t linger; /* once evhttp has released the connection */
@@ -65,6 +70,7 @@
 	conn_t *conn;
 	struct evhttp_connection *evcon;
 	struct evhttp_request *req;
+	size_t head;	  /* memory of its head */
 	gboolean watched; /* by the server's hangups */
 	void (*gone)(void *arg);
 	void *gone_arg;
@@ -84,6 +90,9 @@
 	GHashTable *conns; /* bufferevent to conn_t */
 	struct event *sweeper;
 	body_memory_t bodies;
+	client_memory_t heads;
+	const conn_t *reading; /* its input is being read */
+	guint64 refused_heads;
 	reply_memory_t replies;
 	struct event *reliever; /* runs while replies hold too much */
 	guint64 replies_given_up;
@@ -118,6 +127,40 @@
 	    bufferevent_getfd(conn->bev), n);
 }
 
+static gboolean
+is_answering(const conn_t *conn)
+{
+	return conn->x != NULL ||
+	    evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0;
+}
+
+/* Sets what the connection holds, and how much more of it is read. Bytes of a
+ * body are counted by body_memory. */
+static void
+count_head(conn_t *conn)
+{
+	const request_framing_t *f = &conn->framing;
+	gboolean whole = is_answering(conn) || request_framing_has_whole(f);
+	gboolean in_body = f->state == REQUEST_FRAMING_BODY ||
+	    f->state == REQUEST_FRAMING_CHUNKS;
+	size_t bytes = client_memory_head_cost(f->head, f->fields);
+
+	if (conn->shed || conn->shut) {
+		client_memory_remove(&conn->server->heads, &conn->head);
+		return;
+	}
+	if (conn->x != NULL)
+		bytes += conn->x->head;
+	if (whole || !in_body)
+		bytes += evbuffer_get_length(bufferevent_get_input(conn->bev));
+	client_memory_set(&conn->server->heads, &conn->head, bytes, whole);
+	/* evhttp reads while it sends a reply, without a limit. */
+	bufferevent_setwatermark(conn->bev, EV_READ, 0,
+	    f->status != 0 ? 1
+		: whole	   ? BEHIND_MAX_BYTES
+			   : 0);
+}
+
 static void
 exchange_free(http_exchange_t *x)
 {
@@ -125,6 +168,7 @@
 	x->conn->server->exchanges--;
 	body_memory_release(&x->conn->server->bodies, &x->conn->body);
 	count_rest(x->conn);
+	count_head(x->conn);
 	evhttp_connection_set_closecb(x->evcon, NULL, NULL);
 	if (x->watched)
 		hangup_watch_remove(
@@ -132,13 +176,6 @@
 	g_free(x);
 }
 
-static gboolean
-is_answering(const conn_t *conn)
-{
-	return conn->x != NULL ||
-	    evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0;
-}
-
 /* Replies are added to the output, and leave it as the caller reads. */
 static void
 on_output(
@@ -157,6 +194,8 @@
 	if (!is_answering(conn) && !conn->receiving &&
 	    evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
 		start_receiving(conn);
+	if (!is_answering(conn))
+		count_head(conn);
 	if (info->n_added == 0)
 		return;
 	reply_memory_add(&server->replies, &conn->reply,
@@ -174,6 +213,7 @@
 	reply_memory_detach(&conn->server->replies, &conn->reply);
 	evbuffer_remove_cb(bufferevent_get_output(conn->bev), on_output, conn);
 	body_memory_detach(&conn->server->bodies, &conn->body);
+	client_memory_remove(&conn->server->heads, &conn->head);
 	if (conn->linger.input != NULL)
 		conn->server->lingering--;
 	conn->server->refused -= conn->refused;
@@ -294,6 +334,52 @@
 	}
 }
 
+/*
+ * Refuses an incomplete request and has evhttp free what it has read of it: at
+ * once, as one turn of the loop reads from many connections. From within
+ * evhttp's own reading of the connection this waits for the next turn, and what
+ * was just read is not parsed.
+ */
+static void
+refuse_head(conn_t *conn, int status, const char *reason)
+{
+	http_server_t *server = conn->server;
+	gboolean is_reading = server->reading == conn;
+
+	conn->shed = TRUE;
+	server->refused_heads++;
+	log_event(LOG_WARN, "caller.head_refused", "reason", reason, "bytes",
+	    log_num((long long)conn->head.held), "all_bytes",
+	    log_num((long long)server->heads.held), NULL);
+	body_memory_release(&server->bodies, &conn->body);
+	client_memory_remove(&server->heads, &conn->head);
+	refuse_raw(conn, status, reason);
+	evbuffer_drain(bufferevent_get_input(conn->bev), SIZE_MAX);
+	if (!is_reading)
+		bufferevent_trigger_event(
+		    conn->bev, BEV_EVENT_READING | BEV_EVENT_EOF, 0);
+}
+
+/* Requests before it are answered first; sweep_conn() looks again. */
+static void
+refuse_fault(conn_t *conn)
+{
+	const request_framing_t *f = &conn->framing;
+
+	if (f->status != 0 && !conn->shed && !conn->shut &&
+	    !is_answering(conn) && !request_framing_has_whole(f))
+		refuse_head(conn, f->status, f->fault);
+}
+
+static void
+enforce_head_memory(http_server_t *server)
+{
+	client_memory_entry_t *victim;
+
+	while ((victim = client_memory_victim(&server->heads)) != NULL)
+		refuse_head(victim->owner, 503, "request-memory-full");
+}
+
 /* Reads the last @n bytes of the input. */
 static void
 read_framing(conn_t *conn, struct evbuffer *buffer, size_t n)
@@ -333,6 +419,11 @@
 		refuse_raw(conn, 503, "too-many-connections");
 	else
 		enforce_body_memory(conn);
+	server->reading = conn;
+	refuse_fault(conn);
+	count_head(conn);
+	enforce_head_memory(server);
+	server->reading = NULL;
 }
 
 static gboolean
@@ -373,6 +464,7 @@
 		if (server->lingering >= LINGER_MAX_CONNECTIONS)
 			return TRUE;
 		server->lingering++;
+		evbuffer_drain(bufferevent_get_input(conn->bev), SIZE_MAX);
 		linger_begin(&conn->linger, server->base,
 		    bufferevent_getfd(conn->bev), now);
 	}
@@ -399,6 +491,7 @@
 		return conn->x == NULL && may_close(conn);
 	if (conn->shut)
 		return FALSE;
+	refuse_fault(conn);
 	if (is_idle(conn) && !has_unread(conn) && !is_fresh(conn) &&
 	    (conn->refused || server->draining))
 		shut_down(conn);
@@ -502,7 +595,8 @@
 		    SSL_new(server->conf.tls), BUFFEREVENT_SSL_ACCEPTING,
 		    BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_incref(conn->bev);
-	request_framing_init(&conn->framing);
+	request_framing_init(&conn->framing, server->conf.max_head_bytes,
+	    server->conf.max_head_fields);
 	conn->server = server;
 	conn->deadline = evtimer_new(base, on_deadline, conn);
 	conn->opened_at = clock_now();
@@ -511,6 +605,7 @@
 	evbuffer_add_cb(bufferevent_get_input(conn->bev), on_input, conn);
 	evbuffer_add_cb(bufferevent_get_output(conn->bev), on_output, conn);
 	conn->reply.owner = conn;
+	conn->head.owner = conn;
 	g_hash_table_insert(server->conns, conn->bev, conn);
 	return conn->bev;
 }
@@ -561,6 +656,20 @@
 	return wrong;
 }
 
+static size_t
+head_cost(const struct evhttp_request *req)
+{
+	const struct evkeyval *h;
+	size_t bytes = strlen(evhttp_request_get_uri(req)), n = 0;
+
+	TAILQ_FOREACH(h, req->input_headers, next)
+	{
+		bytes += strlen(h->key) + strlen(h->value);
+		n++;
+	}
+	return client_memory_head_cost(bytes, n);
+}
+
 static void
 on_request(struct evhttp_request *req, void *arg)
 {
@@ -578,6 +687,8 @@
 		wrong = framing;
 	x->conn->receiving = FALSE;
 	x->conn->x = x;
+	x->head = head_cost(req);
+	count_head(x->conn);
 	event_del(x->conn->deadline);
 	evhttp_connection_set_closecb(x->evcon, on_conn_close, x);
 	server->exchanges++;
@@ -586,6 +697,8 @@
 		http_reply(x, 503, NULL, NULL);
 	else if (wrong != NULL)
 		refuse_headers(x, 400, wrong);
+	else if (client_memory_is_over(&server->heads))
+		refuse_headers(x, 503, "request-memory-full");
 	else if ((evhttp_request_get_command(req) & ALLOWED_METHODS) == 0)
 		refuse_headers(x, 501, "the method is not supported");
 	else
@@ -645,7 +758,12 @@
 	server->refuse = refuse;
 	server->arg = arg;
 	server->conns = g_hash_table_new_full(NULL, NULL, NULL, conn_free);
+	if (conf->max_head_fields == 0)
+		server->conf.max_head_fields = HTTP_SERVER_HEAD_FIELDS;
 	body_memory_init(&server->bodies, conf->body_memory_bytes);
+	client_memory_init(&server->heads,
+	    conf->request_memory_bytes > 0 ? conf->request_memory_bytes
+					   : HTTP_SERVER_REQUEST_MEMORY_BYTES);
 	reply_memory_init(&server->replies, conf->reply_memory_bytes);
 	server->reliever = evtimer_new(base, relieve, server);
 	server->sweeper = event_new(base, -1, EV_PERSIST, sweep, server);
@@ -739,6 +857,18 @@
 	return server->replies.held;
 }
 
+size_t
+http_server_heads(const http_server_t *server)
+{
+	return server->heads.held;
+}
+
+guint64
+http_server_refused_heads(const http_server_t *server)
+{
+	return server->refused_heads;
+}
+
 guint64
 http_server_given_up(const http_server_t *server)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -16,15 +16,22 @@
  * time.
  */
 
+#define HTTP_SERVER_HEAD_FIELDS 128
+#define HTTP_SERVER_REQUEST_MEMORY_BYTES (16 * 1024 * 1024)
+
 typedef struct http_server http_server_t;
 
 /* One request and its reply. Freed when the reply ends or is aborted. */
 typedef struct http_exchange http_exchange_t;
 
 typedef struct {
-	const char *address;   /* "IP:PORT" */
-	size_t max_head_bytes; /* request line and headers */
-	size_t max_body_bytes; /* of one request */
+	const char *address;	      /* "IP:PORT" */
+	size_t max_head_bytes;	      /* request line and headers */
+	unsigned int max_head_fields; /* 0: HTTP_SERVER_HEAD_FIELDS */
+	size_t max_body_bytes;	      /* of one request */
+	/* Heads of all requests; 0: HTTP_SERVER_REQUEST_MEMORY_BYTES. See
+	 * client_memory.h. */
+	size_t request_memory_bytes;
 	/* Bodies of all requests while they are received or answered. */
 	size_t body_memory_bytes;
 	/* Replies that wait for their callers to read; over it some are reset.
@@ -90,6 +97,13 @@
 /** http_server_unsent() - Bytes of replies that wait for their callers. */
 size_t http_server_unsent(const http_server_t *server);
 
+/** http_server_heads() - Bytes of heads and of requests behind others. */
+size_t http_server_heads(const http_server_t *server);
+
+/** http_server_refused_heads() - Connections closed for their requests' heads:
+ * over a limit, or for the memory of all. */
+guint64 http_server_refused_heads(const http_server_t *server);
+
 /** http_server_given_up() - Replies that were reset for their memory. */
 guint64 http_server_given_up(const http_server_t *server);
 
--- a/src/transport/request_framing.c
+++ b/src/transport/request_framing.c
@@ -3,11 +3,14 @@
 #include "transport/request_framing.h"
 
 #define LENGTH_DIGITS_MAX 18
+#define STATUS_BAD_REQUEST 400
 
 void
-request_framing_init(request_framing_t *f)
+request_framing_init(request_framing_t *f, size_t max_head, guint max_fields)
 {
 	memset(f, 0, sizeof(*f));
+	f->max_head = max_head;
+	f->max_fields = max_fields;
 	f->line = g_string_new(NULL);
 	http_framing_init(&f->chunks, FALSE);
 }
@@ -26,6 +29,21 @@
 	f->state = REQUEST_FRAMING_FIRST_LINE;
 	f->left = 0;
 	f->has_length = f->is_chunked = f->in_framing = FALSE;
+	f->head = 0;
+	f->fields = 0;
+}
+
+/* Counts bytes of a head or of trailers. Chunk sizes don't stay in memory. */
+static void
+count_head(request_framing_t *f, size_t bytes, guint fields)
+{
+	f->head += bytes;
+	f->fields += fields;
+	if (f->head <= f->max_head && f->fields <= f->max_fields)
+		return;
+	f->fault = f->fields > f->max_fields ? "too many header fields"
+					     : "the head is too large";
+	f->status = REQUEST_FRAMING_TOO_LARGE;
 }
 
 /* Return: the value of a line of a field, without blanks; NULL: another. */
@@ -92,12 +110,19 @@
 static void
 take_line(request_framing_t *f)
 {
-	if (f->state == REQUEST_FRAMING_FIRST_LINE)
+	if (f->state == REQUEST_FRAMING_FIRST_LINE) {
+		/* evhttp does not skip any. */
+		if (f->line->len == 0) {
+			f->fault = "an empty line before a request";
+			f->status = STATUS_BAD_REQUEST;
+		}
 		f->state = REQUEST_FRAMING_FIELD;
-	else if (f->line->len == 0)
+	} else if (f->line->len == 0) {
 		end_head(f);
-	else
+	} else {
+		count_head(f, 0, 1);
 		take_field(f);
+	}
 }
 
 /* Takes bytes up to the end of a line. Return: their number. */
@@ -109,6 +134,7 @@
 	size_t room = REQUEST_FRAMING_LINE_BYTES - f->line->len;
 	size_t kept = MIN(end != NULL ? used - 1 : used, room);
 
+	count_head(f, used, 0);
 	if (memchr(bytes, '\0', used) != NULL)
 		f->fault = "a NUL byte in the head";
 	g_string_append_len(f->line, bytes, (gssize)kept);
@@ -140,12 +166,30 @@
 
 	if (f->chunks.state == HTTP_FRAMING_CHUNK)
 		used = (size_t)MIN((uint64_t)n, f->chunks.left);
-	f->fault = http_framing_take(&f->chunks, bytes, used);
+	if (f->chunks.state == HTTP_FRAMING_TRAILER)
+		count_head(f, 1, *bytes == '\n');
+	if (f->fault == NULL)
+		f->fault = http_framing_take(&f->chunks, bytes, used);
+	/* evhttp may wait for the end of a line without a limit. */
+	if (f->fault != NULL && f->status == 0)
+		f->status = STATUS_BAD_REQUEST;
 	if (f->chunks.state == HTTP_FRAMING_WHOLE)
 		end_request(f);
 	return used;
 }
 
+/* Counts all that follows a fault as part of the head. */
+static void
+count_faulty(request_framing_t *f, const char *bytes, size_t n)
+{
+	guint lines = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		lines += bytes[i] == '\n';
+	count_head(f, n, lines);
+}
+
 void
 request_framing_read(request_framing_t *f, const char *bytes, size_t n)
 {
@@ -167,6 +211,14 @@
 		bytes += used;
 		n -= used;
 	}
+	if (n > 0 && f->status == 0)
+		count_faulty(f, bytes, n);
+}
+
+gboolean
+request_framing_has_whole(const request_framing_t *f)
+{
+	return f->whole > f->taken;
 }
 
 const char *
--- a/src/transport/request_framing.h
+++ b/src/transport/request_framing.h
@@ -11,6 +11,8 @@
 
 /* Bytes of a line that are looked at. */
 #define REQUEST_FRAMING_LINE_BYTES 128
+/* Status of a refusal for a head, or trailers, over the limits. */
+#define REQUEST_FRAMING_TOO_LARGE 431
 
 typedef enum {
 	REQUEST_FRAMING_FIRST_LINE,
@@ -28,14 +30,22 @@
 	gboolean has_length, is_chunked;
 	gboolean in_framing; /* the last field was one of these */
 	guint whole, taken;  /* requests that were read, and taken */
-	const char *fault;   /* of the first request that is not whole */
+	/* The limits, and the head of the incomplete request with its trailers.
+	 */
+	size_t max_head, head;	  /* bytes */
+	guint max_fields, fields; /* number */
+	const char *fault;	  /* of the first request that is not whole */
+	int status;		  /* of a refusal for @fault */
 } request_framing_t;
 
 /**
  * request_framing_init() - Expect requests.
  * @f: memory of the caller; end with request_framing_finish()
+ * @max_head: most bytes of the head of a request and its trailers
+ * @max_fields: most fields in them
  */
-void request_framing_init(request_framing_t *f);
+void request_framing_init(
+    request_framing_t *f, size_t max_head, guint max_fields);
 void request_framing_finish(request_framing_t *f);
 
 /**
@@ -46,6 +56,9 @@
  */
 void request_framing_read(request_framing_t *f, const char *bytes, size_t n);
 
+/** request_framing_has_whole() - Whether a whole request was not taken yet. */
+gboolean request_framing_has_whole(const request_framing_t *f);
+
 /**
  * request_framing_take() - Take the next request.
  * @f: the framing
