host-memory, host-descriptors: no failure of a server

Cause: an answer that enforce_memory() ended was reported as HTTP_BROKEN, and a connection for which socket() had no descriptor as HTTP_NOT_SENT. Both counted against the server and sent the request to another one.

HTTP_NO_MEMORY and HTTP_NO_FILE end the request with a reason of their own (502 host-memory; 503 host-descriptors, not executed), without another try and without judging the server; the same in src/host. request.host_exhausted and host_exhausted_total tell of them. evhttp does not keep the error of socket(), so the client asks for a descriptor once more when a call could not begin.

--- a/src/coordination/attempt.c
+++ b/src/coordination/attempt.c
@@ -36,6 +36,10 @@
 		return "deadline";
 	case REFUSED_POISON:
 		return "crashes-servers";
+	case REFUSED_HOST_MEMORY:
+		return "host-memory";
+	case REFUSED_HOST_DESCRIPTORS:
+		return "host-descriptors";
 	}
 	return "unknown";
 }
@@ -121,6 +125,15 @@
 	return refuse(a, reason);
 }
 
+/* Another server would not help: this host lacks a resource. */
+static attempt_action_t
+host_failed(attempt_t *a, gboolean may_have_run, refuse_reason_t reason)
+{
+	a->may_have_run |= may_have_run;
+	a->phase = ATTEMPT_PLACING;
+	return refuse(a, reason);
+}
+
 static gboolean
 is_retryable(int status)
 {
@@ -179,6 +192,8 @@
 		return refuse(a, REFUSED_POISON);
 	case ATTEMPT_REFUSED:
 	case ATTEMPT_BROKEN:
+	case ATTEMPT_NO_MEMORY:
+	case ATTEMPT_NO_FILE:
 	case ATTEMPT_ANSWERED:
 	case ATTEMPT_TIMED_OUT:
 	case ATTEMPT_CALLER_GONE:
@@ -197,6 +212,10 @@
 		return try_failed(a, FALSE, REFUSED_UNREACHABLE, now);
 	case ATTEMPT_BROKEN:
 		return try_failed(a, TRUE, REFUSED_BROKEN, now);
+	case ATTEMPT_NO_MEMORY:
+		return host_failed(a, TRUE, REFUSED_HOST_MEMORY);
+	case ATTEMPT_NO_FILE:
+		return host_failed(a, FALSE, REFUSED_HOST_DESCRIPTORS);
 	case ATTEMPT_ANSWERED:
 		return answered(a, e, now);
 	case ATTEMPT_PLACED:
--- a/src/coordination/attempt.h
+++ b/src/coordination/attempt.h
@@ -37,6 +37,8 @@
 	ATTEMPT_IS_POISON, /* the request crashes the servers that run it */
 	ATTEMPT_REFUSED,   /* the connection could not be made */
 	ATTEMPT_BROKEN,	   /* the connection ended before a complete answer */
+	ATTEMPT_NO_MEMORY, /* this host has no memory for the answer */
+	ATTEMPT_NO_FILE,   /* this host has no descriptor for a connection */
 	ATTEMPT_ANSWERED,  /* a complete answer, head and body, arrived */
 	ATTEMPT_TIMED_OUT, /* the deadline has passed */
 	ATTEMPT_CALLER_GONE,
@@ -71,6 +73,8 @@
 	REFUSED_BROKEN,
 	REFUSED_DEADLINE,
 	REFUSED_POISON, /* the request crashed the servers that ran it */
+	REFUSED_HOST_MEMORY,
+	REFUSED_HOST_DESCRIPTORS,
 } refuse_reason_t;
 
 typedef struct {
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -266,6 +266,9 @@
 	    metrics_add(m, METRIC_COUNTER, "server_limits_reached_total",
 		"times that a request was placed elsewhere as a server's limit "
 		"was reached");
+	relays->host_exhausted =
+	    metrics_add(m, METRIC_COUNTER, "host_exhausted_total",
+		"tries ended as this host had no memory or descriptor");
 	relays->answers_invalid =
 	    metrics_add(m, METRIC_COUNTER, "answers_invalid_total",
 		"answers of servers that break the protocol or a bound");
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -26,7 +26,7 @@
 
 	metric_id_t requests, answered, refused, failed, callers_gone;
 	metric_id_t tries, retries, over_rate, no_room, harmful, limits_named,
-	    limits_invalid, limits_reached, answers_invalid;
+	    limits_invalid, limits_reached, answers_invalid, host_exhausted;
 	metric_id_t request_ms, server_ms;
 	metrics_t *metrics;
 } relays_t;
--- a/src/gateway/relay_reply.c
+++ b/src/gateway/relay_reply.c
@@ -113,7 +113,8 @@
 		    0, reason);
 		return;
 	}
-	if (action->reason != REFUSED_POISON)
+	if (action->reason != REFUSED_POISON &&
+	    action->reason != REFUSED_HOST_DESCRIPTORS)
 		metrics_count(r->relays->metrics, r->relays->no_room, 1);
 	relay_reply_own(r, STATUS_UNAVAILABLE,
 	    r->wait_ms > 0 ? r->wait_ms : NO_SERVER_RETRY_MS, reason);
--- a/src/gateway/relay_try.c
+++ b/src/gateway/relay_try.c
@@ -131,6 +131,16 @@
 	    r->server->id, "why", fault, NULL);
 }
 
+/* Ends a try for a lack of this host, which says nothing of the server. */
+static void
+end_lacking(relay_t *r, const char *resource)
+{
+	log_event(LOG_WARN, "request.host_exhausted", "id", r->id, "server",
+	    r->server->id, "lacks", resource, NULL);
+	metrics_count(r->relays->metrics, r->relays->host_exhausted, 1);
+	end_try(r, DISPATCH_ABANDONED);
+}
+
 static void
 on_done(void *arg, http_outcome_t outcome, int status,
     const struct evkeyvalq *headers, struct evbuffer *body)
@@ -153,6 +163,14 @@
 		end_try(r, DISPATCH_TIMED_OUT);
 		e = relay_event(r, ATTEMPT_BROKEN);
 		break;
+	case HTTP_NO_MEMORY:
+		end_lacking(r, "memory");
+		e = relay_event(r, ATTEMPT_NO_MEMORY);
+		break;
+	case HTTP_NO_FILE:
+		end_lacking(r, "descriptors");
+		e = relay_event(r, ATTEMPT_NO_FILE);
+		break;
 	case HTTP_BROKEN:
 	default:
 		note_fault(r, call);
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -172,6 +172,8 @@
 		break;
 	case HTTP_BROKEN:
 	case HTTP_TIMED_OUT:
+	case HTTP_NO_MEMORY:
+	case HTTP_NO_FILE:
 		break;
 	}
 }
--- a/src/host/proxy.c
+++ b/src/host/proxy.c
@@ -178,6 +178,8 @@
 static refusal_t
 refusal_of(refuse_reason_t reason, ran_t ran)
 {
+	if (reason == REFUSED_HOST_MEMORY)
+		return REFUSAL_HOST_MEMORY;
 	if (ran != RAN_NO)
 		return reason == REFUSED_DEADLINE ? REFUSAL_TIMEOUT
 						  : REFUSAL_BROKEN;
@@ -189,6 +191,9 @@
 	case REFUSED_NO_SERVER:
 	case REFUSED_UNREACHABLE:
 		return REFUSAL_NO_SERVER;
+	case REFUSED_HOST_DESCRIPTORS:
+		return REFUSAL_HOST_DESCRIPTORS;
+	case REFUSED_HOST_MEMORY:
 	case REFUSED_BROKEN:
 		return REFUSAL_BROKEN;
 	case REFUSED_DEADLINE:
@@ -203,8 +208,10 @@
 	refusal_t why = refusal_of(action->reason, action->ran);
 
 	proxy_refuse(pr, why, action->ran == RAN_NO ? RUN_NOT : RUN_UNKNOWN,
-	    why == REFUSAL_NO_ROOM || why == REFUSAL_NO_SERVER ? RETRY_ADVICE_MS
-							       : 0);
+	    why == REFUSAL_NO_ROOM || why == REFUSAL_NO_SERVER ||
+		    why == REFUSAL_HOST_DESCRIPTORS
+		? RETRY_ADVICE_MS
+		: 0);
 }
 
 static void
--- a/src/host/proxy_send.c
+++ b/src/host/proxy_send.c
@@ -191,8 +191,11 @@
 
 	if (outcome != HTTP_ANSWERED) {
 		log_event(LOG_WARN, "answer.cut", "id", pr->id, "peer",
-		    pr->address, NULL);
-		proxy_release_endpoint(pr, OUTCOME_BROKEN);
+		    pr->address, "reason",
+		    outcome == HTTP_NO_MEMORY ? "host-memory" : "broken", NULL);
+		proxy_release_endpoint(pr,
+		    outcome == HTTP_NO_MEMORY ? OUTCOME_CANCELLED
+					      : OUTCOME_BROKEN);
 		if (pr->x != NULL)
 			http_reply_abort(pr->x);
 	} else {
@@ -227,7 +230,8 @@
 
 	(void)headers;
 	(void)body;
-	note_fault(pr);
+	if (outcome != HTTP_NO_MEMORY)
+		note_fault(pr);
 	pr->call = NULL;
 	if (pr->answer_started) {
 		end_answer(pr, outcome, status);
@@ -246,6 +250,15 @@
 		pr->attempt.deadline = MIN(pr->attempt.deadline, clock_now());
 		proxy_attempt_event(pr, ATTEMPT_TIMED_OUT);
 		break;
+	case HTTP_NO_MEMORY:
+		proxy_release_endpoint(pr, OUTCOME_CANCELLED);
+		proxy_attempt_event(pr, ATTEMPT_NO_MEMORY);
+		break;
+	case HTTP_NO_FILE:
+		pr->may_be_running = FALSE;
+		proxy_release_endpoint(pr, OUTCOME_CANCELLED);
+		proxy_attempt_event(pr, ATTEMPT_NO_FILE);
+		break;
 	case HTTP_ANSWERED: /* an answer without a head can't be used */
 	case HTTP_BROKEN:
 		proxy_release_endpoint(pr, OUTCOME_BROKEN);
--- a/src/host/refusal.c
+++ b/src/host/refusal.c
@@ -29,6 +29,8 @@
     [REFUSAL_ONCE_REUSED] = {422, "idempotency-key-reused"},
     [REFUSAL_ONCE_UNAVAILABLE] = {503, "idempotency-record-away"},
     [REFUSAL_BROKEN] = {502, "server-broke-off"},
+    [REFUSAL_HOST_MEMORY] = {502, "host-memory"},
+    [REFUSAL_HOST_DESCRIPTORS] = {503, "host-descriptors"},
     [REFUSAL_TIMEOUT] = {504, "server-timeout"},
 };
 
--- a/src/host/refusal.h
+++ b/src/host/refusal.h
@@ -28,6 +28,8 @@
 	REFUSAL_ONCE_UNAVAILABLE, /* idempotency records are unavailable */
 	REFUSAL_BROKEN,		  /* sent, but no complete answer */
 	REFUSAL_TIMEOUT,	  /* sent, but not answered in time */
+	REFUSAL_HOST_MEMORY,	  /* sent, no memory here for the answer */
+	REFUSAL_HOST_DESCRIPTORS, /* no descriptor here for a connection */
 	REFUSAL_KINDS,
 } refusal_t;
 
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -1,10 +1,12 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -63,6 +65,8 @@
 	gboolean got_1xx;  /* a 1xx status was received: the call fails */
 	http_framing_t framing;
 	const char *fault; /* why the answer can't be used, or NULL */
+	/* HTTP_NO_MEMORY or HTTP_NO_FILE if this process lacks a resource. */
+	http_outcome_t lacks;
 };
 
 struct http_client {
@@ -347,6 +351,7 @@
 			return;
 		set_held(largest, 0);
 		client->given_up++;
+		largest->call->lacks = HTTP_NO_MEMORY;
 		fail_later(
 		    largest->call, "answers hold too much memory together");
 	}
@@ -465,6 +470,8 @@
 static http_outcome_t
 outcome_of(const http_call_t *call, gboolean answered)
 {
+	if (call->lacks != HTTP_ANSWERED)
+		return call->lacks;
 	if (answered && !call->got_1xx && call->fault == NULL &&
 	    http_framing_may_end(&call->framing))
 		return HTTP_ANSWERED;
@@ -662,6 +669,17 @@
 		    &options[i].value, sizeof(options[i].value));
 }
 
+/* Why evhttp could not connect: it does not keep the error of socket(). */
+static gboolean
+has_no_file(void)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (fd >= 0)
+		close(fd);
+	return fd < 0 && (errno == EMFILE || errno == ENFILE);
+}
+
 http_call_t *
 http_call(http_client_t *client, const http_request_t *request,
     const http_handler_t *handler)
@@ -696,6 +714,8 @@
 		conn->evcon, call->req, request->method, request->path) != 0)
 		call->req = NULL;
 	call->starting = FALSE;
+	if (call->req == NULL && has_no_file())
+		call->lacks = HTTP_NO_FILE;
 	call->timer = arm_timer(client, call, on_timeout,
 	    call->req != NULL ? request->timeout_ms : 0);
 	if (call->req != NULL && request->connect_ms > 0)
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -33,6 +33,9 @@
 	HTTP_NOT_SENT,	/* no byte of the request left this process */
 	HTTP_BROKEN,	/* sent at least in part, no complete answer */
 	HTTP_TIMED_OUT, /* deadline passed after something was sent */
+	/* This process lacks a resource; says nothing of the peer. */
+	HTTP_NO_MEMORY, /* sent; answers hold too much memory together */
+	HTTP_NO_FILE,	/* not sent; no descriptor for a connection */
 } http_outcome_t;
 
 /* Callbacks of one call; on_done runs exactly once, unless cancelled. */
--- a/src/transport/store.c
+++ b/src/transport/store.c
@@ -107,6 +107,10 @@
 	case HTTP_NOT_SENT:
 		set_error(call, err, ERROR_UNAVAILABLE, "not reached");
 		break;
+	case HTTP_NO_FILE:
+		set_error(call, err, ERROR_UNAVAILABLE, "no descriptor free");
+		break;
+	case HTTP_NO_MEMORY:
 	case HTTP_BROKEN:
 		set_error(call, err, write ? ERROR_UNKNOWN : ERROR_UNAVAILABLE,
 		    "connection broken");
