--- a/src/gateway/gateway_settings.c
+++ b/src/gateway/gateway_settings.c
@@ -3,6 +3,7 @@
 #include "gateway/gateway_settings.h"
 #include "protocol/ini.h"
 #include "protocol/config_text.h"
+#include "transport/http_server.h"
 
 #define FILE_MAX_BYTES 65536
 #define NAME_CHARS 200
@@ -22,6 +23,10 @@
 /* With the bodies, they fit into 260 MB: tests/test_gateway_memory.c. */
 #define DEFAULT_ANSWER_MEMORY (48 * 1024 * 1024)
 #define DEFAULT_REPLY_MEMORY (48 * 1024 * 1024)
+#define DEFAULT_HEADER_BYTES 65536
+/* A head of 16,384 bytes, the most that manifests allow, has fewer fields: the
+ * shortest field takes 4 bytes, "a:" CR LF. */
+#define DEFAULT_HEADER_FIELDS 4096
 #define DEFAULT_LOG_LINES 200
 
 #define DEFAULT_USAGE_WINDOW_SEC 5
@@ -153,6 +158,12 @@
 		&s->answer_memory_bytes},
 	    {"reply_memory_bytes", INI_NUMBER, FALSE, 1e5, 1e11,
 		&s->reply_memory_bytes},
+	    {"request_memory_bytes", INI_NUMBER, FALSE, 1e5, 1e11,
+		&s->request_memory_bytes},
+	    {"max_header_bytes", INI_NUMBER, FALSE, 1024, 1e6,
+		&s->max_header_bytes},
+	    {"max_header_fields", INI_NUMBER, FALSE, 16, 1e5,
+		&s->max_header_fields},
 	    {"link_mbps", INI_DECIMAL, FALSE, 0.1, 1e6, &s->link_mbps},
 	    {"cpu_share", INI_DECIMAL, FALSE, 0.001, 1000, &s->cpu_share},
 	};
@@ -248,6 +259,9 @@
 	s->body_memory_bytes = DEFAULT_BODY_MEMORY;
 	s->answer_memory_bytes = DEFAULT_ANSWER_MEMORY;
 	s->reply_memory_bytes = DEFAULT_REPLY_MEMORY;
+	s->request_memory_bytes = HTTP_SERVER_REQUEST_MEMORY_BYTES;
+	s->max_header_bytes = DEFAULT_HEADER_BYTES;
+	s->max_header_fields = DEFAULT_HEADER_FIELDS;
 	s->link_mbps = DEFAULT_LINK_MBPS;
 	s->cpu_share = DEFAULT_CPU_SHARE;
 	if (!ini_open(&ini, path, FILE_MAX_BYTES, errors))
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -286,6 +286,9 @@
 	relays->speeds_invalid =
 	    metrics_add(m, METRIC_COUNTER, "server_speeds_invalid_total",
 		"answers whose speed is not one decimal number in range");
+	relays->host_exhausted =
+	    metrics_add(m, METRIC_COUNTER, "host_exhausted_total",
+		"tries ended as this host had no memory or descriptor");
 	relays->answers_invalid =
 	    metrics_add(m, METRIC_COUNTER, "answers_invalid_total",
 		"answers of servers that break the protocol or a bound");
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -169,6 +169,7 @@
 		conn->has_unread = FALSE;
 		return FALSE;
 	case REQUEST_FAULT:
+		http_memory_note_refused(conn, conn->reader.wrong);
 		http_conn_refuse(conn, conn->reader.status, conn->reader.wrong);
 		return FALSE;
 	case REQUEST_WHOLE:
@@ -400,11 +401,12 @@
 	conn->turn = event_new(server->base, -1, 0, on_turn, conn);
 	conn->deadline = evtimer_new(server->base, on_deadline, conn);
 	request_reader_init(&conn->reader, server->conf.max_head_bytes,
-	    server->conf.max_body_bytes);
+	    server->conf.max_head_fields, server->conf.max_body_bytes);
 	g_queue_init(&conn->exchanges);
 	conn->opened_at = clock_now();
 	conn->port = port_of(from);
 	conn->reply.owner = conn;
+	conn->head.owner = conn;
 	conn->refused = has_too_many(server);
 	server->refused += conn->refused;
 	g_hash_table_add(server->conns, conn);
@@ -452,6 +454,7 @@
 	evbuffer_remove_cb(
 	    bufferevent_get_output(conn->bev), http_memory_on_output, conn);
 	body_memory_detach(&server->bodies, &conn->body);
+	client_memory_remove(&server->heads, &conn->head);
 	if (conn->linger.input != NULL)
 		server->lingering--;
 	server->refused -= conn->refused;
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -6,6 +6,7 @@
 
 #include "state/reply_memory.h"
 #include "transport/body_memory.h"
+#include "transport/client_memory.h"
 #include "transport/hangup_watch.h"
 #include "transport/http_server.h"
 #include "transport/linger.h"
@@ -25,13 +26,14 @@
 	struct event *turn;
 	struct event *deadline; /* for receiving the complete request */
 	request_reader_t reader;
-	GQueue exchanges;	  /* dispatched, in order of their requests */
-	http_exchange_t *waiting; /* a whole request that can't run yet */
-	body_usage_t body;	  /* memory of requests */
-	size_t request_bytes;	  /* of the exchanges and of @waiting */
-	reply_usage_t reply;	  /* memory of replies that are not sent yet */
-	size_t pending_bytes;	  /* of replies that wait for their turn */
-	linger_t linger;	  /* once @released */
+	GQueue exchanges;	    /* dispatched, in order of their requests */
+	http_exchange_t *waiting;   /* a whole request that can't run yet */
+	body_usage_t body;	    /* memory of requests */
+	client_memory_entry_t head; /* memory of heads */
+	size_t request_bytes;	    /* of the exchanges and of @waiting */
+	reply_usage_t reply;  /* memory of replies that are not sent yet */
+	size_t pending_bytes; /* of replies that wait for their turn */
+	linger_t linger;      /* once @released */
 	msec_t opened_at;
 	uint16_t port; /* the client's; it can't be asked for after a reset */
 	msec_t unread_at; /* when what is in the input began to arrive */
@@ -74,6 +76,8 @@
 	GHashTable *conns; /* set of http_conn_t */
 	struct event *sweeper;
 	body_memory_t bodies;
+	client_memory_t heads;
+	guint64 refused_heads;
 	reply_memory_t replies;
 	struct event *reliever; /* runs while replies hold too much */
 	guint64 replies_given_up;
@@ -137,9 +141,13 @@
 /** http_memory_count() - Account for the bytes that a connection holds. */
 void http_memory_count(http_conn_t *conn);
 
-/** http_memory_enforce() - Refuse requests while an address holds too much. */
+/** http_memory_enforce() - Refuse requests while they hold too much. */
 void http_memory_enforce(http_conn_t *conn);
 
+/** http_memory_note_refused() - Count and log a request that is refused for its
+ * head or its framing. */
+void http_memory_note_refused(http_conn_t *conn, const char *reason);
+
 /** http_memory_on_output() - Account for replies; callback of the output. */
 void http_memory_on_output(
     struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *conn);
--- a/src/transport/http_memory.c
+++ b/src/transport/http_memory.c
@@ -3,9 +3,25 @@
 
 /*
  * The bytes that clients make the server hold. All that a connection holds of
- * requests, whole or not, passes http_memory_count(): a limit on incomplete
- * requests of all servers (client_memory) belongs there.
+ * requests, whole or not, passes http_memory_count().
  */
+
+/* Heads, and what was sent behind a request that is being answered. */
+static void
+count_head(http_conn_t *conn)
+{
+	client_memory_t *m = &conn->server->heads;
+	gboolean whole = conn->exchanges.length > 0 || conn->waiting != NULL;
+
+	if (conn->last || conn->dead || conn->released)
+		client_memory_remove(m, &conn->head);
+	else
+		client_memory_set(m, &conn->head,
+		    request_reader_head_held(
+			&conn->reader, bufferevent_get_input(conn->bev)),
+		    whole);
+}
+
 void
 http_memory_count(http_conn_t *conn)
 {
@@ -13,6 +29,7 @@
 	size_t held = conn->request_bytes + request_reader_held(&conn->reader) +
 	    evbuffer_get_length(bufferevent_get_input(conn->bev));
 
+	count_head(conn);
 	if (held == conn->body.held)
 		return;
 	body_memory_release(m, &conn->body);
@@ -39,12 +56,39 @@
 	return largest;
 }
 
+void
+http_memory_note_refused(http_conn_t *conn, const char *reason)
+{
+	http_server_t *server = conn->server;
+
+	server->refused_heads++;
+	log_event(LOG_WARN, "caller.head_refused", "reason", reason, "bytes",
+	    log_num((long long)conn->head.held), "all_bytes",
+	    log_num((long long)server->heads.held), NULL);
+}
+
+static void
+enforce_heads(http_server_t *server)
+{
+	client_memory_entry_t *victim;
+	http_conn_t *conn;
+
+	while ((victim = client_memory_victim(&server->heads)) != NULL) {
+		conn = victim->owner;
+		http_memory_note_refused(conn, "request-memory-full");
+		http_conn_refuse(conn, 503, "request-memory-full");
+		http_conn_wake(conn);
+	}
+}
+
 void
 http_memory_enforce(http_conn_t *conn)
 {
 	http_server_t *server = conn->server;
 	http_conn_t *largest;
 
+	enforce_heads(server);
+
 	while (conn->body.peer != NULL &&
 	    body_memory_is_over(&server->bodies, &conn->body)) {
 		largest = largest_of(server, conn->body.peer);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -163,7 +163,12 @@
 	server->refuse = refuse;
 	server->arg = arg;
 	server->conns = g_hash_table_new_full(NULL, NULL, http_conn_free, NULL);
+	if (conf->max_head_fields == 0)
+		server->conf.max_head_fields = HTTP_SERVER_HEAD_FIELDS;
 	body_memory_init(&server->bodies, conf->body_memory_bytes);
+	client_memory_init(&server->heads,
+	    conf->request_memory_bytes > 0 ? conf->request_memory_bytes
+					   : HTTP_SERVER_REQUEST_MEMORY_BYTES);
 	reply_memory_init(&server->replies, conf->reply_memory_bytes);
 	server->reliever = evtimer_new(base, relieve, server);
 	server->sweeper = event_new(base, -1, EV_PERSIST, sweep, server);
@@ -249,6 +254,18 @@
 	return server->replies.held;
 }
 
+size_t
+http_server_heads(const http_server_t *server)
+{
+	return server->heads.held;
+}
+
+guint64
+http_server_refused_heads(const http_server_t *server)
+{
+	return server->refused_heads;
+}
+
 guint64
 http_server_given_up(const http_server_t *server)
 {
--- a/src/transport/request_head.c
+++ b/src/transport/request_head.c
@@ -11,8 +11,8 @@
 #define STATUS_FIELDS_TOO_LARGE 431
 #define STATUS_NOT_IMPLEMENTED 501
 #define STATUS_VERSION 505
-/* Fields of one request. */
-#define FIELDS_MAX 128
+/* Fields of most requests. */
+#define FIELDS_USUAL 32
 #define MINOR_MAX 255
 #define VERSION_DIGITS_MAX 3
 
@@ -22,12 +22,14 @@
 
 /* Fields as http_parser finds them; they are terminated afterwards, because
  * the parser still reads the bytes that end them. */
+typedef struct {
+	size_t key, key_len, value, value_len;
+} span_t;
+
 typedef struct {
 	request_head_t *head;
-	struct {
-		size_t key, key_len, value, value_len;
-	} spans[FIELDS_MAX];
-	size_t n;
+	GArray *spans; /* span_t */
+	size_t max_fields;
 	gboolean in_value; /* the name of the last field has been read */
 	gboolean whole, too_many;
 } index_t;
@@ -169,13 +171,15 @@
 on_field(http_parser *parser, const char *at, size_t len)
 {
 	index_t *index = parser->data;
+	span_t span = {0};
 
-	if (index->n == FIELDS_MAX) {
+	if (index->spans->len >= index->max_fields) {
 		index->too_many = TRUE;
 		return -1;
 	}
-	index->spans[index->n].key = (size_t)(at - index->head->bytes);
-	index->spans[index->n].key_len = len;
+	span.key = (size_t)(at - index->head->bytes);
+	span.key_len = len;
+	g_array_append_val(index->spans, span);
 	index->in_value = TRUE;
 	return 0;
 }
@@ -184,6 +188,8 @@
 on_value(http_parser *parser, const char *at, size_t len)
 {
 	index_t *index = parser->data;
+	span_t *span =
+	    &g_array_index(index->spans, span_t, index->spans->len - 1);
 
 	while (len > 0 && is_blank(*at)) {
 		at++;
@@ -191,9 +197,8 @@
 	}
 	while (len > 0 && is_blank(at[len - 1]))
 		len--;
-	index->spans[index->n].value = (size_t)(at - index->head->bytes);
-	index->spans[index->n].value_len = len;
-	index->n++;
+	span->value = (size_t)(at - index->head->bytes);
+	span->value_len = len;
 	index->in_value = FALSE;
 	return 0;
 }
@@ -239,26 +244,32 @@
 static void
 add_fields(request_head_t *h, const index_t *index)
 {
-	size_t i;
+	guint i;
 
-	if (index->n == 0)
+	if (index->spans->len == 0)
 		return;
-	h->fields = g_new0(struct evkeyval, index->n);
-	for (i = 0; i < index->n; i++) {
-		h->fields[i].key = h->bytes + index->spans[i].key;
-		h->fields[i].key[index->spans[i].key_len] = '\0';
-		h->fields[i].value = h->bytes + index->spans[i].value;
-		h->fields[i].value[index->spans[i].value_len] = '\0';
+	h->fields = g_new0(struct evkeyval, index->spans->len);
+	for (i = 0; i < index->spans->len; i++) {
+		const span_t *span = &g_array_index(index->spans, span_t, i);
+
+		h->fields[i].key = h->bytes + span->key;
+		h->fields[i].key[span->key_len] = '\0';
+		h->fields[i].value = h->bytes + span->value;
+		h->fields[i].value[span->value_len] = '\0';
 		TAILQ_INSERT_TAIL(&h->headers, &h->fields[i], next);
 	}
 }
 
 static gboolean
-index_fields(request_head_t *h, char *fields)
+index_fields(request_head_t *h, char *fields, size_t max_fields)
 {
-	index_t index = {.head = h};
+	index_t index = {.head = h, .max_fields = max_fields};
 	http_parser parser;
 	enum http_errno error;
+	gboolean ok;
+
+	index.spans =
+	    g_array_sized_new(FALSE, FALSE, sizeof(span_t), FIELDS_USUAL);
 
 	http_parser_init(&parser, HTTP_REQUEST);
 	parser.data = &index;
@@ -267,10 +278,12 @@
 	http_parser_execute(
 	    &parser, &settings, fields, (size_t)(h->bytes + h->len - fields));
 	error = HTTP_PARSER_ERRNO(&parser);
-	if (error != HPE_OK || !index.whole)
-		return refuse_fields(h, &index, error);
-	add_fields(h, &index);
-	return TRUE;
+	ok =
+	    (error == HPE_OK && index.whole) || refuse_fields(h, &index, error);
+	if (ok)
+		add_fields(h, &index);
+	g_array_free(index.spans, TRUE);
+	return ok;
 }
 
 /* Return: NULL, or what is wrong with a request that could be read. */
@@ -290,7 +303,8 @@
 }
 
 gboolean
-request_head_parse(request_head_t *h, char *bytes, size_t len)
+request_head_parse(
+    request_head_t *h, char *bytes, size_t len, size_t max_fields)
 {
 	char *line_end = memchr(bytes, '\n', len);
 	char *fields = line_end + 1;
@@ -311,7 +325,7 @@
 	if (has_lone_return(fields))
 		return refuse(h, STATUS_BAD_REQUEST,
 		    "a header value holds control characters");
-	if (!index_fields(h, fields))
+	if (!index_fields(h, fields, max_fields))
 		return FALSE;
 	wrong = check(h);
 	if (wrong != NULL)
--- a/src/transport/request_head.h
+++ b/src/transport/request_head.h
@@ -33,11 +33,13 @@
  * @bytes: the head with its empty line, from g_malloc(), with room for one byte
  *	more; becomes the head's
  * @len: their number
+ * @max_fields: number of fields that are allowed
  *
  * Return: FALSE if it is refused; then @h->status and @h->wrong are set, and
  * @h->method and @h->minor as far as they were read.
  */
-gboolean request_head_parse(request_head_t *h, char *bytes, size_t len);
+gboolean request_head_parse(
+    request_head_t *h, char *bytes, size_t len, size_t max_fields);
 
 /** request_head_finish() - Free what it owns, and zero it. */
 void request_head_finish(request_head_t *h);
--- a/src/transport/request_reader.c
+++ b/src/transport/request_reader.c
@@ -10,24 +10,27 @@
 #define STATUS_FIELDS_TOO_LARGE 431
 
 void
-request_reader_init(request_reader_t *r, size_t max_head, size_t max_body)
+request_reader_init(
+    request_reader_t *r, size_t max_head, size_t max_fields, size_t max_body)
 {
 	memset(r, 0, sizeof(*r));
 	r->max_head = max_head;
+	r->max_fields = max_fields;
 	r->max_body = max_body;
 }
 
 void
 request_reader_drop(request_reader_t *r)
 {
-	size_t max_head = r->max_head, max_body = r->max_body;
+	size_t max_head = r->max_head, max_fields = r->max_fields;
+	size_t max_body = r->max_body;
 
 	request_head_finish(&r->head);
 	if (r->body != NULL)
 		evbuffer_free(r->body);
 	if (r->is_chunked)
 		http_framing_finish(&r->chunks);
-	request_reader_init(r, max_head, max_body);
+	request_reader_init(r, max_head, max_fields, max_body);
 }
 
 void
@@ -110,7 +113,7 @@
 
 	evbuffer_remove(input, bytes, len);
 	r->line = r->scanned = 0;
-	if (!request_head_parse(&r->head, bytes, len))
+	if (!request_head_parse(&r->head, bytes, len, r->max_fields))
 		return fail(r, r->head.status, r->head.wrong);
 	return start_body(r);
 }
@@ -248,6 +251,14 @@
 	    evbuffer_get_length(input) > 0;
 }
 
+size_t
+request_reader_head_held(
+    const request_reader_t *r, const struct evbuffer *input)
+{
+	return r->has_head ? request_head_held(&r->head)
+			   : evbuffer_get_length(input);
+}
+
 size_t
 request_reader_held(const request_reader_t *r)
 {
--- a/src/transport/request_reader.h
+++ b/src/transport/request_reader.h
@@ -26,7 +26,7 @@
 
 /* Initialised by request_reader_init(). */
 typedef struct {
-	size_t max_head, max_body;
+	size_t max_head, max_fields, max_body;
 	/* Of the head while it is incomplete, as offsets in the input. */
 	size_t line, scanned;
 	int empty_lines;
@@ -46,9 +46,11 @@
  * request_reader_init() - Expect requests.
  * @r: memory of the caller; end with request_reader_finish()
  * @max_head: bytes of the request line and the fields
+ * @max_fields: number of fields
  * @max_body: bytes
  */
-void request_reader_init(request_reader_t *r, size_t max_head, size_t max_body);
+void request_reader_init(
+    request_reader_t *r, size_t max_head, size_t max_fields, size_t max_body);
 void request_reader_finish(request_reader_t *r);
 
 /**
@@ -75,6 +77,11 @@
 gboolean request_reader_has_begun(
     const request_reader_t *r, const struct evbuffer *input);
 
+/** request_reader_head_held() - Bytes of an incomplete head, or of the head of
+ * an incomplete request. */
+size_t request_reader_head_held(
+    const request_reader_t *r, const struct evbuffer *input);
+
 /** request_reader_held() - Bytes of the current request beside the input.
  * The lines of chunks count, too: small chunks cost time. */
 size_t request_reader_held(const request_reader_t *r);
--- a/tests/test_store_model.c
+++ b/tests/test_store_model.c
@@ -194,7 +194,7 @@
 	    table_update_decode(msg->data, msg->len, &secret, &update, &page));
 	if (h->complete && !h->listing &&
 	    (h != &m->hosts[HOSTS - 1] ||
-		fanout_advances(&m->fanout, TABLE, update.from, update.to)) &&
+		fanout_is_due(&m->fanout, TABLE, update.from, update.to, 0)) &&
 	    table_update_judge(&update, h->ver) == TABLE_UPDATE_JOINS) {
 		table_view_changes(&h->view, &page, on_change, h);
 		table_queue_clear(&h->queue);
