--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -59,7 +59,7 @@
 } http_server_conf_t;
 
 #define HTTP_PIPELINE_REQUESTS 16
-#define HTTP_PIPELINE_BYTES (1024 * 1024)
+#define HTTP_PIPELINE_BYTES (32 * 1024)
 
 /* Handles a request; must reply to it now or later. */
 typedef void (*http_serve_t)(void *arg, http_exchange_t *x);
