Reserve slots of servers for more urgent types

A less urgent request now uses only the depth of a server that the more urgent types of the service do not need: their part of the work as this host sees it, times the load that servers report, plus 1.5 standard deviations, less the queue that their objective allows. A request that only its class keeps from its server does not spill. A type or a workspace sent half as often as all has no bound. One priority in the manifest: no class, nothing changes.

The queue of waiting requests is in place, but not connected to the relay yet.

--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -28,6 +28,7 @@
 	d->region = region;
 	d->bounds = *bounds;
 	caller_retry_init(&d->caller_retry);
+	urgency_init(&d->urgency);
 	d->retry_hosts = 0;
 	d->retry_hosts_until = 0;
 	d->drains =
@@ -43,6 +44,7 @@
 	g_hash_table_destroy(d->drains);
 	g_hash_table_destroy(d->budgets);
 	caller_retry_finish(&d->caller_retry);
+	urgency_finish(&d->urgency);
 }
 
 gboolean
@@ -267,8 +269,14 @@
 	    .late = job->late,
 	    .objective_ms = job->admission->route->objective_ms,
 	};
+	double load, slots;
 
 	collect(d, known, job, cohort, now, c);
+	if (c->n > 0) {
+		load = placing_load(c->servers, c->n, &slots);
+		request.depth_max =
+		    urgency_depth(&job->class, load, slots, now);
+	}
 	/* The others in the region could not take all objects of a drained
 	 * domain. */
 	request.local_part = c->has_home ? known->local_part : 0;
@@ -276,11 +284,12 @@
 }
 
 void
-dispatch_begin(dispatch_t *d, dispatch_job_t *job, msec_t left_ms)
+dispatch_begin(dispatch_t *d, dispatch_job_t *job, msec_t left_ms, msec_t now)
 {
 	const manifest_route_t *route = job->admission->route;
 
 	job->left_ms = left_ms;
+	job->class = urgency_classify(&d->urgency, job->admission, now);
 	job->late = caller_retry_is_late(
 	    &d->caller_retry, route->name, route->objective_ms, left_ms);
 }
@@ -318,6 +327,7 @@
 	if (job->ntried < DISPATCH_TRIES_MAX)
 		job->tried[job->ntried++] = backend_ref(server);
 	job->sent_load = backend_load(server, now);
+	urgency_sent(&job->class, now);
 	server->own++;
 	server->sent_at = now;
 	shifts_sent(d->shifts, server);
@@ -346,6 +356,8 @@
 	switch (result->end) {
 	case DISPATCH_ANSWERED:
 		backend_answered(server, result->took_ms, job->sent_load);
+		urgency_ran(&job->class,
+		    backend_run_ms(server, result->took_ms, job->sent_load));
 		server_word_answered(&server->word, now);
 		sample.failed = result->failed;
 		sample.slow = is_slow(route, server, result->took_ms, now);
--- a/src/coordination/dispatch.h
+++ b/src/coordination/dispatch.h
@@ -7,6 +7,7 @@
 #include "coordination/retry_budget.h"
 #include "coordination/caller_retry.h"
 #include "coordination/shifts.h"
+#include "coordination/urgency.h"
 #include "state/placing.h"
 
 /*
@@ -33,6 +34,7 @@
 	GHashTable *drains;  /* set of failure domains that get no requests */
 	GHashTable *budgets; /* service to retry_budget_t */
 	caller_retry_t caller_retry;
+	urgency_t urgency;
 	guint retry_hosts; /* hosts among which the budgets are split */
 	msec_t retry_hosts_until;
 } dispatch_t;
@@ -46,8 +48,9 @@
 	uint64_t object; /* hash; of the request's id if it has no object */
 	gboolean by_object;
 	size_t body_bytes;
-	msec_t left_ms;	  /* time for which the caller waits, at the start */
-	gboolean late;	  /* it can't be answered within its objective */
+	msec_t left_ms; /* time for which the caller waits, at the start */
+	gboolean late;	/* it can't be answered within its objective */
+	urgency_class_t class;
 	double sent_load; /* load of the current try's server when sent */
 	backend_t *tried[DISPATCH_TRIES_MAX]; /* references */
 	guint ntried;
@@ -91,8 +94,12 @@
  */
 void dispatch_tick(dispatch_t *d, msec_t now);
 
-/** dispatch_begin() - Record how long a request's caller still waits. */
-void dispatch_begin(dispatch_t *d, dispatch_job_t *job, msec_t left_ms);
+/**
+ * dispatch_begin() - Record how long a request's caller still waits, and find
+ * its priority class.
+ */
+void dispatch_begin(
+    dispatch_t *d, dispatch_job_t *job, msec_t left_ms, msec_t now);
 
 /**
  * dispatch_place() - Choose a server.
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -153,7 +153,8 @@
 	}
 	r->idempotent = a->route->kind == MANIFEST_IDEMPOTENT;
 	start_job(r);
-	dispatch_begin(&r->relays->view->dispatch, &r->job, budget);
+	dispatch_begin(
+	    &r->relays->view->dispatch, &r->job, budget, r->began_at);
 	r->first_action = attempt_init(&r->attempt, r->relays->last_number,
 	    r->idempotent, deadline, timeout,
 	    dispatch_budget(
@@ -269,6 +270,7 @@
 	relays->answers_invalid =
 	    metrics_add(m, METRIC_COUNTER, "answers_invalid_total",
 		"answers of servers that break the protocol or a bound");
+	class_counters_init(&relays->classes, m);
 	relays->request_ms = metrics_add(m, METRIC_HISTOGRAM, "request_ms",
 	    "time from a request to its answer, ms");
 	relays->server_ms = metrics_add(m, METRIC_HISTOGRAM, "server_ms",
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -2,6 +2,7 @@
 #define GATEWAY_RELAY_H
 
 #include "base/metrics.h"
+#include "gateway/relay_wait.h"
 #include "gateway/suspects.h"
 #include "gateway/tokens.h"
 #include "gateway/view.h"
@@ -28,6 +29,7 @@
 	metric_id_t tries, retries, over_rate, no_room, harmful, limits_named,
 	    limits_invalid, limits_reached, answers_invalid;
 	metric_id_t request_ms, server_ms;
+	class_counters_t classes;
 	metrics_t *metrics;
 } relays_t;
 
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -8,9 +8,9 @@
 
 /*
  * Internal to the relay: relay.c starts a request, relay_try.c sends it to
- * servers, relay_limit.c keeps to the limits that these name, relay_reply.c
- * answers it. The function that ends a relay frees it, so a relay must not be
- * used after a call that may end it.
+ * servers, relay_wait.c lets it wait for one, relay_limit.c keeps to the limits
+ * that these name, relay_reply.c answers it. The function that ends a relay
+ * frees it, so a relay must not be used after a call that may end it.
  */
 
 #define STATUS_OVER_RATE 429
@@ -90,6 +90,12 @@
 /** relay_send_within_limit() - Send to a server once its limit allows it. */
 void relay_send_within_limit(relay_t *r, backend_t *server);
 
+/** relay_count_class() - Count an event of the request's class, if any. */
+void relay_count_class(const relay_t *r, class_event_t event);
+
+/** relay_note_yield() - Record that it leaves a slot to more urgent ones. */
+void relay_note_yield(const relay_t *r, const char *reason);
+
 /** relay_cancel_try() - Cancel the try in flight. */
 void relay_cancel_try(relay_t *r, dispatch_end_t end);
 
--- a/src/gateway/relay_reply.c
+++ b/src/gateway/relay_reply.c
@@ -113,8 +113,11 @@
 		    0, reason);
 		return;
 	}
-	if (action->reason != REFUSED_POISON)
+	if (action->reason != REFUSED_POISON) {
 		metrics_count(r->relays->metrics, r->relays->no_room, 1);
+		relay_count_class(r, CLASS_REJECTED);
+		urgency_refused(&r->job.class, clock_now());
+	}
 	relay_reply_own(r, STATUS_UNAVAILABLE,
 	    r->wait_ms > 0 ? r->wait_ms : NO_SERVER_RETRY_MS, reason);
 }
--- a/src/gateway/relay_try.c
+++ b/src/gateway/relay_try.c
@@ -234,6 +234,7 @@
 	evhttp_clear_headers(&headers);
 	evbuffer_free(body);
 	metrics_count(relays->metrics, relays->tries, 1);
+	relay_count_class(r, CLASS_SENT);
 	if (r->job.ntried > 1)
 		metrics_count(relays->metrics, relays->retries, 1);
 }
@@ -282,6 +283,8 @@
 		relay_send_within_limit(r, p.server);
 		return;
 	}
+	if (p.yields)
+		relay_note_yield(r, "reserve");
 	r->wait_ms = p.wait_ms;
 	e = relay_event(r, ATTEMPT_NO_SERVER);
 	relay_step(r, &e);
--- a/src/state/placing.c
+++ b/src/state/placing.c
@@ -148,29 +148,29 @@
 }
 
 static msec_t
-wait_for(const placing_candidate_t *c, msec_t now)
+wait_for(const placing_candidate_t *c, double depth, msec_t now)
 {
 	const backend_t *b = c->server;
 	double service = b->service_ms > 0 ? b->service_ms : SERVICE_DEFAULT_MS;
-	double over = c->load - PLACING_DEPTH * b->slots + 1;
+	double over = c->load - depth * b->slots + 1;
 	msec_t wait = (msec_t)(MAX(over, 1) * service / b->slots);
 
 	wait = MAX(wait, MAX(b->full_until, b->limited_until) - now);
 	return MAX(wait, WAIT_MIN_MS);
 }
 
-/* Requests for each slot, over all servers. */
-static double
-service_load(const placing_candidate_t *c, guint n)
+double
+placing_load(const placing_candidate_t *candidates, guint n, double *slots)
 {
-	double load = 0, slots = 0;
+	double load = 0, all = 0;
 	guint i;
 
 	for (i = 0; i < n; i++) {
-		load += c[i].load;
-		slots += c[i].server->slots;
+		load += candidates[i].load;
+		all += candidates[i].server->slots;
 	}
-	return load / slots;
+	*slots = all / n;
+	return load / all;
 }
 
 static gboolean
@@ -235,6 +235,17 @@
 	return NULL;
 }
 
+/* Return: the first that is not throttled, if there is one. */
+static placing_candidate_t *
+first_in_rank(placing_candidate_t *c, guint n)
+{
+	guint i = 0;
+
+	while (i < n && c[i].throttled)
+		i++;
+	return &c[i < n ? i : 0];
+}
+
 placing_t
 placing_choose(const placing_request_t *request,
     placing_candidate_t *candidates, guint n, msec_t now)
@@ -242,15 +253,25 @@
 	placing_t p = {.verdict = PLACING_NONE};
 	placing_candidate_t *c = NULL;
 	depths_t depths;
-	double load;
+	double load, slots, most;
 
 	if (n == 0)
 		return p;
-	load = service_load(candidates, n);
+	load = placing_load(candidates, n, &slots);
 	p.overloaded = is_overloaded(request, candidates, n, load);
 	depths.first = depth_of(request, p.overloaded);
 	depths.spill = load < PLACING_SPILL_LOAD ? PLACING_SPILL_DEPTH : 0;
+	most = depths.first;
+	if (request->depth_max > 0) {
+		depths.first = MIN(depths.first, request->depth_max);
+		depths.spill = MIN(depths.spill, request->depth_max);
+	}
 	rank(request, candidates, n);
+	/* A request whose server is only closed to its class would run cold at
+	 * another one and take three times the work that it yields. */
+	if (depths.first < most &&
+	    has_room(first_in_rank(candidates, n), most, now))
+		depths.spill = 0;
 	if (request->prefer_region)
 		c = first_with_room(
 		    request, candidates, n, REGION_OWN, &depths, now);
@@ -260,7 +281,13 @@
 		    now);
 	if (c == NULL) {
 		p.verdict = PLACING_FULL;
-		p.wait_ms = wait_for(&candidates[0], now);
+		p.wait_ms = wait_for(&candidates[0],
+		    depths.first < most ? depths.first : PLACING_DEPTH, now);
+		c = first_in_rank(candidates, n);
+		p.first = c->server;
+		p.depth = depths.first;
+		p.bounded = depths.first < most;
+		p.yields = p.bounded && has_room(c, most, now);
 		return p;
 	}
 	p.verdict = PLACING_SEND;
--- a/src/state/placing.h
+++ b/src/state/placing.h
@@ -62,6 +62,9 @@
 	    prefer_region;   /* large body: servers of this region come first */
 	gboolean late;	     /* the latency objective can't be met any more */
 	msec_t objective_ms; /* latency objective */
+	/* Most requests for each slot that its priority class may use; 0: no
+	 * bound. */
+	double depth_max;
 } placing_request_t;
 
 typedef enum {
@@ -75,6 +78,10 @@
 	backend_t *server;
 	msec_t wait_ms;	     /* PLACING_FULL: time until there may be room */
 	gboolean overloaded; /* requests that are still in time go first */
+	backend_t *first;    /* PLACING_FULL: the first in rank */
+	double depth;	     /* PLACING_FULL: requests per slot allowed there */
+	gboolean bounded; /* PLACING_FULL: @depth is the bound of its class */
+	gboolean yields;  /* @bounded, and @first has room beyond it */
 } placing_t;
 
 /**
@@ -87,6 +94,17 @@
 placing_t placing_choose(const placing_request_t *request,
     placing_candidate_t *candidates, guint n, msec_t now);
 
+/**
+ * placing_load() - Load of a service.
+ * @candidates: servers that may run a request of it
+ * @n: number of candidates, at least 1
+ * @slots: set to the mean number of slots of a server
+ *
+ * Return: requests for each slot.
+ */
+double placing_load(
+    const placing_candidate_t *candidates, guint n, double *slots);
+
 /**
  * placing_score() - Rank a server for an object; the highest score is first.
  * @server: the server
--- a/src/state/registry.c
+++ b/src/state/registry.c
@@ -376,12 +376,18 @@
 	b->cold_assumed_until = b->ejected_until + COLD_ASSUMED_MS;
 }
 
-void
-backend_answered(backend_t *b, msec_t took_ms, double load)
+double
+backend_run_ms(const backend_t *b, msec_t took_ms, double load)
 {
 	/* The requests before this one had to end first. The server runs as
 	 * many at once as it has slots. */
-	double sample = (double)took_ms / MAX(1, (load + 1) / b->slots);
+	return (double)took_ms / MAX(1, (load + 1) / b->slots);
+}
+
+void
+backend_answered(backend_t *b, msec_t took_ms, double load)
+{
+	double sample = backend_run_ms(b, took_ms, load);
 
 	b->failures = 0;
 	b->ejected_until = 0;
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -221,6 +221,14 @@
 /** backend_failed() - Count a request without a complete answer; may eject. */
 void backend_failed(backend_t *b, gboolean unreachable, msec_t now);
 
+/**
+ * backend_run_ms() - Estimate how long a request ran.
+ * @b: the server
+ * @took_ms: time since the request was sent
+ * @load: requests at the server when the request was sent
+ */
+double backend_run_ms(const backend_t *b, msec_t took_ms, double load);
+
 /**
  * backend_answered() - Count an answer.
  * @b: the server
