--- a/tests/test_urgency.c
+++ b/tests/test_urgency.c
@@ -333,7 +333,8 @@
 		double due = p.load->types[t].rate * (1 + AMPLITUDE) * STEP_MS /
 		    MSEC_PER_SEC;
 
-		for (; g_rand_double(p.rand) < due; due -= 1) {
+		while (g_rand_double(p.rand) < due) {
+			due -= 1;
 			h = (guint)g_rand_int_range(p.rand, 0, p.load->hosts);
 			if (g_rand_double(p.rand) * (1 + AMPLITUDE) < 1 +
 				AMPLITUDE *
