--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -2,6 +2,7 @@
 #define GATEWAY_RELAY_H
 
 #include "base/metrics.h"
+#include "gateway/relay_wait.h"
 #include "gateway/suspects.h"
 #include "gateway/tokens.h"
 #include "gateway/usage_sync.h"
@@ -31,6 +32,9 @@
 	    limits_invalid, limits_reached, speeds_named, speeds_invalid,
 	    answers_invalid, host_exhausted;
 	metric_id_t request_ms, server_ms;
+	class_counters_t classes;
+	urgency_queue_t waiting;
+	struct event *wait_timer; /* pending while requests wait */
 	metrics_t *metrics;
 } relays_t;
 
--- a/src/gateway/relay_reply.c
+++ b/src/gateway/relay_reply.c
@@ -12,6 +12,7 @@
 relay_free(relay_t *r)
 {
 	g_ptr_array_remove_fast(r->relays->in_flight, r);
+	urgency_queue_remove(&r->relays->waiting, &r->wait);
 	if (r->timer != NULL)
 		event_free(r->timer);
 	if (r->token_request != NULL)
@@ -94,6 +95,8 @@
 	}
 	metrics_count(r->relays->metrics, r->relays->answered, 1);
 	metrics_observe(r->relays->metrics, r->relays->request_ms, took_ms);
+	urgency_ended(&r->job.class,
+	    took_ms <= r->admission.route->objective_ms, clock_now());
 	relay_log_end(r, status, "answered", NULL);
 	wire_answer_forward(&headers, r->answer_headers);
 	http_reply(r->x, status, &headers, r->answer_body);
@@ -114,8 +117,11 @@
 		return;
 	}
 	if (action->reason != REFUSED_POISON &&
-	    action->reason != REFUSED_HOST_DESCRIPTORS)
+	    action->reason != REFUSED_HOST_DESCRIPTORS) {
 		metrics_count(r->relays->metrics, r->relays->no_room, 1);
+		relay_count_class(r, CLASS_REJECTED);
+		urgency_refused(&r->job.class, clock_now());
+	}
 	relay_reply_own(r, STATUS_UNAVAILABLE,
 	    r->wait_ms > 0 ? r->wait_ms : NO_SERVER_RETRY_MS, reason);
 }
--- a/src/gateway/relay_try.c
+++ b/src/gateway/relay_try.c
@@ -70,6 +70,7 @@
 	    &r->relays->view->dispatch, &r->job, r->server, &result, now);
 	r->server = NULL;
 	r->call = NULL;
+	relay_wait_wake(r->relays);
 }
 
 void
@@ -309,6 +310,7 @@
 	evhttp_clear_headers(&headers);
 	evbuffer_free(body);
 	metrics_count(relays->metrics, relays->tries, 1);
+	relay_count_class(r, CLASS_SENT);
 	if (r->job.ntried > 1)
 		metrics_count(relays->metrics, relays->retries, 1);
 }
@@ -337,8 +339,6 @@
 void
 relay_choose_server(relay_t *r)
 {
-	view_t *v = r->relays->view;
-	msec_t now = clock_now();
 	attempt_event_t e;
 	placing_t p;
 
@@ -351,12 +351,15 @@
 		relay_step(r, &e);
 		return;
 	}
-	p = dispatch_place(&v->dispatch, &r->job, now, view_store_now(v, now));
+	p = relay_place(r);
 	if (p.verdict == PLACING_SEND) {
+		relay_wait_ended(r);
 		relay_send_within_limit(r, p.server);
 		return;
 	}
 	r->wait_ms = p.wait_ms;
+	if (relay_wait(r, &p))
+		return;
 	e = relay_event(r, ATTEMPT_NO_SERVER);
 	relay_step(r, &e);
 }
