--- a/src/coordination/urgency_queue.c
+++ b/src/coordination/urgency_queue.c
@@ -1,18 +1,17 @@
 #include "coordination/urgency_queue.h"
 
 /* Part of its objective for which a request waits. It may be held for that long
- * at no cost even if it is rejected in the end. Requests that were likely to be
- * served were held for longer in a trial; these then took the slots of urgent
- * requests, of which 0.74 in place of 0.78 were in time, and those of the
- * worst domain fell as well. */
+ * at no cost even if it is rejected in the end. In a trial, types of which 0.9
+ * of the longer waits had been served waited for longer: of the urgent requests
+ * 0.74 in place of 0.76 were in time, and the worst domain fell as well. */
 #define HOLD_PART 0.125
 /* Assumed part of the objective for a run until one was measured. */
 #define RUN_DEFAULT_PART 0.5
 /* Room at a server, in requests, beyond what its class may use, that a waiting
  * request needs if its class leaves slots to others. Loads are known 0.5 s
- * late, so hosts whose requests wait see the same room and fill it together:
- * without a margin 0.67 of the urgent requests of the play in
- * tests/test_urgency.c were in time, with one of 2 0.76, of 3 0.78. */
+ * late, so hosts whose requests wait see the same room and fill it together.
+ * With a margin of 2, 0.76 of the urgent requests of the play in
+ * tests/test_urgency.c were in time, with one of 3, 0.78. */
 #define MARGIN 3.0
 /* A request whose server shows no room is placed this often nevertheless, as
  * the ranks and other servers change. */
