--- a/src/coordination/urgency.c
+++ b/src/coordination/urgency.c
@@ -28,15 +28,16 @@
 #define FAIR_PART 0.5
 /* Requests from which on that is judged. */
 #define FAIR_REQUESTS_MIN 4.0
-/* Slots are kept for more urgent types as long as these are in time less often
- * than this type: for all of it where they are worse off by SHORTFALL_MAX, the
- * share from which on the less urgent type counts as preferred. Where a request
- * of this type takes more of a server than an urgent one, it yields earlier:
- * each one that is refused then makes room for several. At equal costs, slots
- * kept for requests that are not worse off refuse as many as they serve. */
+/* Where requests cost about the same, slots that are kept for urgent types
+ * refuse as many requests as they serve. They are kept only as far as the
+ * urgent types are in time less often than this type: not for less than the
+ * first part, and whole from the second on, at which the less urgent type
+ * counts as preferred. */
 #define SHORTFALL_MIN 0.05
 #define SHORTFALL_MAX 0.15
-#define COSTLY_SHORTFALL_MIN (-0.1)
+/* A request of a type that takes this many times as long as an urgent one makes
+ * room for several when it yields, so that the reserve is always whole. */
+#define COSTLY_FACTOR 2.0
 /* Requests that ended, from which on the shares are compared. */
 #define ENDED_MIN 8.0
 
@@ -273,6 +274,9 @@
 	double shortfall, costly;
 	guint i;
 
+	costly =
+	    part_between(c->type->run_ms / d->urgent_run_ms, 1, COSTLY_FACTOR);
+
 	for (i = 0; i < c->service->types->len; i++) {
 		urgency_type_t *t = g_ptr_array_index(c->service->types, i);
 
@@ -283,11 +287,10 @@
 		urgent.sent += t->ended.sent;
 	}
 	if (urgent.offered < ENDED_MIN || own->offered < ENDED_MIN)
-		return 0;
+		return costly;
 	shortfall = own->sent / own->offered - urgent.sent / urgent.offered;
-	costly = part_between(c->type->run_ms / d->urgent_run_ms, 1, 2);
-	return MAX(part_between(shortfall, SHORTFALL_MIN, SHORTFALL_MAX),
-	    costly * part_between(shortfall, COSTLY_SHORTFALL_MIN, 0));
+	return MAX(
+	    part_between(shortfall, SHORTFALL_MIN, SHORTFALL_MAX), costly);
 }
 
 double
