--- a/src/transport/http_reply.c
+++ b/src/transport/http_reply.c
@@ -14,6 +14,24 @@
 #define STATUS_REFUSALS 400
 #define DATE_BYTES 64
 
+/* Bytes up to which they are copied: libevent allocates 512 bytes or more for
+ * each piece of a buffer, so many small replies would hold several times what
+ * is counted for them. */
+#define COPY_MAX_BYTES 4096
+
+static void
+move_bytes(struct evbuffer *to, struct evbuffer *from)
+{
+	size_t n = evbuffer_get_length(from);
+
+	if (n > COPY_MAX_BYTES) {
+		evbuffer_add_buffer(to, from);
+		return;
+	}
+	evbuffer_add(to, evbuffer_pullup(from, -1), n);
+	evbuffer_drain(from, n);
+}
+
 http_exchange_t *
 http_exchange_new(http_conn_t *conn)
 {
@@ -258,7 +276,7 @@
 	add_head(
 	    x, status, headers, to_head && body == NULL ? -1 : (gssize)len);
 	if (len > 0 && !x->no_body) {
-		evbuffer_add_buffer(output_of(x), body);
+		move_bytes(output_of(x), body);
 		count_output(x, len);
 	} else if (body != NULL) {
 		evbuffer_drain(body, len);
@@ -289,7 +307,7 @@
 	}
 	if (x->chunked)
 		evbuffer_add_printf(out, "%zx\r\n", len);
-	evbuffer_add_buffer(out, piece);
+	move_bytes(out, piece);
 	if (x->chunked)
 		evbuffer_add(out, "\r\n", 2);
 	len = evbuffer_get_length(out);
@@ -369,7 +387,7 @@
 		return;
 	conn->pending_bytes -= evbuffer_get_length(x->pending);
 	conn->moving = TRUE;
-	evbuffer_add_buffer(bufferevent_get_output(conn->bev), x->pending);
+	move_bytes(bufferevent_get_output(conn->bev), x->pending);
 	conn->moving = FALSE;
 	evbuffer_free(x->pending);
 	x->pending = NULL;
