Keep removals of a listing together in updates

The model check found a break: a listing does not tell when a missing row was removed, so the removal had the version of the listing, and a datagram before it led past the version of the removal. If the next datagram was lost, the receivers never learnt of it. Removed rows now come first and are not divided; of each row only the last state is sent.

--- a/src/protocol/table_queue.c
+++ b/src/protocol/table_queue.c
@@ -76,22 +76,44 @@
 	const table_row_t *x = *(const table_row_t *const *)a;
 	const table_row_t *y = *(const table_row_t *const *)b;
 
+	if ((x->value == NULL) != (y->value == NULL))
+		return x->value == NULL ? -1 : 1;
 	return x->ver < y->ver ? -1 : x->ver > y->ver;
 }
 
+/* Of each row, only its last state. */
+static GPtrArray *
+last_rows(const GPtrArray *rows)
+{
+	GHashTable *last = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *out = g_ptr_array_new();
+	guint i;
+
+	for (i = 0; i < rows->len; i++) {
+		table_row_t *row = g_ptr_array_index(rows, i);
+
+		g_hash_table_replace(last, row->key, row);
+	}
+	for (i = 0; i < rows->len; i++) {
+		table_row_t *row = g_ptr_array_index(rows, i);
+
+		if (g_hash_table_lookup(last, row->key) == row)
+			g_ptr_array_add(out, row);
+	}
+	g_hash_table_destroy(last);
+	return out;
+}
+
 void
 table_queue_update(table_queue_t *q, uint64_t from, uint64_t to, msec_t now,
     table_update_t *update)
 {
 	const batch_t batch = {now, from, q->unsent};
-	guint i;
 
 	g_array_append_val(q->batches, batch);
 	q->unsent = q->rows->len;
 	update->from = g_array_index(q->batches, batch_t, 0).from;
 	update->to = to;
-	update->rows = g_ptr_array_new();
-	for (i = 0; i < q->rows->len; i++)
-		g_ptr_array_add(update->rows, g_ptr_array_index(q->rows, i));
+	update->rows = last_rows(q->rows);
 	g_ptr_array_sort(update->rows, by_version);
 }
--- a/src/protocol/table_queue.h
+++ b/src/protocol/table_queue.h
@@ -41,8 +41,9 @@
  * @from: version of the table before the rows that were never sent
  * @to: version of the table after them
  * @now: time
- * @update: its @from, @to and @rows are set; the rows are in the order of their
- *	versions. They belong to the queue; the array is to be freed.
+ * @update: its @from, @to and @rows are set; the last state of each row, in the
+ *	order that an update needs. They belong to the queue; the array is to be
+ *	freed.
  */
 void table_queue_update(table_queue_t *q, uint64_t from, uint64_t to,
     msec_t now, table_update_t *update);
--- a/src/protocol/table_update.c
+++ b/src/protocol/table_update.c
@@ -94,10 +94,20 @@
 	return ((const table_row_t *)g_ptr_array_index(rows, i))->ver;
 }
 
-/*
- * The rows from @first on that fit. Rows of one version are not divided between
- * datagrams: the first of them could not say up to which version it leads.
- */
+/* Whether a datagram that ends between two rows could not say up to which
+ * version it leads. */
+static gboolean
+are_together(const GPtrArray *rows, guint i)
+{
+	const table_row_t *row = g_ptr_array_index(rows, i);
+	const table_row_t *before = g_ptr_array_index(rows, i - 1);
+
+	if (row->value == NULL || before->value == NULL)
+		return row->value == before->value;
+	return row->ver == before->ver;
+}
+
+/* The end of the rows from @first on that fit. */
 static guint
 fitting_rows_end(const GPtrArray *rows, guint first)
 {
@@ -111,8 +121,7 @@
 			break;
 		room -= need;
 	}
-	while (i > first && i < rows->len &&
-	    row_ver(rows, i) == row_ver(rows, i - 1))
+	while (i > first && i < rows->len && are_together(rows, i))
 		i--;
 	return i;
 }
@@ -156,10 +165,14 @@
 	gboolean too_big = last == first && last < update->rows->len;
 
 	if (too_big) {
+		const table_row_t *row = g_ptr_array_index(update->rows, first);
+
 		/* The receivers see that they miss a row and ask the store. */
-		head.from = row_ver(update->rows, first);
+		last = row->value != NULL
+		    ? same_version_end(update->rows, first)
+		    : update->rows->len;
+		head.from = row->value != NULL ? row->ver : update->to;
 		head.to = head.from;
-		last = same_version_end(update->rows, first);
 	} else if (last < update->rows->len) {
 		head.to = row_ver(update->rows, last) - 1;
 	}
--- a/src/protocol/table_update.h
+++ b/src/protocol/table_update.h
@@ -19,7 +19,9 @@
 	msec_t lapse_left_ms;
 	gboolean
 	    relay; /* a collector passes it on to the hosts of its domain */
-	GPtrArray *rows; /* table_row_t, in the order of their versions */
+	/* table_row_t: removed rows first, since a listing does not tell when
+	 * they were removed; then the others in the order of their versions. */
+	GPtrArray *rows;
 } table_update_t;
 
 #define TABLE_LAPSE_MAX_MS 60000
@@ -34,7 +36,8 @@
  * @len: set to the number of bytes written
  *
  * In place of a row that is too big for a datagram, or of rows of one version
- * that together are, the datagram says that a change is missing.
+ * that together are, the datagram says that a change is missing. Removed rows
+ * that don't fit in one datagram are not sent, nor are those after them.
  *
  * Return: index of the next row to encode.
  */
