--- a/tests/test_store_model.c
+++ b/tests/test_store_model.c
@@ -23,7 +23,7 @@
 #define PAGE_ROWS 2
 #define HOSTS 3
 #define VALUE_BYTES 4050 /* two rows don't fit in a datagram */
-#define EVENT_MS 1000	 /* between two events */
+#define EVENT_MS 260	 /* between two events */
 #define MESSAGES_MAX 16
 #define WRITES_MAX 32
 #define TABLE 1
@@ -400,7 +400,7 @@
 	/* All hosts have listed the rows; then the first changes follow. */
 	static const char *const starts[] = {
 	    "abc001122K", "abc001122KcbaH0", /* a listing of two pages is due */
-	    "abc001122K0DabcH00",	     /* its first page has been read */
+	    "abc001122K0acH00",		     /* its first page has been read */
 	    "abc001122Kcba0",		     /* its datagrams are under way */
 	    "abc001122Kb0DacE",		     /* rows and a removal are lost */
 	};
