--- a/src/coordination/store_era.c
+++ b/src/coordination/store_era.c
@@ -46,8 +46,7 @@
 }
 
 era_row_verdict_t
-era_row_seen(
-    era_row_t *k, uint64_t ver, uint64_t content, uint64_t copy_end)
+era_row_seen(era_row_t *k, uint64_t ver, uint64_t content, uint64_t copy_end)
 {
 	uint64_t known = store_era_number(k->ver);
 
--- a/src/coordination/store_era.h
+++ b/src/coordination/store_era.h
@@ -81,9 +81,9 @@
 } era_row_t;
 
 typedef enum {
-	ERA_ROW_OLD,	   /* not newer than what is known */
-	ERA_ROW_SAME,	   /* the same write, in a newer era */
-	ERA_ROW_COPY,	   /* an older state that came back with a copy */
+	ERA_ROW_OLD,	 /* not newer than what is known */
+	ERA_ROW_SAME,	 /* the same write, in a newer era */
+	ERA_ROW_COPY,	 /* an older state that came back with a copy */
 	ERA_ROW_CHANGED, /* takes the place of what is known */
 } era_row_verdict_t;
 
