--- a/tests/test_table_view.c
+++ b/tests/test_table_view.c
@@ -61,8 +61,8 @@
 static void
 on_lost(void *arg, const char *key, uint64_t stored)
 {
-	g_string_append_printf(
-	    arg, "lost %s@%" G_GUINT64_FORMAT " ", key, store_era_number(stored));
+	g_string_append_printf(arg, "lost %s@%" G_GUINT64_FORMAT " ", key,
+	    store_era_number(stored));
 }
 
 static const scenario_t scenarios[] = {
