Limit requests to servers that start or recover

A server whose cold period ended, or which recovered from an ejection, got its whole share of the objects from all hosts at once, and a server whose responses all report a failure kept it.

server_pace gives such a server a part of its share: the objects whose hash lies below the part, so that all hosts choose the same ones. The part grows while the load of all hosts there stays near that of the service's other servers and this host's responses are good; a failure, a rejection or a slow response halves it. dispatch_pace applies it to the registry. The cold ramp, ejection, limits and pauses remain as upper bounds. The counters are server_paces_begun/back/opened_total, the log line is server.pace.

test_server_pace plays 12 servers with 8 to 300 hosts and real dispatch decisions.

--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -28,6 +28,7 @@
 	d->region = region;
 	d->bounds = *bounds;
 	caller_retry_init(&d->caller_retry);
+	dispatch_pace_init(&d->pace);
 	d->retry_hosts = 0;
 	d->retry_hosts_until = 0;
 	d->drains =
@@ -43,6 +44,7 @@
 	g_hash_table_destroy(d->drains);
 	g_hash_table_destroy(d->budgets);
 	caller_retry_finish(&d->caller_retry);
+	dispatch_pace_finish(&d->pace);
 }
 
 gboolean
@@ -144,6 +146,7 @@
 dispatch_tick(dispatch_t *d, msec_t now)
 {
 	fleet_members_update(&d->members, d->fleet, now);
+	dispatch_pace_tick(&d->pace, d->registry, now);
 }
 
 /* This host's rank for a cold server; kept until the members change. */
@@ -187,6 +190,24 @@
 	    (ramp.gap_ms == 0 || ramp.since_ms < ramp.gap_ms);
 }
 
+/* Whether the server is new or back and this host may not send it the request
+ * yet. */
+static gboolean
+is_paced(dispatch_t *d, const dispatch_job_t *job, backend_t *b,
+    gboolean others_full, msec_t now)
+{
+	gboolean warms_up = job->admission->service->warmup_rate > 0;
+	pace_request_t request = {.object = job->object,
+	    .by_object = job->by_object,
+	    .others_full = others_full};
+
+	if (!dispatch_pace_applies(b, warms_up, now))
+		return FALSE;
+	request.rank = ramp_rank(d, b);
+	request.hosts = d->members.seeds->len;
+	return !dispatch_pace_allows(&d->pace, b, warms_up, &request, now);
+}
+
 gboolean
 dispatch_may_send(const dispatch_t *d, const dispatch_job_t *job,
     backend_t *server, msec_t now)
@@ -200,6 +221,8 @@
 typedef struct {
 	placing_candidate_t *servers;
 	guint n;
+	guint paced;	      /* of these, new or back and not to be used yet */
+	gboolean others_full; /* set by the caller: @paced are the only ones */
 	gboolean has_home;
 	msec_t pause_ms; /* until the first of the paused ones is back; 0: none
 			  */
@@ -217,7 +240,7 @@
 
 /* @out->servers has room for all servers of the service. */
 static void
-collect(const dispatch_t *d, const registry_service_t *known,
+collect(dispatch_t *d, const registry_service_t *known,
     const dispatch_job_t *job, shift_cohort_t cohort, msec_t now,
     candidates_t *out)
 {
@@ -225,11 +248,13 @@
 	guint i;
 
 	out->n = 0;
+	out->paced = 0;
 	out->has_home = FALSE;
 	out->pause_ms = 0;
 	for (i = 0; i < known->servers->len; i++) {
 		backend_t *b = g_ptr_array_index(known->servers, i);
 		gboolean same_region = strcmp(b->region, d->region) == 0, able;
+		gboolean paced;
 
 		if (!is_allowed(d, job, b, cohort, now))
 			continue;
@@ -245,21 +270,22 @@
 			note_pause(out, b, now);
 			continue;
 		}
+		paced = is_paced(d, job, b, out->others_full, now);
+		out->paced += paced;
 		out->servers[out->n++] = (placing_candidate_t){
 		    .server = b,
 		    .load = backend_load(b, now) *
 			server_speed_factor(&b->speed, &known->speed_hold, now),
 		    .same_region = same_region,
-		    .throttled = now < b->limited_until ||
+		    .throttled = now < b->limited_until || paced ||
 			is_throttled(d, job->admission->service, b, now),
 		};
 	}
 }
 
 static placing_t
-place(const dispatch_t *d, const registry_service_t *known,
-    const dispatch_job_t *job, shift_cohort_t cohort, msec_t now,
-    candidates_t *c)
+place(dispatch_t *d, const registry_service_t *known, const dispatch_job_t *job,
+    shift_cohort_t cohort, msec_t now, candidates_t *c)
 {
 	placing_request_t request = {
 	    .object = job->object,
@@ -295,7 +321,7 @@
 	    registry_service(d->registry, service);
 	placing_t p = {.verdict = PLACING_NONE};
 	shift_cohort_t cohort;
-	candidates_t c;
+	candidates_t c = {0};
 
 	if (known == NULL || known->servers->len == 0)
 		return p;
@@ -305,6 +331,10 @@
 	/* The old version gets what the new one can't take yet. */
 	if (p.verdict != PLACING_SEND && cohort == SHIFT_COHORT_NEW)
 		p = place(d, known, job, SHIFT_COHORT_OLD, now, &c);
+	if (p.verdict == PLACING_FULL && c.paced > 0) {
+		c.others_full = TRUE;
+		p = place(d, known, job, cohort, now, &c);
+	}
 	g_free(c.servers);
 	if (p.verdict == PLACING_NONE)
 		p.wait_ms = MAX(p.wait_ms, c.pause_ms);
@@ -335,6 +365,22 @@
 	    (double)took_ms > factor * (double)route->objective_ms;
 }
 
+static pace_end_t
+pace_end(const dispatch_result_t *result)
+{
+	switch (result->end) {
+	case DISPATCH_ANSWERED:
+		return result->failed ? PACE_BAD : PACE_GOOD;
+	case DISPATCH_FULL:
+		/* Some servers reject some requests although they have room. */
+		return result->has_room ? PACE_UNKNOWN : PACE_BAD;
+	case DISPATCH_ABANDONED:
+		return PACE_UNKNOWN;
+	default:
+		return PACE_BAD;
+	}
+}
+
 void
 dispatch_ended(dispatch_t *d, const dispatch_job_t *job, backend_t *server,
     const dispatch_result_t *result, msec_t now)
@@ -373,6 +419,8 @@
 		judged = FALSE;
 		break;
 	}
+	dispatch_pace_ended(&d->pace, server, pace_end(result), route->name,
+	    (double)result->took_ms, job->sent_load, now);
 	shifts_ended(d->shifts, server, judged ? &sample : NULL);
 }
 
--- a/src/coordination/dispatch.h
+++ b/src/coordination/dispatch.h
@@ -3,6 +3,7 @@
 
 #include "coordination/admission.h"
 #include "coordination/cold_ramp.h"
+#include "coordination/dispatch_pace.h"
 #include "coordination/fleet_members.h"
 #include "coordination/retry_budget.h"
 #include "coordination/caller_retry.h"
@@ -33,6 +34,7 @@
 	GHashTable *drains;  /* set of failure domains that get no requests */
 	GHashTable *budgets; /* service to retry_budget_t */
 	caller_retry_t caller_retry;
+	dispatch_pace_t pace;
 	guint retry_hosts; /* hosts among which the budgets are split */
 	msec_t retry_hosts_until;
 } dispatch_t;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -411,6 +411,7 @@
 	store_sync_init(&g->store_sync, &g->view, g->base, g->store_client);
 	suspects_init(
 	    &g->suspects, &g->view, g->server_client, g->base, &g->metrics);
+	pace_log_init(&g->pace_log, &g->view.dispatch.pace, &g->metrics);
 	relays_init(&g->relays, &g->view, g->server_client,
 	    &g->status_sync.tokens, &g->suspects, g->base, &g->metrics);
 	g->signals[0] = evsignal_new(g->base, SIGTERM, on_stop, g);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_GATEWAY_H
 #define GATEWAY_GATEWAY_H
 
+#include "gateway/pace_log.h"
 #include "gateway/status_sync.h"
 #include "gateway/relay.h"
 #include "gateway/gateway_settings.h"
@@ -23,6 +24,7 @@
 	view_t view;
 	store_sync_t store_sync;
 	suspects_t suspects;
+	pace_log_t pace_log;
 	status_sync_t status_sync;
 	relays_t relays;
 	metrics_t metrics;
--- a/src/state/registry.h
+++ b/src/state/registry.h
@@ -36,6 +36,28 @@
 
 typedef struct backend backend_t;
 
+typedef enum {
+	PACE_OPEN,    /* not limited */
+	PACE_HELD,    /* ejected or paused */
+	PACE_COLD,    /* the cold ramp bounds its requests */
+	PACE_OPENING, /* gets a growing part of its share */
+} pace_state_t;
+
+/* This host's limit of a server that is new or back; see
+ * coordination/server_pace.h. All zero: not limited. */
+typedef struct {
+	pace_state_t state;
+	gboolean warms_up; /* its service has a warm-up */
+	guint good;	   /* good responses in a row, of this step */
+	guint backs;	   /* steps back that were not made up for */
+	guint flaps;	   /* limits in a row that followed each other soon */
+	gboolean seen;	   /* requests of any host there in this step */
+	double part;	   /* of its share, 0..1 */
+	double own_ratio;  /* time of its responses by the usual time */
+	msec_t began_at;   /* of the opening */
+	msec_t stepped_at; /* when the part last changed */
+} server_pace_t;
+
 typedef struct {
 	char *name;
 	GPtrArray *servers; /* backend_t, in order of their ids */
@@ -96,6 +118,8 @@
 
 	msec_t sent_at; /* when this host last sent it a request */
 
+	server_pace_t pace;
+
 	/* Rank of this host for it while it is cold, and for which set of hosts
 	 * that was computed; 0: none. */
 	guint ramp_rank, ramp_generation;
