Keep the part of a busy server instead of halving it

With the load over the bound, the part of a server stays; it is halved from twice that load on. Servers get requests beyond their pace if no other server of the cohort can take them, so that a shift keeps its share.

--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -222,7 +222,7 @@
 	placing_candidate_t *servers;
 	guint n;
 	guint paced;	      /* of these, new or back and not to be used yet */
-	gboolean others_full; /* set by the caller: @paced are the only ones */
+	gboolean others_full; /* only @paced may have room */
 	gboolean has_home;
 	msec_t pause_ms; /* until the first of the paused ones is back; 0: none
 			  */
@@ -284,8 +284,9 @@
 }
 
 static placing_t
-place(dispatch_t *d, const registry_service_t *known, const dispatch_job_t *job,
-    shift_cohort_t cohort, msec_t now, candidates_t *c)
+place_once(dispatch_t *d, const registry_service_t *known,
+    const dispatch_job_t *job, shift_cohort_t cohort, msec_t now,
+    candidates_t *c)
 {
 	placing_request_t request = {
 	    .object = job->object,
@@ -302,6 +303,22 @@
 	return placing_choose(&request, c->servers, c->n, now);
 }
 
+/* Servers that are new or back also get requests beyond their pace if no other
+ * server of the cohort can take them: a shift keeps its share. */
+static placing_t
+place(dispatch_t *d, const registry_service_t *known, const dispatch_job_t *job,
+    shift_cohort_t cohort, msec_t now, candidates_t *c)
+{
+	placing_t p;
+
+	c->others_full = FALSE;
+	p = place_once(d, known, job, cohort, now, c);
+	if (p.verdict != PLACING_FULL || c->paced == 0)
+		return p;
+	c->others_full = TRUE;
+	return place_once(d, known, job, cohort, now, c);
+}
+
 void
 dispatch_begin(dispatch_t *d, dispatch_job_t *job, msec_t left_ms)
 {
@@ -321,7 +338,7 @@
 	    registry_service(d->registry, service);
 	placing_t p = {.verdict = PLACING_NONE};
 	shift_cohort_t cohort;
-	candidates_t c = {0};
+	candidates_t c;
 
 	if (known == NULL || known->servers->len == 0)
 		return p;
@@ -331,10 +348,6 @@
 	/* The old version gets what the new one can't take yet. */
 	if (p.verdict != PLACING_SEND && cohort == SHIFT_COHORT_NEW)
 		p = place(d, known, job, SHIFT_COHORT_OLD, now, &c);
-	if (p.verdict == PLACING_FULL && c.paced > 0) {
-		c.others_full = TRUE;
-		p = place(d, known, job, cohort, now, &c);
-	}
 	g_free(c.servers);
 	if (p.verdict == PLACING_NONE)
 		p.wait_ms = MAX(p.wait_ms, c.pause_ms);
--- a/src/coordination/server_pace.c
+++ b/src/coordination/server_pace.c
@@ -33,6 +33,9 @@
  * cached yet and take about three times as long. */
 #define LOAD_FULL 1.0
 #define LOAD_FACTOR 1.5
+/* Up to this many times that load the part stays as it is, as the queue gets
+ * shorter with the objects that become cached. */
+#define LOAD_BACK 2.0
 /* Without requests of any host there, the part grows as long as the load stays
  * under half of the slots even if responses take this many times as long. */
 #define TIME_FACTOR 4.0
@@ -130,9 +133,9 @@
 
 	if (now - p->stepped_at < step)
 		return PACE_SAME;
-	if (view->busy > load_max(view))
+	if (view->busy > LOAD_BACK * load_max(view))
 		return step_back(p, now);
-	if (p->part >= 1)
+	if (p->part >= 1 || view->busy > load_max(view))
 		return PACE_SAME;
 	if (now - p->stepped_at < step << MAX(p->backs, p->flaps) ||
 	    !may_grow(p, view, factor))
@@ -200,9 +203,14 @@
 server_pace_allows(const server_pace_t *p, const pace_view_t *view,
     uint64_t object, gboolean by_object, msec_t now)
 {
+	double gate = load_max(view);
+
 	if (p->state == PACE_OPEN)
 		return TRUE;
-	if (view->load >= view->slots * load_max(view))
+	/* With its whole share, a server queues some requests at times. */
+	if (p->state == PACE_OPENING && p->part >= 1)
+		gate *= LOAD_BACK;
+	if (view->load >= gate * view->slots)
 		return FALSE;
 	if (!by_object && p->state == PACE_OPENING)
 		return is_turn(p, view, now);
