Open a server again soon after a short ejection

The failure that ejected a server counted as one of a server without any good response, so that its first step took 16 times as long. It is now counted before the limit begins, and failures of a held server only halve its part.

--- a/src/coordination/dispatch_pace.c
+++ b/src/coordination/dispatch_pace.c
@@ -141,13 +141,15 @@
     const char *route, double took_ms, double load, msec_t now)
 {
 	pace_state_t before = b->pace.state;
+	pace_change_t change;
 	double ratio = 0;
 
 	/* The requests before this one had to end first. */
 	if (end == PACE_GOOD)
 		ratio =
 		    learn(d, b, route, took_ms / MAX(1, (load + 1) / b->slots));
+	change = server_pace_ended(&b->pace, end, ratio, now);
 	if (b->ejected_until != 0)
 		server_pace_begin(&b->pace, now);
-	report(d, b, before, server_pace_ended(&b->pace, end, ratio, now));
+	report(d, b, before, change);
 }
--- a/src/coordination/server_pace.c
+++ b/src/coordination/server_pace.c
@@ -245,7 +245,7 @@
 	if (is_rare || (p->backs > 0 && now - p->stepped_at < BACK_MIN_MS))
 		return PACE_SAME;
 	/* This host has no response that shows that the server works. */
-	if (p->own_ratio <= 0) {
+	if (p->own_ratio <= 0 && p->state != PACE_HELD) {
 		p->part = PART_MIN;
 		p->backs = BACKS_MAX;
 	}
--- a/tests/test_server_pace.c
+++ b/tests/test_server_pace.c
@@ -15,6 +15,7 @@
 #define ARRIVALS_MAX 4 /* in a step */
 #define TIMEOUT_MS 2500
 #define FLAP_MS 4000
+#define BACK_MS 2000
 #define WINDOW_MS 20000
 #define EVEN_SHARE 0.8
 
@@ -24,6 +25,7 @@
 	SERVER_FAILS, /* although its probe succeeds */
 	SERVER_FLAPS, /* refuses connections for half of the time */
 	SERVER_ERRS,  /* 5 of 100 requests */
+	SERVER_BACK,  /* refuses connections once, from 4 s to 6 s */
 } behaviour_t;
 
 typedef struct {
@@ -50,6 +52,8 @@
     {"false probe", 85, 1, SERVER_FAILS, 1, 1, 2000, 3, FALSE, 40, 0},
     {"flapping", 85, 1, SERVER_FLAPS, 1, 1, 2000, 3, FALSE, 55, 0},
     {"slower for good", 85, 1, SERVER_GOOD, 3, 3, 2000, 3, FALSE, 40, 0},
+    {"ejected", 85, 1, SERVER_BACK, 1, 1, 0, 0, FALSE, 25, 12000},
+    {"ejected, 8 hosts", 8, 1, SERVER_BACK, 1, 1, 0, 3, FALSE, 25, 12000},
     {"5 % errors", 85, 1, SERVER_ERRS, 1, 1, 2000, 3, FALSE, 15, 4000},
     {"a failure domain", 85, 3, SERVER_GOOD, 1, 1, 2000, 3, FALSE, 0, 4000},
     {"no objects", 85, 1, SERVER_GOOD, 1, 1, 2000, 3, TRUE, 30, 8000},
@@ -151,7 +155,9 @@
 	r->result.end = DISPATCH_ANSWERED;
 	r->result.failed = behaviour == SERVER_FAILS ||
 	    (behaviour == SERVER_ERRS && g_rand_double(p->rand) < 0.05);
-	if (behaviour == SERVER_FLAPS && (now - start) / FLAP_MS % 2 == 1)
+	if ((behaviour == SERVER_FLAPS && (now - start) / FLAP_MS % 2 == 1) ||
+	    (behaviour == SERVER_BACK && now >= start + FLAP_MS &&
+		now < start + FLAP_MS + BACK_MS))
 		r->result.end = DISPATCH_UNREACHABLE;
 	else if (p->load[r->server] >= SLOTS + QUEUE)
 		r->result.end = DISPATCH_FULL;
