--- a/tests/test_server_pace.c
+++ b/tests/test_server_pace.c
@@ -13,6 +13,7 @@
 #define COLD_OBJECT_MS 880
 #define RATE 90.0      /* requests per second to the service */
 #define ARRIVALS_MAX 4 /* in a step */
+#define ARRIVAL_PART (RATE * STEP_MS / MSEC_PER_SEC / ARRIVALS_MAX)
 #define TIMEOUT_MS 2500
 #define FLAP_MS 4000
 #define BACK_MS 2000
@@ -56,6 +57,7 @@
     {"ejected, 8 hosts", 8, 1, SERVER_BACK, 1, 1, 0, 3, FALSE, 25, 12000},
     {"5 % errors", 85, 1, SERVER_ERRS, 1, 1, 2000, 3, FALSE, 15, 4000},
     {"a failure domain", 85, 3, SERVER_GOOD, 1, 1, 2000, 3, FALSE, 0, 4000},
+    {"all start", 85, SERVERS, SERVER_GOOD, 1, 1, 2000, 3, FALSE, 0, 0},
     {"no objects", 85, 1, SERVER_GOOD, 1, 1, 2000, 3, TRUE, 30, 8000},
 };
 
@@ -90,11 +92,7 @@
 /* When the servers under test start: hosts are members by then. */
 static const msec_t start = MEMBERS_JOIN_MS + 2 * MEMBERS_SETTLE_MS;
 
-static guint
-index_of(const backend_t *b)
-{
-	return (guint)b->row_ver - 1;
-}
+#define INDEX_OF(b) ((guint)(b)->row_ver - 1)
 
 static void
 put_servers(host_t *h, guint from, guint to, msec_t cold_ms, msec_t now)
@@ -134,15 +132,6 @@
 	put_servers(h, c->tested, SERVERS, 0, 0);
 }
 
-static void
-host_finish(host_t *h)
-{
-	dispatch_finish(&h->dispatch);
-	shifts_finish(&h->shifts);
-	fleet_finish(&h->fleet);
-	registry_finish(&h->registry);
-}
-
 /* How a request ends and how long it runs. */
 static void
 run(play_t *p, run_t *r, guint object, msec_t now)
@@ -187,7 +176,7 @@
 
 	if (placed.verdict != PLACING_SEND)
 		return;
-	r.server = index_of(placed.server);
+	r.server = INDEX_OF(placed.server);
 	dispatch_sent(&r.host->dispatch, &r.job, placed.server, now);
 	run(p, &r, object, now);
 	p->load[r.server]++;
@@ -236,7 +225,7 @@
 	    g_hash_table_iter_next(&it, NULL, &value)) {
 		backend_t *b = value;
 
-		b->peers = (uint32_t)p->load[index_of(b)] - b->own;
+		b->peers = (uint32_t)p->load[INDEX_OF(b)] - b->own;
 	}
 }
 
@@ -251,8 +240,7 @@
 	for (i = 0; i < p->c->hosts && now % BALANCE_TICK_MS == 0; i++)
 		tick(p, &p->hosts[i], now);
 	for (sent = 0; sent < ARRIVALS_MAX; sent++) {
-		if (g_rand_double(p->rand) <
-		    RATE * STEP_MS / MSEC_PER_SEC / ARRIVALS_MAX)
+		if (g_rand_double(p->rand) < ARRIVAL_PART)
 			arrive(p, now);
 	}
 }
@@ -281,7 +269,7 @@
 		    .admission = {.route = &route, .service = &service}};
 		for (k = 0; k < c->hosts; k++)
 			host_init(&p.hosts[k], k, c, regions);
-		for (now = 0; now < start + (c->even_ms + WINDOW_MS);
+		for (now = 0; now < start + c->even_ms + WINDOW_MS;
 		     now += STEP_MS)
 			play(&p, now);
 		ck_assert_msg(
@@ -293,8 +281,12 @@
 		for (k = 0; k < p.runs->len; k++)
 			dispatch_job_clear(
 			    &g_array_index(p.runs, run_t, k).job);
-		for (k = 0; k < c->hosts; k++)
-			host_finish(&p.hosts[k]);
+		for (k = 0; k < c->hosts; k++) {
+			dispatch_finish(&p.hosts[k].dispatch);
+			shifts_finish(&p.hosts[k].shifts);
+			fleet_finish(&p.hosts[k].fleet);
+			registry_finish(&p.hosts[k].registry);
+		}
 		g_array_free(p.runs, TRUE);
 		g_rand_free(p.rand);
 	}
