--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -29,6 +29,7 @@
 	d->bounds = *bounds;
 	caller_retry_init(&d->caller_retry);
 	urgency_init(&d->urgency);
+	dispatch_pace_init(&d->pace);
 	d->retry_hosts = 0;
 	d->retry_hosts_until = 0;
 	d->drains =
@@ -45,6 +46,7 @@
 	g_hash_table_destroy(d->budgets);
 	caller_retry_finish(&d->caller_retry);
 	urgency_finish(&d->urgency);
+	dispatch_pace_finish(&d->pace);
 }
 
 gboolean
@@ -146,6 +148,7 @@
 dispatch_tick(dispatch_t *d, msec_t now)
 {
 	fleet_members_update(&d->members, d->fleet, now);
+	dispatch_pace_tick(&d->pace, d->registry, now);
 }
 
 /* This host's rank for a cold server; kept until the members change. */
@@ -189,6 +192,24 @@
 	    (ramp.gap_ms == 0 || ramp.since_ms < ramp.gap_ms);
 }
 
+/* Whether the server is new or back and this host may not send it the request
+ * yet. */
+static gboolean
+is_paced(dispatch_t *d, const dispatch_job_t *job, backend_t *b,
+    gboolean others_full, msec_t now)
+{
+	gboolean warms_up = job->admission->service->warmup_rate > 0;
+	pace_request_t request = {.object = job->object,
+	    .by_object = job->by_object,
+	    .others_full = others_full};
+
+	if (!dispatch_pace_applies(b, warms_up, now))
+		return FALSE;
+	request.rank = ramp_rank(d, b);
+	request.hosts = d->members.seeds->len;
+	return !dispatch_pace_allows(&d->pace, b, warms_up, &request, now);
+}
+
 gboolean
 dispatch_may_send(const dispatch_t *d, const dispatch_job_t *job,
     backend_t *server, msec_t now)
@@ -202,6 +223,8 @@
 typedef struct {
 	placing_candidate_t *servers;
 	guint n;
+	guint paced;	      /* of these, new or back and not to be used yet */
+	gboolean others_full; /* only @paced may have room */
 	gboolean has_home;
 	msec_t pause_ms; /* until the first of the paused ones is back; 0: none
 			  */
@@ -219,7 +242,7 @@
 
 /* @out->servers has room for all servers of the service. */
 static void
-collect(const dispatch_t *d, const registry_service_t *known,
+collect(dispatch_t *d, const registry_service_t *known,
     const dispatch_job_t *job, shift_cohort_t cohort, msec_t now,
     candidates_t *out)
 {
@@ -227,11 +250,13 @@
 	guint i;
 
 	out->n = 0;
+	out->paced = 0;
 	out->has_home = FALSE;
 	out->pause_ms = 0;
 	for (i = 0; i < known->servers->len; i++) {
 		backend_t *b = g_ptr_array_index(known->servers, i);
 		gboolean same_region = strcmp(b->region, d->region) == 0, able;
+		gboolean paced;
 
 		if (!is_allowed(d, job, b, cohort, now))
 			continue;
@@ -247,19 +272,21 @@
 			note_pause(out, b, now);
 			continue;
 		}
+		paced = is_paced(d, job, b, out->others_full, now);
+		out->paced += paced;
 		out->servers[out->n++] = (placing_candidate_t){
 		    .server = b,
 		    .load = backend_load(b, now) *
 			server_speed_factor(&b->speed, &known->speed_hold, now),
 		    .same_region = same_region,
-		    .throttled = now < b->limited_until ||
+		    .throttled = now < b->limited_until || paced ||
 			is_throttled(d, job->admission->service, b, now),
 		};
 	}
 }
 
 static placing_t
-place(const dispatch_t *d, const registry_service_t *known,
+place_once(dispatch_t *d, const registry_service_t *known,
     const dispatch_job_t *job, shift_cohort_t cohort, msec_t now,
     candidates_t *c)
 {
@@ -284,6 +311,22 @@
 	return placing_choose(&request, c->servers, c->n, now);
 }
 
+/* Servers that are new or back also get requests beyond their pace if no other
+ * server of the cohort can take them: a shift keeps its share. */
+static placing_t
+place(dispatch_t *d, const registry_service_t *known, const dispatch_job_t *job,
+    shift_cohort_t cohort, msec_t now, candidates_t *c)
+{
+	placing_t p;
+
+	c->others_full = FALSE;
+	p = place_once(d, known, job, cohort, now, c);
+	if (p.verdict != PLACING_FULL || c->paced == 0)
+		return p;
+	c->others_full = TRUE;
+	return place_once(d, known, job, cohort, now, c);
+}
+
 void
 dispatch_begin(dispatch_t *d, dispatch_job_t *job, msec_t left_ms, msec_t now)
 {
@@ -345,6 +388,22 @@
 	    (double)took_ms > factor * (double)route->objective_ms;
 }
 
+static pace_end_t
+pace_end(const dispatch_result_t *result)
+{
+	switch (result->end) {
+	case DISPATCH_ANSWERED:
+		return result->failed ? PACE_BAD : PACE_GOOD;
+	case DISPATCH_FULL:
+		/* Some servers reject some requests although they have room. */
+		return result->has_room ? PACE_UNKNOWN : PACE_BAD;
+	case DISPATCH_ABANDONED:
+		return PACE_UNKNOWN;
+	default:
+		return PACE_BAD;
+	}
+}
+
 void
 dispatch_ended(dispatch_t *d, const dispatch_job_t *job, backend_t *server,
     const dispatch_result_t *result, msec_t now)
@@ -385,6 +444,8 @@
 		judged = FALSE;
 		break;
 	}
+	dispatch_pace_ended(&d->pace, server, pace_end(result), route->name,
+	    (double)result->took_ms, job->sent_load, now);
 	shifts_ended(d->shifts, server, judged ? &sample : NULL);
 }
 
