--- a/tests/test_shifts.c
+++ b/tests/test_shifts.c
@@ -464,6 +464,20 @@
 	    g_hash_table_lookup(p->registry.servers, id), cohort, 9999);
 }
 
+/* Ticks until the host writes a row. Return: the write. */
+static shift_write_t *
+await_write(sim_host_t *p, GArray *writes)
+{
+	msec_t now;
+
+	g_array_set_size(writes, 0);
+	for (now = 0; writes->len == 0 && now < 20000; now += TICK_MS)
+		shifts_tick(
+		    &p->shifts, &p->registry, &p->fleet, now, now, writes);
+	ck_assert_uint_eq(writes->len, 1);
+	return &g_array_index(writes, shift_write_t, 0);
+}
+
 /* Guards against requests to a version that was rolled back, once the next one
  * is ordered (review/9) and after a restart of hosts. */
 static void
@@ -471,11 +485,9 @@
 {
 	scenario_t none = {.name = "none"};
 	shift_row_t row = {(char *)"v2", 0, 9000, SHIFT_ROLLED_BACK, NULL};
-	shift_row_t none_bad = {(char *)"v2", 0, 9000, SHIFT_RUNNING, NULL};
 	GArray *writes = g_array_new(FALSE, TRUE, sizeof(shift_write_t));
 	shift_write_t *write;
 	sim_host_t *p, *next;
-	msec_t now;
 	world_t w;
 
 	world_init(&w, &none);
@@ -486,11 +498,7 @@
 	shifts_order(&p->shifts, "clips", "v3", 9000);
 	ck_assert(allows(p, "s-0", SHIFT_COHORT_OLD));
 	ck_assert(!allows(p, "s-7", SHIFT_COHORT_OLD));
-	for (now = 0; writes->len == 0 && now < 20000; now += TICK_MS)
-		shifts_tick(
-		    &p->shifts, &p->registry, &p->fleet, now, now, writes);
-	ck_assert_uint_eq(writes->len, 1);
-	write = &g_array_index(writes, shift_write_t, 0);
+	write = await_write(p, writes);
 	ck_assert_str_eq(write->row.to, "v3");
 	ck_assert_str_eq(write->row.withdrawn, "v2");
 	/* A host that has just started knows the row only. */
@@ -499,17 +507,31 @@
 	ck_assert(allows(next, "s-0", SHIFT_COHORT_OLD));
 	ck_assert(!allows(next, "s-7", SHIFT_COHORT_OLD));
 	ck_assert(!allows(next, "s-7", SHIFT_COHORT_ANY));
-	/* Ordered again, it is judged anew. */
-	shifts_order(&next->shifts, "clips", "v2", 9000);
-	g_array_set_size(writes, 0);
-	for (now = 0; writes->len == 0 && now < 20000; now += TICK_MS)
-		shifts_tick(&next->shifts, &next->registry, &next->fleet, now,
-		    now, writes);
-	ck_assert_uint_eq(writes->len, 1);
-	write = &g_array_index(writes, shift_write_t, 0);
-	ck_assert_ptr_null(write->row.withdrawn);
-	shifts_apply_row(&next->shifts, "clips", &none_bad, 7);
-	ck_assert(allows(next, "s-7", SHIFT_COHORT_NEW));
+	g_array_free(writes, TRUE);
+	world_finish(&w);
+}
+
+/* Guards against a version that stays out although it is ordered again. */
+static void
+test_ordered_again(void)
+{
+	scenario_t none = {.name = "none"};
+	shift_row_t later = {
+	    (char *)"v3", 0, 9000, SHIFT_RUNNING, (char *)"v2"};
+	shift_row_t running = {(char *)"v2", 0, 9000, SHIFT_RUNNING, NULL};
+	GArray *writes = g_array_new(FALSE, TRUE, sizeof(shift_write_t));
+	sim_host_t *p;
+	world_t w;
+
+	world_init(&w, &none);
+	p = &w.sim_hosts[0];
+	shifts_order(&p->shifts, "clips", "v3", 9000);
+	shifts_apply_row(&p->shifts, "clips", &later, 6);
+	ck_assert(!allows(p, "s-7", SHIFT_COHORT_OLD));
+	shifts_order(&p->shifts, "clips", "v2", 9000);
+	ck_assert_ptr_null(await_write(p, writes)->row.withdrawn);
+	shifts_apply_row(&p->shifts, "clips", &running, 7);
+	ck_assert(allows(p, "s-7", SHIFT_COHORT_NEW));
 	g_array_free(writes, TRUE);
 	world_finish(&w);
 }
@@ -576,6 +598,7 @@
 
 static const suite_case_t cases[] = {
     {"a rolled back version stays out", test_rolled_back_stays_out},
+    {"a rolled back version is ordered again", test_ordered_again},
     {"an older copy of the store", test_copies},
     {"good and bad versions", test_scenarios},
     {"a new version without an order", test_unordered},
