--- a/src/coordination/fanout.c
+++ b/src/coordination/fanout.c
@@ -6,9 +6,9 @@
 #define LINK_SHARE 0.25
 /* Bytes that accrue in this time may be sent at once. */
 #define BURST_SEC 1.0
-/* An update without news is passed on again after this time, which is shorter
- * than the interval of a reader: it tells the hosts of the domain that their
- * tables are up to date, else each of them asks the store. */
+/* An update without changes is passed on again after this time, which is
+ * shorter than the interval of a reader: it tells the hosts of the domain that
+ * their tables are up to date, else each of them asks the store. */
 #define REPEAT_MS 600
 #define BYTES_PER_MBIT 125000.0
 
--- a/tests/test_fanout.c
+++ b/tests/test_fanout.c
@@ -137,7 +137,7 @@
 	    {TABLE, 9, 12, TRUE, 0},	 /* the rows after the notice */
 	    {TABLE + 1, 0, 0, FALSE, 0}, /* no version */
 	    {FANOUT_TABLES_MAX, 8, 9, FALSE, 0},
-	    /* An update without news keeps the other hosts from asking the
+	    /* An update without changes keeps the other hosts from asking the
 	     * store. */
 	    {TABLE, 12, 12, FALSE, 500}, {TABLE, 12, 12, TRUE, 800},
 	    {TABLE, 12, 12, FALSE, 900}, /* another reader */
