fleet: ranks of hosts in a file of their own

Change: liveness, ranks and look-ups move to fleet_ranks.c unchanged; precedes() becomes fleet_precedes().

--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -257,6 +257,12 @@
 	uint64_t seed;
 } fleet_claim_t;
 
+/** fleet_precedes() - Whether a host ranks before another one: the stronger
+ * first, then by seed.
+ */
+gboolean fleet_precedes(
+    guint strength, uint64_t seed, guint other_strength, uint64_t other_seed);
+
 /**
  * fleet_claim_precedes() - Whether a collector is believed before another.
  *
